--- /dev/null
+++ b/libcowslip/http_client.c
@@ -0,0 +1,435 @@
+#include <h2o.h>
+#include <h2o/http1client.h>
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http_client.h"
+
+#define HTTP_POOL_IDLE_MS        5000
+#define HTTP_POOL_CAPACITY       65536
+#define HTTP_IO_TIMEOUT_MS       3600000
+#define HTTP_FETCH_MAX_BYTES     (8U << 20)
+#define HTTP_US_PER_MS           1000
+#define HTTP_CONTENT_TYPE_BYTES  128
+#define HTTP_ADDRESS_BYTES       64
+
+struct http_client
+{
+  uv_loop_t *loop;
+  struct tm_service *tm;
+  GHashTable *pools;
+  h2o_timeout_t io_timeout;
+  h2o_http1client_ctx_t context;
+  h2o_multithread_queue_t *queue;
+  h2o_multithread_receiver_t receiver;
+};
+
+struct http_call
+{
+  struct http_client *client;
+  h2o_http1client_t *connection;
+  struct http_handlers handlers;
+  void *arg;
+  GString *wire;
+  h2o_iovec_t wire_vector;
+  struct tm_timer limit;
+  bool sent;
+  bool head_seen;
+  bool in_callback;
+  bool cancelled;
+};
+
+struct http_fetch_state
+{
+  http_answer_cb done;
+  void *arg;
+  struct http_call *call;
+  uint16_t status;
+  char content_type[HTTP_CONTENT_TYPE_BYTES];
+  GString *body;
+};
+
+static void http_pool_free (gpointer pool);
+static void http_call_free (struct http_call *call);
+
+/* Return a client that runs on LOOP and takes its time limits from TM.  */
+struct http_client *
+http_client_new (uv_loop_t *loop, struct tm_service *tm)
+{
+  struct http_client *client = g_new0 (struct http_client, 1);
+
+  client->loop = loop;
+  client->tm = tm;
+  client->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                               http_pool_free);
+  client->queue = h2o_multithread_create_queue (loop);
+  h2o_multithread_register_receiver (client->queue, &client->receiver,
+                                     h2o_hostinfo_getaddr_receiver);
+  h2o_timeout_init (loop, &client->io_timeout, HTTP_IO_TIMEOUT_MS);
+  client->context.loop = loop;
+  client->context.getaddr_receiver = &client->receiver;
+  client->context.io_timeout = &client->io_timeout;
+  return client;
+}
+
+/* Free CLIENT, whose calls must all have ended or been cancelled.  The loop
+   must run once more so that its handles close.  */
+void
+http_client_free (struct http_client *client)
+{
+  if (client == NULL)
+    return;
+  g_hash_table_destroy (client->pools);
+  h2o_multithread_unregister_receiver (client->queue, &client->receiver);
+  h2o_multithread_destroy_queue (client->queue);
+  h2o_timeout_dispose (client->loop, &client->io_timeout);
+  g_free (client);
+}
+
+static void
+http_pool_free (gpointer pool)
+{
+  h2o_socketpool_dispose (pool);
+  g_free (pool);
+}
+
+static bool
+http_parse_address (const char *address, struct sockaddr_in *out)
+{
+  char host[HTTP_ADDRESS_BYTES];
+  const char *colon = strrchr (address, ':');
+  char *end;
+  long port;
+
+  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
+    return false;
+  memcpy (host, address, (size_t)(colon - address));
+  host[colon - address] = '\0';
+  port = strtol (colon + 1, &end, 10);
+  if (*end != '\0' || port <= 0 || port > UINT16_MAX)
+    return false;
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  out->sin_port = htons ((uint16_t)port);
+  return inet_pton (AF_INET, host, &out->sin_addr) == 1;
+}
+
+static h2o_socketpool_t *
+http_pool (struct http_client *client, const char *address)
+{
+  h2o_socketpool_t *pool = g_hash_table_lookup (client->pools, address);
+  struct sockaddr_in peer;
+
+  if (pool != NULL)
+    return pool;
+  if (!http_parse_address (address, &peer))
+    return NULL;
+  pool = g_new0 (h2o_socketpool_t, 1);
+  h2o_socketpool_init_by_address (pool, (struct sockaddr *)&peer, sizeof peer,
+                                  0, HTTP_POOL_CAPACITY);
+  h2o_socketpool_set_timeout (pool, client->loop, HTTP_POOL_IDLE_MS);
+  g_hash_table_insert (client->pools, g_strdup (address), pool);
+  return pool;
+}
+
+static GString *
+http_write_request (const struct http_request *request)
+{
+  GString *wire = g_string_sized_new (256 + request->body_bytes);
+
+  g_string_append_printf (wire, "%s %s HTTP/1.1\r\nhost: %s\r\n",
+                          request->method, request->path, request->address);
+  if (request->body != NULL || strcmp (request->method, "GET") != 0)
+    g_string_append_printf (wire, "content-length: %zu\r\n",
+                            request->body_bytes);
+  if (request->fresh)
+    g_string_append (wire, "connection: close\r\n");
+  for (const struct http_header *h = request->headers;
+       h != NULL && h->name != NULL; h++)
+    g_string_append_printf (wire, "%s: %s\r\n", h->name, h->value);
+  g_string_append (wire, "\r\n");
+  if (request->body != NULL)
+    g_string_append_len (wire, request->body, (gssize)request->body_bytes);
+  return wire;
+}
+
+static void
+http_call_free (struct http_call *call)
+{
+  tm_cancel (call->client->tm, &call->limit);
+  g_string_free (call->wire, TRUE);
+  g_free (call);
+}
+
+/* The connection is gone or about to be closed by h2o; tell the owner unless
+   it cancelled the call.  */
+static void
+http_finish (struct http_call *call, enum http_outcome outcome)
+{
+  call->connection = NULL;
+  if (!call->cancelled)
+    call->handlers.on_done (call->arg, outcome, call->sent);
+  http_call_free (call);
+}
+
+static int
+http_body_cb (h2o_http1client_t *connection, const char *error)
+{
+  struct http_call *call = connection->data;
+  h2o_buffer_t *input = connection->sock->input;
+
+  if (error != NULL && error != h2o_http1client_error_is_eos)
+    {
+      http_finish (call, HTTP_CUT);
+      return -1;
+    }
+  if (input->size > 0)
+    {
+      call->in_callback = true;
+      call->handlers.on_body (call->arg, input->bytes, input->size);
+      call->in_callback = false;
+      h2o_buffer_consume (&connection->sock->input, input->size);
+    }
+  if (call->cancelled)
+    {
+      http_finish (call, HTTP_CUT);
+      return -1;
+    }
+  if (error == h2o_http1client_error_is_eos)
+    http_finish (call, HTTP_COMPLETE);
+  return 0;
+}
+
+static bool
+http_is_framed (const h2o_header_t *headers, size_t count, int status)
+{
+  if (status == 204 || status == 304)
+    return true;
+  for (size_t i = 0; i < count; i++)
+    if (h2o_lcstris (headers[i].name->base, headers[i].name->len,
+                     H2O_STRLIT ("content-length"))
+        || h2o_lcstris (headers[i].name->base, headers[i].name->len,
+                        H2O_STRLIT ("transfer-encoding")))
+      return true;
+  return false;
+}
+
+static char *
+http_content_type (const h2o_header_t *headers, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (h2o_lcstris (headers[i].name->base, headers[i].name->len,
+                     H2O_STRLIT ("content-type")))
+      return g_strndup (headers[i].value.base, headers[i].value.len);
+  return g_strdup ("");
+}
+
+static h2o_http1client_body_cb
+http_head_cb (h2o_http1client_t *connection, const char *error, int minor,
+              int status, h2o_iovec_t message, h2o_header_t *headers,
+              size_t count, int header_bytes)
+{
+  struct http_call *call = connection->data;
+  bool ended = error == h2o_http1client_error_is_eos;
+  char *type;
+
+  (void)minor;
+  (void)message;
+  (void)header_bytes;
+  /* An answer whose end is the end of the connection cannot be told from a
+     cut one, so it is treated as cut.  */
+  if ((error != NULL && !ended) || !http_is_framed (headers, count, status))
+    {
+      http_finish (call, HTTP_CUT);
+      return NULL;
+    }
+  type = http_content_type (headers, count);
+  call->head_seen = true;
+  call->in_callback = true;
+  call->handlers.on_head (call->arg, (uint16_t)status, type);
+  call->in_callback = false;
+  g_free (type);
+  if (call->cancelled || ended)
+    {
+      http_finish (call, HTTP_COMPLETE);
+      return NULL;
+    }
+  return http_body_cb;
+}
+
+static h2o_http1client_head_cb
+http_connect_cb (h2o_http1client_t *connection, const char *error,
+                 h2o_iovec_t **buffers, size_t *count, int *is_head)
+{
+  struct http_call *call = connection->data;
+
+  if (error != NULL)
+    {
+      http_finish (call, HTTP_CONNECT_FAILED);
+      return NULL;
+    }
+  call->sent = true;
+  call->wire_vector = h2o_iovec_init (call->wire->str, call->wire->len);
+  *buffers = &call->wire_vector;
+  *count = 1;
+  *is_head = 0;
+  return http_head_cb;
+}
+
+static void
+http_limit_passed (void *arg)
+{
+  struct http_call *call = arg;
+
+  if (call->connection != NULL)
+    h2o_http1client_cancel (call->connection);
+  http_finish (call, HTTP_TIMEOUT);
+}
+
+static void
+http_bad_address (void *arg)
+{
+  http_finish (arg, HTTP_CONNECT_FAILED);
+}
+
+/* Send REQUEST and report its answer piece by piece to HANDLERS with ARG.
+   on_done is called exactly once, never from within this function, unless the
+   call is cancelled.  Return the call, valid until on_done or http_cancel.  */
+struct http_call *
+http_start (struct http_client *client, const struct http_request *request,
+            const struct http_handlers *handlers, void *arg)
+{
+  struct http_call *call = g_new0 (struct http_call, 1);
+  h2o_socketpool_t *pool = http_pool (client, request->address);
+  struct sockaddr_in peer;
+
+  call->client = client;
+  call->handlers = *handlers;
+  call->arg = arg;
+  call->wire = http_write_request (request);
+  if (pool == NULL)
+    {
+      tm_after (client->tm, &call->limit, 0, http_bad_address, call);
+      return call;
+    }
+  if (request->timeout_ms > 0)
+    tm_after (client->tm, &call->limit,
+              (uint64_t)request->timeout_ms * HTTP_US_PER_MS,
+              http_limit_passed, call);
+  if (request->fresh)
+    {
+      const char *colon = strrchr (request->address, ':');
+
+      (void)http_parse_address (request->address, &peer);
+      h2o_http1client_connect (
+          &call->connection, call, &client->context,
+          h2o_iovec_init (request->address,
+                          (size_t)(colon - request->address)),
+          ntohs (peer.sin_port), 0, http_connect_cb);
+    }
+  else
+    h2o_http1client_connect_with_pool (&call->connection, call,
+                                       &client->context, pool,
+                                       http_connect_cb);
+  return call;
+}
+
+/* End CALL without further callbacks: the connection closes, which the
+   endpoint sees.  Allowed inside a callback of the same call, but not after
+   on_done.  */
+void
+http_cancel (struct http_call *call)
+{
+  call->cancelled = true;
+  if (call->in_callback)
+    return;
+  if (call->connection != NULL)
+    h2o_http1client_cancel (call->connection);
+  http_call_free (call);
+}
+
+static void
+http_fetch_done (struct http_fetch_state *state, enum http_outcome outcome,
+                 bool sent)
+{
+  struct http_answer answer = { .outcome = outcome,
+                                .sent = sent,
+                                .status = state->status,
+                                .content_type = state->content_type,
+                                .body = state->body->str,
+                                .body_bytes = state->body->len };
+
+  state->done (state->arg, &answer);
+  g_string_free (state->body, TRUE);
+  g_free (state);
+}
+
+static void
+http_fetch_head (void *arg, uint16_t status, const char *content_type)
+{
+  struct http_fetch_state *state = arg;
+
+  state->status = status;
+  g_strlcpy (state->content_type, content_type, sizeof state->content_type);
+}
+
+static void
+http_fetch_body (void *arg, const char *data, size_t bytes)
+{
+  struct http_fetch_state *state = arg;
+
+  if (state->body->len + bytes > HTTP_FETCH_MAX_BYTES)
+    {
+      http_cancel (state->call);
+      http_fetch_done (state, HTTP_TOO_LARGE, true);
+      return;
+    }
+  g_string_append_len (state->body, data, (gssize)bytes);
+}
+
+static void
+http_fetch_end (void *arg, enum http_outcome outcome, bool sent)
+{
+  http_fetch_done (arg, outcome, sent);
+}
+
+/* Send REQUEST and call DONE once with ARG and the whole answer, whose strings
+   are valid during the call.  Bodies over 8 MiB end as HTTP_TOO_LARGE.  The
+   returned call may only be cancelled by letting its time limit pass.  */
+struct http_call *
+http_fetch (struct http_client *client, const struct http_request *request,
+            http_answer_cb done, void *arg)
+{
+  static const struct http_handlers handlers
+      = { http_fetch_head, http_fetch_body, http_fetch_end };
+  struct http_fetch_state *state = g_new0 (struct http_fetch_state, 1);
+
+  state->done = done;
+  state->arg = arg;
+  state->body = g_string_new (NULL);
+  state->call = http_start (client, request, &handlers, state);
+  return state->call;
+}
+
+/* Return the name of OUTCOME in log lines.  */
+const char *
+http_outcome_text (enum http_outcome outcome)
+{
+  switch (outcome)
+    {
+    case HTTP_COMPLETE:
+      return "complete";
+    case HTTP_CONNECT_FAILED:
+      return "connect failed";
+    case HTTP_CUT:
+      return "connection cut";
+    case HTTP_TIMEOUT:
+      return "timeout";
+    case HTTP_TOO_LARGE:
+      return "answer too large";
+    }
+  return "unknown";
+}
--- /dev/null
+++ b/libcowslip/http_client.h
@@ -0,0 +1,78 @@
+#ifndef COWSLIP_HTTP_CLIENT_H
+#define COWSLIP_HTTP_CLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <uv.h>
+
+#include "tm.h"
+
+/* HTTP/1.1 client on one libuv loop, with a connection pool per address.  */
+struct http_client;
+
+/* One call that is under way.  */
+struct http_call;
+
+/* How a call ended.  */
+enum http_outcome
+{
+  HTTP_COMPLETE,       /* whole answer received */
+  HTTP_CONNECT_FAILED, /* no connection; nothing was sent */
+  HTTP_CUT,            /* connection broke before the answer was whole */
+  HTTP_TIMEOUT,        /* the time limit of the call passed */
+  HTTP_TOO_LARGE       /* body larger than a fetch allows */
+};
+
+struct http_header
+{
+  const char *name;
+  const char *value;
+};
+
+struct http_request
+{
+  const char *method;
+  const char *address; /* "IP:PORT" */
+  const char *path;
+  const struct http_header *headers; /* ends with a NULL name; may be NULL */
+  const char *body;
+  size_t body_bytes;
+  uint32_t timeout_ms; /* 0: no limit */
+  bool fresh;          /* use a new connection, never a pooled one */
+};
+
+struct http_handlers
+{
+  void (*on_head) (void *arg, uint16_t status, const char *content_type);
+  void (*on_body) (void *arg, const char *data, size_t bytes);
+  void (*on_done) (void *arg, enum http_outcome outcome, bool sent);
+};
+
+/* The whole answer to a buffered call.  */
+struct http_answer
+{
+  enum http_outcome outcome;
+  bool sent;
+  uint16_t status;
+  const char *content_type;
+  const char *body;
+  size_t body_bytes;
+};
+
+typedef void (*http_answer_cb) (void *arg, const struct http_answer *answer);
+
+struct http_client *http_client_new (uv_loop_t *loop, struct tm_service *tm);
+void http_client_free (struct http_client *client);
+struct http_call *http_start (struct http_client *client,
+                              const struct http_request *request,
+                              const struct http_handlers *handlers, void *arg);
+struct http_call *http_fetch (struct http_client *client,
+                              const struct http_request *request,
+                              http_answer_cb done, void *arg);
+void http_cancel (struct http_call *call);
+const char *http_outcome_text (enum http_outcome outcome);
+
+#endif
--- /dev/null
+++ b/libcowslip/tm_uv.c
@@ -0,0 +1,70 @@
+#include "tm_uv.h"
+
+#define TM_UV_US_PER_MS 1000
+
+static uint64_t
+tm_uv_clock_us (void)
+{
+  return uv_hrtime () / 1000;
+}
+
+static void
+tm_uv_fired (uv_timer_t *timer)
+{
+  tm_uv_refresh (timer->data);
+}
+
+/* The loop may have spent long in callbacks: fire what became due and set the
+   wake-up for the next timer before the loop blocks.  */
+static void
+tm_uv_prepare (uv_prepare_t *prepare)
+{
+  struct tm_uv *driver = prepare->data;
+  uint64_t due_us;
+  uint64_t now_us;
+
+  tm_uv_refresh (driver);
+  due_us = tm_next_due_us (driver->service);
+  if (due_us == UINT64_MAX)
+    {
+      uv_timer_stop (&driver->timer);
+      return;
+    }
+  now_us = tm_now_us (driver->service);
+  uv_update_time (driver->timer.loop);
+  uv_timer_start (&driver->timer, tm_uv_fired,
+                  due_us <= now_us ? 0
+                                   : (due_us - now_us + TM_UV_US_PER_MS - 1)
+                                         / TM_UV_US_PER_MS,
+                  0);
+}
+
+/* Make a timer service for DRIVER and run it from LOOP.  Times are those of
+   the monotonic clock.  */
+void
+tm_uv_start (struct tm_uv *driver, uv_loop_t *loop)
+{
+  driver->service = tm_new_clock (tm_uv_clock_us);
+  uv_timer_init (loop, &driver->timer);
+  driver->timer.data = driver;
+  uv_prepare_init (loop, &driver->refresh);
+  driver->refresh.data = driver;
+  uv_prepare_start (&driver->refresh, tm_uv_prepare);
+}
+
+/* Bring the service's time up to the clock and fire what is due.  */
+void
+tm_uv_refresh (struct tm_uv *driver)
+{
+  tm_advance (driver->service, tm_uv_clock_us ());
+}
+
+/* Stop DRIVER.  The handles close on the loop's next turn.  */
+void
+tm_uv_stop (struct tm_uv *driver)
+{
+  uv_close ((uv_handle_t *)&driver->timer, NULL);
+  uv_close ((uv_handle_t *)&driver->refresh, NULL);
+  tm_free (driver->service);
+  driver->service = NULL;
+}
