--- /dev/null
+++ b/Makefile
@@ -0,0 +1,137 @@
+# Building needs GNU make, a C compiler and the packages listed in PACKAGES.
+
+PACKAGES = libuv1-dev libh2o-dev libtirpc-dev rpcsvc-proto libglib2.0-dev \
+	libcunit1-dev libjson-c-dev libxxhash-dev libgsl-dev libssl-dev \
+	pkg-config gnuplot-nox
+MODULES = libuv libh2o libtirpc glib-2.0 json-c libxxhash gsl openssl
+PROGRAMS = cowslipcoved cowslipctl cowslipload
+PREFIX = /usr/local
+CC = gcc
+
+ifdef SAN
+BUILD = build-san
+SANFLAGS = -fsanitize=address,undefined -fno-omit-frame-pointer
+else
+BUILD = build
+endif
+
+CFLAGS = -O2 -g
+STRICT = -Wall -Wextra -Werror
+CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved
+MODFLAGS = $(shell pkg-config --cflags $(MODULES))
+LIBS = $(shell pkg-config --libs $(MODULES)) -lm -lpthread
+COMPILE = @$(CC) -std=gnu11 $(CFLAGS) $(SANFLAGS) $(STRICT) $(CPPFLAGS) \
+	$(MODFLAGS) -MMD -MP
+
+LIB_SRC = $(wildcard libcowslip/*.c)
+GEN_SRC = proto/cowslip_xdr.c
+LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(GEN_SRC:%.c=$(BUILD)/%.o)
+LIB = $(BUILD)/libcowslip.a
+DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipcoved/*.c))
+CTL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipctl/*.c))
+LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipload/*.c))
+# Each standin/NAME/ is one program; standin/*.c is shared by all of them.
+STANDIN_DIRS = $(wildcard standin/*/)
+STANDINS = $(patsubst standin/%/,$(BUILD)/standin-%,$(STANDIN_DIRS))
+STANDIN_SHARED = $(patsubst %.c,$(BUILD)/%.o,$(wildcard standin/*.c))
+# Each regress/NAME_test.c or NAME_script.c is one program.
+TESTS = $(patsubst regress/%.c,$(BUILD)/regress/%,\
+	$(wildcard regress/*_test.c regress/*_script.c))
+TEST_SHARED = $(patsubst %.c,$(BUILD)/%.o,\
+	$(filter-out %_test.c %_script.c,$(wildcard regress/*.c)))
+# Parts of the daemon that tests link: all but its main.
+DAEMON_PARTS = $(BUILD)/libcowslipcoved.a
+OUR_C = $(LIB_SRC) $(wildcard cowslipcoved/*.c cowslipctl/*.c \
+	cowslipload/*.c standin/*.c standin/*/*.c regress/*.c)
+OUR_H = $(filter-out proto/%,$(wildcard libcowslip/*.h cowslipcoved/*.h \
+	cowslipctl/*.h cowslipload/*.h standin/*.h standin/*/*.h regress/*.h))
+BINARIES = $(foreach p,$(PROGRAMS),$(if $(wildcard $p/main.c),$(BUILD)/$p/$p))
+
+all: $(BINARIES) $(STANDINS)
+
+deps:
+	@for p in $(PACKAGES); do \
+	  dpkg -s $$p >/dev/null 2>&1 || missing="$$missing $$p"; done; \
+	if [ -n "$$missing" ]; then \
+	  apt-get update -qq && apt-get install -y -qq $$missing; fi
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(COMPILE) -c -o $@ $<
+
+# rpcgen's output leaves variables unused.
+$(BUILD)/proto/%.o: STRICT = -Wall -Wno-unused-variable
+
+$(LIB): $(LIB_OBJ)
+	rm -f $@
+	ar rcs $@ $^
+
+$(DAEMON_PARTS): $(filter-out %/main.o,$(DAEMON_OBJ))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/cowslipcoved/cowslipcoved: $(BUILD)/cowslipcoved/main.o \
+		$(DAEMON_PARTS) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/cowslipctl/cowslipctl: $(CTL_OBJ) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/cowslipload/cowslipload: $(LOAD_OBJ) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
+
+.SECONDEXPANSION:
+$(BUILD)/standin-%: $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard standin/$$*/*.c)) \
+		$(STANDIN_SHARED) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
+
+$(BUILD)/regress/%: $(BUILD)/regress/%.o $(TEST_SHARED) $(DAEMON_PARTS) $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
+
+check: deps
+	$(MAKE) all tests
+	BUILD=$(BUILD) sh regress/check.sh
+
+tests: $(TESTS)
+
+demo: deps
+	$(MAKE) all
+	BUILD=$(BUILD) sh demo/run.sh
+
+format:
+	clang-format -i $(OUR_C) $(OUR_H)
+
+format-check:
+	clang-format --dry-run -Werror $(OUR_C) $(OUR_H)
+
+# Only files that changed since the last clean run are read again.
+tidy: $(OUR_C:%.c=build/tidy/%.ok)
+
+build/tidy/%.ok: %.c .clang-tidy $(OUR_H)
+	@mkdir -p $(@D)
+	clang-tidy --quiet $< -- -std=gnu11 $(CPPFLAGS) $(MODFLAGS) 2>$@.err \
+	  || { cat $@.err; exit 1; }
+	@touch $@
+
+# The output is committed, so that a build needs no generator.
+proto:
+	cd proto && rm -f cowslip.h cowslip_xdr.c && \
+	  rpcgen -C -h -o cowslip.h cowslip.x && \
+	  rpcgen -C -c -o cowslip_xdr.c cowslip.x
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+	  $(DESTDIR)$(PREFIX)/share/man/man8
+	install -m 755 $(BINARIES) $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(wildcard cowslipctl/*.1 cowslipload/*.1) \
+	  $(DESTDIR)$(PREFIX)/share/man/man1
+	install -m 644 $(wildcard cowslipcoved/*.8) \
+	  $(DESTDIR)$(PREFIX)/share/man/man8
+
+clean:
+	rm -rf build build-san
+
+.PHONY: all deps check tests demo format format-check tidy proto install clean
+.PRECIOUS: $(BUILD)/%.o
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/cowslipcoved/admin.h
@@ -0,0 +1,13 @@
+#ifndef COWSLIPCOVED_ADMIN_H
+#define COWSLIPCOVED_ADMIN_H
+
+#include "daemon.h"
+
+/* Health, counters and the operators' calls.  */
+
+struct cd_admin *cd_admin_new (struct cd_daemon *daemon);
+void cd_admin_free (struct cd_admin *admin);
+void cd_admin_handle (struct cd_daemon *daemon,
+                      struct http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/libcowslip/env.h
@@ -0,0 +1,127 @@
+#ifndef COWSLIP_ENV_H
+#define COWSLIP_ENV_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#define ENV_DIGEST_CHARS       16
+#define ENV_DOCUMENT_MAX_BYTES (1000U * 1000U)
+
+#define ENV_ERROR (env_error_quark ())
+
+enum env_error
+{
+  ENV_ERROR_SYNTAX,
+  ENV_ERROR_VALUE,
+  ENV_ERROR_TOO_LARGE
+};
+
+/* What one class of request is promised.  */
+struct env_class
+{
+  char *name;
+  uint32_t deadline_ms;       /* whole answer, from arrival */
+  uint32_t first_token_ms;    /* 0: not promised */
+  uint32_t between_tokens_ms; /* 0: not promised */
+  uint32_t expected_ms;       /* usual duration; longer is a straggler */
+  int32_t priority;           /* higher goes first */
+};
+
+/* One address of a back end.  */
+struct env_endpoint
+{
+  char *address; /* "IP:PORT" */
+  char *zone;
+};
+
+/* Engines of one kind.  */
+struct env_pool
+{
+  char *name;
+  uint64_t memory_bytes; /* of each engine */
+  uint32_t batch;        /* requests that an engine runs at once */
+  bool checks_fencing;
+  bool can_resume;
+  GPtrArray *endpoints; /* struct env_endpoint */
+};
+
+/* How many replicas of a model one zone may hold.  */
+struct env_budget
+{
+  char *zone;
+  uint32_t replicas;
+};
+
+struct env_model
+{
+  char *name;
+  char *version;
+  const struct env_pool *pool;
+  const struct env_class *default_class;
+  uint64_t bytes;
+  uint64_t adapter_bytes; /* reserved with each replica */
+  uint32_t keep_alive_min_ms;
+  uint32_t keep_alive_max_ms;
+  GPtrArray *budgets; /* struct env_budget */
+};
+
+struct env_adapter
+{
+  char *name;
+  char *version;
+  const struct env_model *model;
+  uint64_t bytes;
+};
+
+/* A plain service.  */
+struct env_service
+{
+  char *name;
+  const struct env_class *default_class;
+  bool repeatable;      /* all methods; GET and HEAD always are */
+  bool deduplicates;    /* the service itself honours Idempotency-Key */
+  GPtrArray *endpoints; /* struct env_endpoint */
+};
+
+struct env_limits
+{
+  uint32_t waiting_max;       /* requests waiting in one instance */
+  uint32_t retry_percent;     /* retries and hedges per 100 requests */
+  uint32_t adapter_loads_max; /* in flight across all engines */
+  uint32_t weight_loads_max;  /* weight store fetches in flight */
+};
+
+/* One parsed environment document.  Immutable and reference-counted.  */
+struct env_document;
+
+GQuark env_error_quark (void);
+struct env_document *env_parse (const char *text, size_t bytes,
+                                GError **error);
+struct env_document *env_ref (struct env_document *document);
+void env_unref (struct env_document *document);
+
+const char *env_name (const struct env_document *document);
+const char *env_text (const struct env_document *document, size_t *bytes);
+const char *env_digest (const struct env_document *document);
+const struct env_limits *env_limits (const struct env_document *document);
+const struct env_class *env_class (const struct env_document *document,
+                                   const char *name);
+const struct env_pool *env_pool (const struct env_document *document,
+                                 const char *name);
+const struct env_model *env_model (const struct env_document *document,
+                                   const char *name);
+const struct env_adapter *env_adapter (const struct env_document *document,
+                                       const char *name);
+const struct env_service *env_service (const struct env_document *document,
+                                       const char *name);
+const GPtrArray *env_pools (const struct env_document *document);
+const GPtrArray *env_models (const struct env_document *document);
+const GPtrArray *env_adapters (const struct env_document *document);
+const GPtrArray *env_services (const struct env_document *document);
+const GPtrArray *env_zones (const struct env_document *document);
+uint32_t env_budget (const struct env_model *model, const char *zone);
+
+#endif
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -7,13 +7,13 @@
 
 #include "http_client.h"
 
-#define HTTP_POOL_IDLE_MS        5000
-#define HTTP_POOL_CAPACITY       65536
-#define HTTP_IO_TIMEOUT_MS       3600000
-#define HTTP_FETCH_MAX_BYTES     (8U << 20)
-#define HTTP_US_PER_MS           1000
-#define HTTP_CONTENT_TYPE_BYTES  128
-#define HTTP_ADDRESS_BYTES       64
+#define HTTP_POOL_IDLE_MS       5000
+#define HTTP_POOL_CAPACITY      65536
+#define HTTP_IO_TIMEOUT_MS      3600000
+#define HTTP_FETCH_MAX_BYTES    (8U << 20)
+#define HTTP_US_PER_MS          1000
+#define HTTP_CONTENT_TYPE_BYTES 128
+#define HTTP_ADDRESS_BYTES      64
 
 struct http_client
 {
@@ -62,9 +62,8 @@
 
   client->loop = loop;
   client->tm = tm;
-  client->pools
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                               http_pool_free);
+  client->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         http_pool_free);
   client->queue = h2o_multithread_create_queue (loop);
   h2o_multithread_register_receiver (client->queue, &client->receiver,
                                      h2o_hostinfo_getaddr_receiver);
@@ -304,7 +303,7 @@
 {
   struct http_call *call = g_new0 (struct http_call, 1);
   h2o_socketpool_t *pool = http_pool (client, request->address);
-  struct sockaddr_in peer;
+  struct sockaddr_in peer = { 0 };
 
   call->client = client;
   call->handlers = *handlers;
@@ -331,9 +330,8 @@
           ntohs (peer.sin_port), 0, http_connect_cb);
     }
   else
-    h2o_http1client_connect_with_pool (&call->connection, call,
-                                       &client->context, pool,
-                                       http_connect_cb);
+    h2o_http1client_connect_with_pool (
+        &call->connection, call, &client->context, pool, http_connect_cb);
   return call;
 }
 
--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -8,9 +8,9 @@
 
 #include "http_server.h"
 
-#define HTTP_BACKLOG             1024
-#define HTTP_ADDRESS_BYTES       64
-#define HTTP_REQUEST_TIMEOUT_MS  10000
+#define HTTP_BACKLOG            1024
+#define HTTP_ADDRESS_BYTES      64
+#define HTTP_REQUEST_TIMEOUT_MS 10000
 
 struct http_server
 {
@@ -73,22 +73,20 @@
 http_on_request (h2o_handler_t *base, h2o_req_t *request)
 {
   struct http_server *server = ((struct http_h2o_handler *)base)->server;
-  size_t path_bytes = request->query_at == SIZE_MAX ? request->path.len
-                                                    : request->query_at;
+  size_t path_bytes
+      = request->query_at == SIZE_MAX ? request->path.len : request->query_at;
   struct http_exchange *exchange = h2o_mem_alloc_shared (
       &request->pool, sizeof *exchange, http_exchange_dispose);
 
   memset (exchange, 0, sizeof *exchange);
   exchange->request = request;
   exchange->server = server;
-  exchange->method
-      = g_strndup (request->method.base, request->method.len);
+  exchange->method = g_strndup (request->method.base, request->method.len);
   exchange->path = g_strndup (request->path.base, path_bytes);
-  exchange->query
-      = request->query_at == SIZE_MAX
-            ? g_strdup ("")
-            : g_strndup (request->path.base + path_bytes + 1,
-                         request->path.len - path_bytes - 1);
+  exchange->query = request->query_at == SIZE_MAX
+                        ? g_strdup ("")
+                        : g_strndup (request->path.base + path_bytes + 1,
+                                     request->path.len - path_bytes - 1);
   server->active++;
   server->handler (server->arg, exchange);
   return 0;
@@ -407,8 +405,7 @@
   exchange->ready = false;
   if (exchange->ended)
     state = exchange->whole ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
-  vector
-      = h2o_iovec_init (exchange->sending->str, exchange->sending->len);
+  vector = h2o_iovec_init (exchange->sending->str, exchange->sending->len);
   h2o_send (exchange->request, &vector, vector.len > 0 ? 1 : 0, state);
 }
 
--- /dev/null
+++ b/libcowslip/kv.h
@@ -0,0 +1,114 @@
+#ifndef COWSLIP_KV_H
+#define COWSLIP_KV_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* The platform's key-value service, behind a narrow interface so that tests
+   and other platforms can take its place.  */
+
+enum kv_outcome
+{
+  KV_OK,         /* for a transaction: the comparisons held */
+  KV_CONFLICT,   /* a comparison failed; the else operations ran */
+  KV_UNKNOWN,    /* the answer was lost; the effect is not known */
+  KV_UNAVAILABLE /* nothing took effect */
+};
+
+/* Requires that KEY was last changed at REVISION; 0: does not exist.  */
+struct kv_compare
+{
+  const char *key;
+  int64_t revision;
+};
+
+enum kv_op_kind
+{
+  KV_GET,
+  KV_GET_PREFIX,
+  KV_PUT,
+  KV_DELETE
+};
+
+struct kv_op
+{
+  enum kv_op_kind kind;
+  const char *key;
+  const char *value; /* KV_PUT */
+  size_t value_bytes;
+  int64_t lease; /* KV_PUT; 0: none */
+};
+
+struct kv_pair
+{
+  char *key;
+  char *value; /* followed by a zero byte */
+  size_t value_bytes;
+  int64_t revision; /* of the last change */
+  int64_t lease;
+};
+
+/* PAIRS holds what the executed get operations found, in their order.  */
+struct kv_result
+{
+  enum kv_outcome outcome;
+  int64_t revision;
+  const struct kv_pair *pairs;
+  size_t pair_count;
+};
+
+struct kv_txn
+{
+  const struct kv_compare *compares;
+  size_t compare_count;
+  const struct kv_op *then_ops;
+  size_t then_count;
+  const struct kv_op *else_ops;
+  size_t else_count;
+};
+
+/* One change seen by a watch; VALUE is NULL for a deletion.  */
+struct kv_change
+{
+  const char *key;
+  const char *value;
+  size_t value_bytes;
+  int64_t revision;
+};
+
+typedef void (*kv_done) (void *arg, const struct kv_result *result);
+typedef void (*kv_lease_done) (void *arg, enum kv_outcome outcome,
+                               int64_t lease);
+typedef void (*kv_changed) (void *arg, const struct kv_change *change);
+typedef void (*kv_watch_ended) (void *arg);
+
+struct kv_methods
+{
+  void (*txn) (void *context, const struct kv_txn *txn, kv_done done,
+               void *arg);
+  void (*lease_grant) (void *context, uint32_t ttl_s, kv_lease_done done,
+                       void *arg);
+  /* KV_OK if the lease lives on, KV_CONFLICT if it has expired.  */
+  void (*lease_renew) (void *context, int64_t lease, kv_lease_done done,
+                       void *arg);
+  void (*lease_revoke) (void *context, int64_t lease);
+  void *(*watch) (void *context, const char *prefix, int64_t from_revision,
+                  kv_changed changed, kv_watch_ended ended, void *arg);
+  void (*unwatch) (void *context, void *watch);
+};
+
+struct kv_store
+{
+  const struct kv_methods *methods;
+  void *context;
+};
+
+void kv_txn (const struct kv_store *store, const struct kv_txn *txn,
+             kv_done done, void *arg);
+void kv_get (const struct kv_store *store, const char *key, kv_done done,
+             void *arg);
+void kv_get_prefix (const struct kv_store *store, const char *prefix,
+                    kv_done done, void *arg);
+
+#endif
--- /dev/null
+++ b/libcowslip/rpc.h
@@ -0,0 +1,87 @@
+#ifndef COWSLIP_RPC_H
+#define COWSLIP_RPC_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <rpc/rpc.h>
+#include <uv.h>
+
+#include "ctr.h"
+#include "tm.h"
+
+/* ONC RPC over TCP between instances, authenticated with an HMAC.  */
+struct rpc_node;
+
+/* A call that waits for its answer from this process.  */
+struct rpc_request;
+
+enum rpc_outcome
+{
+  RPC_OK,
+  RPC_CONNECT_FAILED, /* nothing was sent */
+  RPC_BROKEN,         /* connection lost after the call was sent */
+  RPC_TIMEOUT,
+  RPC_REFUSED /* the peer does not know the procedure or the key */
+};
+
+/* The sender of a call; authenticated.  */
+struct rpc_origin
+{
+  char instance[128];
+  uint64_t incarnation;
+};
+
+/* How one procedure is decoded and served.  SERVE must call rpc_answer once,
+   now or later.  */
+struct rpc_procedure
+{
+  uint32_t number;
+  xdrproc_t decode_args;
+  size_t args_bytes;
+  xdrproc_t encode_result;
+  void (*serve) (void *arg, const struct rpc_origin *origin, void *args,
+                 struct rpc_request *request);
+};
+
+/* A call to a peer.  */
+struct rpc_call
+{
+  const char *address; /* "IP:PORT" */
+  uint32_t procedure;
+  xdrproc_t encode_args;
+  void *args;
+  xdrproc_t decode_result;
+  size_t result_bytes;
+  uint32_t timeout_ms;
+};
+
+/* RESULT is NULL unless OUTCOME is RPC_OK; it is freed after the call.  */
+typedef void (*rpc_done) (void *arg, enum rpc_outcome outcome, void *result);
+
+struct rpc_config
+{
+  const char *instance;
+  uint64_t incarnation;
+  const char *address;
+  const void *key;
+  size_t key_bytes;
+};
+
+struct rpc_node *rpc_node_new (uv_loop_t *loop, struct tm_service *tm,
+                               struct ctr_set *counters,
+                               const struct rpc_config *config,
+                               GError **error);
+void rpc_node_free (struct rpc_node *node);
+void rpc_serve (struct rpc_node *node, const struct rpc_procedure *procedure,
+                void *arg);
+void rpc_answer (struct rpc_request *request, void *result);
+void rpc_send (struct rpc_node *node, const struct rpc_call *call,
+               rpc_done done, void *arg);
+uint64_t rpc_bytes_sent (const struct rpc_node *node);
+uint64_t rpc_bytes_received (const struct rpc_node *node);
+const char *rpc_outcome_text (enum rpc_outcome outcome);
+
+#endif
--- a/libcowslip/tm.c
+++ b/libcowslip/tm.c
@@ -101,8 +101,8 @@
 }
 
 /* Move the time forward to NOW_US and fire what is due, in order.  While a
-   timer fires a hand-driven time is the one at which it was due.  A NOW_US in the past
-   changes nothing.  */
+   timer fires a hand-driven time is the one at which it was due.  A NOW_US in
+   the past changes nothing.  */
 void
 tm_advance (struct tm_service *service, uint64_t now_us)
 {
--- /dev/null
+++ b/proto/cowslip.x
@@ -0,0 +1,175 @@
+/* Messages between instances.  Regenerate with "make proto".  */
+
+const COWSLIP_NAME_MAX = 128;
+const COWSLIP_LIST_MAX = 4096;
+const COWSLIP_DOCUMENT_MAX = 1000000;
+const COWSLIP_BODY_MAX = 65536;
+
+typedef string cs_name<COWSLIP_NAME_MAX>;
+
+struct cs_member
+{
+  cs_name instance;
+  cs_name zone;
+  cs_name rpc_address;
+  cs_name http_address;
+  unsigned int number;
+  unsigned hyper incarnation;
+};
+
+/* Load of one engine as its reader saw it.  */
+struct cs_load
+{
+  cs_name endpoint;
+  unsigned int running;
+  unsigned int waiting;
+  unsigned int age_ms;
+};
+
+struct cs_suspect
+{
+  unsigned hyper fingerprint;
+  unsigned int crashes;
+  unsigned int age_ms;
+};
+
+struct cs_demand
+{
+  cs_name model;
+  unsigned int waiting;
+  unsigned int earliest_ms; /* until the earliest deadline */
+  int priority;
+  unsigned int arrivals; /* requests since the last report */
+};
+
+struct cs_heartbeat
+{
+  cs_member sender;
+  unsigned hyper generation;
+  unsigned hyper fence; /* highest that the sender has seen */
+  bool draining;
+  cs_load loads<COWSLIP_LIST_MAX>;
+  cs_name leaving<COWSLIP_LIST_MAX>;
+  cs_suspect suspects<COWSLIP_LIST_MAX>;
+};
+
+struct cs_heartbeat_reply
+{
+  unsigned hyper incarnation;
+  unsigned hyper generation;
+};
+
+struct cs_document
+{
+  unsigned hyper generation; /* 0: none known */
+  cs_name digest;
+  opaque text<COWSLIP_DOCUMENT_MAX>;
+};
+
+struct cs_demand_report
+{
+  cs_name instance;
+  unsigned hyper incarnation;
+  cs_demand demands<COWSLIP_LIST_MAX>;
+};
+
+struct cs_replica
+{
+  cs_name model;
+  cs_name endpoint;
+  unsigned int state;
+  unsigned int ready_ms;
+};
+
+struct cs_view
+{
+  cs_name zone;
+  unsigned hyper fence;
+  unsigned hyper sequence;
+  cs_replica replicas<COWSLIP_LIST_MAX>;
+};
+
+struct cs_quiesce
+{
+  unsigned hyper fence;
+  cs_name model;
+  cs_name endpoint;
+};
+
+struct cs_quiesce_reply
+{
+  bool accepted;
+  unsigned int in_flight;
+};
+
+struct cs_promise
+{
+  cs_name holder;
+  unsigned hyper fence;
+  unsigned int duration_ms;
+};
+
+struct cs_promise_reply
+{
+  bool promised;
+};
+
+enum cs_claim_kind
+{
+  CS_CLAIM_OPEN = 0,
+  CS_CLAIM_COMPLETE = 1,
+  CS_CLAIM_RELEASE = 2
+};
+
+struct cs_claim
+{
+  cs_claim_kind kind;
+  cs_name key; /* "SERVICE/HASH" */
+  unsigned hyper claim_id;
+  unsigned hyper request_digest;
+  cs_name owner;
+  unsigned hyper owner_incarnation;
+  unsigned int status;          /* CS_CLAIM_COMPLETE */
+  cs_name content_type;         /* CS_CLAIM_COMPLETE */
+  opaque body<COWSLIP_BODY_MAX>; /* CS_CLAIM_COMPLETE */
+};
+
+enum cs_claim_outcome
+{
+  CS_CLAIM_GRANTED = 0,     /* written, or found written by this claim */
+  CS_CLAIM_HELD = 1,        /* open, by the owner given here */
+  CS_CLAIM_DONE = 2,        /* completed earlier; answer given here */
+  CS_CLAIM_UNAVAILABLE = 3, /* nothing was written */
+  CS_CLAIM_UNKNOWN = 4      /* the effect is not known */
+};
+
+struct cs_claim_reply
+{
+  cs_claim_outcome outcome;
+  unsigned hyper request_digest;
+  cs_name owner;
+  unsigned hyper owner_incarnation;
+  unsigned int status;
+  cs_name content_type;
+  opaque body<COWSLIP_BODY_MAX>;
+};
+
+struct cs_suspects
+{
+  cs_suspect suspects<COWSLIP_LIST_MAX>;
+};
+
+program COWSLIP_PROGRAM
+{
+  version COWSLIP_VERSION
+  {
+    cs_heartbeat_reply COWSLIP_HEARTBEAT (cs_heartbeat) = 1;
+    cs_document COWSLIP_GET_DOCUMENT (cs_name) = 2;
+    void COWSLIP_DEMAND (cs_demand_report) = 3;
+    void COWSLIP_VIEW (cs_view) = 4;
+    cs_quiesce_reply COWSLIP_QUIESCE (cs_quiesce) = 5;
+    cs_promise_reply COWSLIP_PROMISE (cs_promise) = 6;
+    cs_claim_reply COWSLIP_CLAIM (cs_claim) = 7;
+    void COWSLIP_SUSPECT (cs_suspects) = 8;
+  } = 1;
+} = 0x20c05110;
