Add settings, environment documents, configuration changes and cowslipctl

Cause: operators need one checked document per environment, and a change whose outcome is true even when the answer of the key-value service is lost. Change: strict JSON reading (jsn), settings (set), documents (env), changes by compare-and-swap that are read back before they are reported (chg), and the operators' client.

--- /dev/null
+++ b/cowslipcoved/admin_env.h
@@ -0,0 +1,15 @@
+#ifndef COWSLIPCOVED_ADMIN_ENV_H
+#define COWSLIPCOVED_ADMIN_ENV_H
+
+#include <json-c/json.h>
+
+#include "daemon.h"
+
+/* Operators' calls about environment documents.  */
+
+void cd_admin_environment (struct cd_daemon *daemon,
+                           struct http_exchange *exchange, const char *path);
+void cd_admin_answer (struct http_exchange *exchange, uint16_t status,
+                      struct json_object *object);
+
+#endif
--- /dev/null
+++ b/cowslipcoved/drain.h
@@ -0,0 +1,11 @@
+#ifndef COWSLIPCOVED_DRAIN_H
+#define COWSLIPCOVED_DRAIN_H
+
+#include "daemon.h"
+
+/* Graceful shutdown.  */
+
+void cd_drain (struct cd_daemon *daemon);
+void cd_drain_request_seen (struct cd_daemon *daemon);
+
+#endif
--- /dev/null
+++ b/cowslipctl/call.c
@@ -0,0 +1,149 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ctl.h"
+#include "http_client.h"
+#include "jsn.h"
+#include "tm_uv.h"
+
+#define CALL_TIMEOUT_MS 10000
+
+static void
+call_done (void *arg, const struct http_answer *answer)
+{
+  struct ctl_answer *result = arg;
+
+  if (answer->outcome != HTTP_COMPLETE)
+    {
+      result->body = g_strdup (http_outcome_text (answer->outcome));
+      return;
+    }
+  result->status = answer->status;
+  result->body = g_strndup (answer->body, answer->body_bytes);
+  result->object = jsn_parse (answer->body, answer->body_bytes, NULL);
+}
+
+/* Send one call to the instance of OPTIONS and wait for its answer, at most
+   10 s.  The caller clears the answer.  */
+struct ctl_answer
+ctl_call (const struct ctl_options *options, const char *method,
+          const char *path, const char *body, size_t body_bytes)
+{
+  char *bearer = g_strdup_printf ("Bearer %s", options->token);
+  struct http_header headers[]
+      = { { "authorization", bearer }, { NULL, NULL } };
+  struct http_request request = { .method = method,
+                                  .address = options->address,
+                                  .path = path,
+                                  .headers = headers,
+                                  .body = body,
+                                  .body_bytes = body_bytes,
+                                  .timeout_ms = CALL_TIMEOUT_MS };
+  struct ctl_answer answer = { 0 };
+  struct http_client *client;
+  struct tm_uv clock;
+  uv_loop_t loop;
+
+  uv_loop_init (&loop);
+  tm_uv_start (&clock, &loop);
+  client = http_client_new (&loop, clock.service);
+  http_fetch (client, &request, call_done, &answer);
+  while (answer.body == NULL)
+    uv_run (&loop, UV_RUN_ONCE);
+  g_free (bearer);
+  return answer;
+}
+
+/* Free what ANSWER holds.  */
+void
+ctl_answer_clear (struct ctl_answer *answer)
+{
+  g_free (answer->body);
+  json_object_put (answer->object);
+  memset (answer, 0, sizeof *answer);
+}
+
+/* Return the exit status that goes with ANSWER.  */
+enum ctl_status
+ctl_answer_status (const struct ctl_answer *answer)
+{
+  switch (answer->status)
+    {
+    case 200:
+    case 202:
+      return CTL_OK;
+    case 0:
+    case 503:
+      return CTL_UNAVAILABLE;
+    case 409:
+      return CTL_CONFLICT;
+    case 413:
+    case 422:
+      return CTL_REFUSED;
+    case 504:
+      return CTL_UNKNOWN;
+    default:
+      return CTL_FAILED;
+    }
+}
+
+/* Print why ANSWER is not a success and return the exit status.  */
+enum ctl_status
+ctl_print_error (const struct ctl_answer *answer)
+{
+  const char *reason = ctl_text (answer->object, "error");
+  struct json_object *current = NULL;
+
+  fprintf (stderr, "cowslipctl: %s\n",
+           reason[0] == '\0' ? answer->body : reason);
+  if (json_object_object_get_ex (answer->object, "current", &current))
+    fprintf (stderr, "cowslipctl: generation %lld, digest %s, by %s: %s\n",
+             (long long)ctl_number (current, "generation"),
+             ctl_text (current, "digest"), ctl_text (current, "author"),
+             ctl_text (current, "comment"));
+  return ctl_answer_status (answer);
+}
+
+/* Print OBJECT to standard output.  */
+void
+ctl_print_json (struct json_object *object)
+{
+  puts (json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE));
+}
+
+/* Return the text at KEY of OBJECT, or an empty text.  */
+const char *
+ctl_text (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return "";
+  return json_object_get_string (value);
+}
+
+/* Return the number at KEY of OBJECT, or 0.  */
+int64_t
+ctl_number (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  if (!json_object_is_type (object, json_type_object)
+      || !json_object_object_get_ex (object, key, &value))
+    return 0;
+  return json_object_get_int64 (value);
+}
+
+/* Return the truth value at KEY of OBJECT, or false.  */
+bool
+ctl_flag (struct json_object *object, const char *key)
+{
+  struct json_object *value = NULL;
+
+  return json_object_is_type (object, json_type_object)
+         && json_object_object_get_ex (object, key, &value)
+         && json_object_get_boolean (value);
+}
--- /dev/null
+++ b/cowslipctl/state.c
@@ -0,0 +1,217 @@
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ctl.h"
+
+#define STATE_WATCH_US 1000000
+
+static struct ctl_answer
+state_get (const struct ctl_options *options)
+{
+  return ctl_call (options, "GET", "/admin/v1/status", NULL, 0);
+}
+
+static size_t
+state_list (struct json_object *status, const char *key,
+            struct json_object **list)
+{
+  *list = NULL;
+  if (!json_object_object_get_ex (status, key, list)
+      || !json_object_is_type (*list, json_type_array))
+    return 0;
+  return json_object_array_length (*list);
+}
+
+static const char *
+state_member_word (struct json_object *member)
+{
+  if (ctl_flag (member, "draining"))
+    return "draining";
+  if (ctl_flag (member, "reachable"))
+    return "reachable";
+  return ctl_flag (member, "recorded") ? "silent" : "gone";
+}
+
+static void
+state_print_members (struct json_object *status)
+{
+  struct json_object *list;
+  size_t count = state_list (status, "members", &list);
+
+  printf ("%-20s %-14s %10s  %s\n", "INSTANCE", "ZONE", "GENERATION", "STATE");
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *member = json_object_array_get_idx (list, i);
+
+      printf ("%-20s %-14s %10lld  %s\n", ctl_text (member, "instance"),
+              ctl_text (member, "zone"),
+              (long long)ctl_number (member, "generation"),
+              state_member_word (member));
+    }
+}
+
+/* Print the numbers and texts of SECTION that are not lists.  */
+static void
+state_print_section (struct json_object *status, const char *section)
+{
+  struct json_object *object = NULL;
+
+  if (!json_object_object_get_ex (status, section, &object)
+      || !json_object_is_type (object, json_type_object))
+    return;
+  printf ("%s:", section);
+  json_object_object_foreach (object, key, value)
+  {
+    if (!json_object_is_type (value, json_type_object)
+        && !json_object_is_type (value, json_type_array))
+      printf (" %s %s", key, json_object_get_string (value));
+  }
+  putchar ('\n');
+}
+
+static void
+state_print (struct json_object *status)
+{
+  const char *controller = ctl_text (status, "controller");
+
+  printf ("environment %s, generation %lld, digest %s\n",
+          ctl_text (status, "environment"),
+          (long long)ctl_number (status, "generation"),
+          ctl_text (status, "digest"));
+  printf ("zone %s, controller %s, key-value service %s%s\n",
+          ctl_text (status, "zone"),
+          controller[0] == '\0' ? "unknown" : controller,
+          ctl_flag (status, "kv_reachable") ? "reachable" : "unreachable",
+          ctl_flag (status, "draining") ? ", draining" : "");
+  state_print_section (status, "control");
+  state_print_section (status, "requests");
+  state_print_section (status, "services");
+  state_print_members (status);
+}
+
+/* Print the state of one instance and of its zone.  */
+enum ctl_status
+ctl_state (const struct ctl_options *options, char **args)
+{
+  struct ctl_answer answer = state_get (options);
+  enum ctl_status status = ctl_answer_status (&answer);
+
+  (void)args;
+  if (status != CTL_OK)
+    status = ctl_print_error (&answer);
+  else if (options->json)
+    ctl_print_json (answer.object);
+  else
+    state_print (answer.object);
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* Print the state again each second until the instance does not answer.  */
+enum ctl_status
+ctl_watch (const struct ctl_options *options, char **args)
+{
+  enum ctl_status status;
+
+  for (;;)
+    {
+      if (isatty (STDOUT_FILENO))
+        fputs ("\033[H\033[2J", stdout);
+      status = ctl_state (options, args);
+      if (status != CTL_OK)
+        return status;
+      fflush (stdout);
+      usleep (STATE_WATCH_US);
+    }
+}
+
+static enum ctl_status
+state_print_table (const struct ctl_options *options, const char *section,
+                   const char *list_key, const char *const *columns)
+{
+  struct ctl_answer answer = state_get (options);
+  enum ctl_status status = ctl_answer_status (&answer);
+  struct json_object *object = NULL;
+  struct json_object *list;
+  size_t count = 0;
+
+  if (status != CTL_OK)
+    {
+      status = ctl_print_error (&answer);
+      ctl_answer_clear (&answer);
+      return status;
+    }
+  if (json_object_object_get_ex (answer.object, section, &object))
+    count = state_list (object, list_key, &list);
+  if (options->json && count > 0)
+    ctl_print_json (list);
+  for (size_t i = 0; i < count && !options->json; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+
+      for (size_t c = 0; columns[c] != NULL; c++)
+        {
+          struct json_object *value = NULL;
+
+          json_object_object_get_ex (item, columns[c], &value);
+          printf ("%-22s ",
+                  value == NULL ? "-" : json_object_get_string (value));
+        }
+      putchar ('\n');
+    }
+  ctl_answer_clear (&answer);
+  return CTL_OK;
+}
+
+/* Print the replicas of the zone of the instance asked.  */
+enum ctl_status
+ctl_models (const struct ctl_options *options, char **args)
+{
+  static const char *const columns[] = { "model", "endpoint", "state", NULL };
+
+  (void)args;
+  return state_print_table (options, "control", "slots", columns);
+}
+
+/* Print the endpoints that the instance asked uses.  */
+enum ctl_status
+ctl_endpoints (const struct ctl_options *options, char **args)
+{
+  static const char *const columns[]
+      = { "endpoint", "in_flight", "ejected", "leaving", NULL };
+
+  (void)args;
+  return state_print_table (options, "requests", "endpoints", columns);
+}
+
+/* Begin a graceful shutdown of the instance asked.  */
+enum ctl_status
+ctl_drain (const struct ctl_options *options, char **args)
+{
+  struct ctl_answer answer
+      = ctl_call (options, "POST", "/admin/v1/drain", "", 0);
+  enum ctl_status status = ctl_answer_status (&answer);
+
+  (void)args;
+  if (status != CTL_OK)
+    status = ctl_print_error (&answer);
+  ctl_answer_clear (&answer);
+  return status;
+}
+
+/* Print the counters of the instance asked.  */
+enum ctl_status
+ctl_counters (const struct ctl_options *options, char **args)
+{
+  struct ctl_answer answer = ctl_call (options, "GET", "/metrics", NULL, 0);
+  enum ctl_status status = ctl_answer_status (&answer);
+
+  (void)args;
+  if (status == CTL_OK)
+    fputs (answer.body, stdout);
+  else
+    status = ctl_print_error (&answer);
+  ctl_answer_clear (&answer);
+  return status;
+}
--- /dev/null
+++ b/libcowslip/chg.c
@@ -0,0 +1,242 @@
+#include <string.h>
+
+#include <glib.h>
+#include <json-c/json.h>
+
+#include "chg.h"
+
+#define CHG_VALUE_MAX_BYTES 1000000
+#define CHG_TRIES_MAX       5
+#define CHG_RETRY_US        300000
+
+/* One change on its way.  */
+struct chg_operation
+{
+  const struct kv_store *kv;
+  struct tm_service *tm;
+  chg_done done;
+  void *arg;
+  char *environment;
+  char *change_id;
+  char *key;
+  char *history_key;
+  char *value;
+  char *history;
+  uint64_t base;
+  uint64_t generation;
+  uint32_t tries;
+  bool may_have_written;
+  struct tm_timer timer;
+};
+
+struct chg_reading
+{
+  chg_read_done done;
+  void *arg;
+};
+
+static void chg_try (void *arg);
+
+static char *
+chg_encode (const struct chg_change *change, uint64_t generation,
+            const char *text)
+{
+  struct json_object *object = json_object_new_object ();
+  char *value;
+
+  json_object_object_add (object, "generation",
+                          json_object_new_uint64 (generation));
+  json_object_object_add (object, "digest",
+                          json_object_new_string (change->digest));
+  json_object_object_add (object, "author",
+                          json_object_new_string (change->author));
+  json_object_object_add (object, "comment",
+                          json_object_new_string (change->comment));
+  json_object_object_add (object, "change_id",
+                          json_object_new_string (change->change_id));
+  json_object_object_add (object, "time_ms",
+                          json_object_new_int64 (change->time_ms));
+  if (text != NULL)
+    json_object_object_add (object, "document", json_object_new_string (text));
+  value = g_strdup (json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  json_object_put (object);
+  return value;
+}
+
+static void
+chg_finish (struct chg_operation *operation, enum chg_outcome outcome,
+            const struct chg_record *record)
+{
+  operation->done (operation->arg, outcome, record);
+  tm_cancel (operation->tm, &operation->timer);
+  g_free (operation->environment);
+  g_free (operation->change_id);
+  g_free (operation->key);
+  g_free (operation->history_key);
+  g_free (operation->value);
+  g_free (operation->history);
+  g_free (operation);
+}
+
+/* Try again later, or give up with the outcome that is true.  */
+static void
+chg_again (struct chg_operation *operation)
+{
+  if (++operation->tries < CHG_TRIES_MAX)
+    tm_after (operation->tm, &operation->timer, CHG_RETRY_US, chg_try,
+              operation);
+  else
+    chg_finish (operation,
+                operation->may_have_written ? CHG_UNKNOWN : CHG_UNAVAILABLE,
+                NULL);
+}
+
+static void
+chg_written (void *arg, const struct kv_result *result)
+{
+  struct chg_operation *operation = arg;
+
+  operation->may_have_written
+      |= result->outcome == KV_UNKNOWN || result->outcome == KV_OK;
+  /* Whatever the answer, the record itself tells whose change it is.  After a
+     lost answer nothing else can.  */
+  chg_again (operation);
+}
+
+/* Write over REVISION of the document, 0 for none.  */
+static void
+chg_write (struct chg_operation *operation, int64_t revision)
+{
+  struct kv_compare compare = { operation->key, revision };
+  struct kv_op ops[2] = { { .kind = KV_PUT,
+                            .key = operation->key,
+                            .value = operation->value,
+                            .value_bytes = strlen (operation->value) },
+                          { .kind = KV_PUT,
+                            .key = operation->history_key,
+                            .value = operation->history,
+                            .value_bytes = strlen (operation->history) } };
+  struct kv_txn txn = {
+    .compares = &compare, .compare_count = 1, .then_ops = ops, .then_count = 2
+  };
+
+  kv_txn (operation->kv, &txn, chg_written, operation);
+}
+
+static void
+chg_history_seen (void *arg, const struct kv_result *result)
+{
+  struct chg_operation *operation = arg;
+  struct chg_record *entry = NULL;
+
+  if (result->outcome == KV_OK && result->pair_count == 1)
+    entry = chg_record_parse (result->pairs[0].value,
+                              result->pairs[0].value_bytes);
+  if (entry == NULL)
+    chg_again (operation);
+  else if (strcmp (entry->change_id, operation->change_id) == 0)
+    chg_finish (operation, CHG_ACCEPTED, entry);
+  else
+    chg_finish (operation, CHG_CONFLICT, entry);
+  chg_record_free (entry);
+}
+
+static void
+chg_seen (void *arg, const struct chg_record *record)
+{
+  struct chg_operation *operation = arg;
+
+  if (record == NULL)
+    {
+      chg_again (operation);
+      return;
+    }
+  if (record->generation == operation->generation
+      && strcmp (record->change_id, operation->change_id) == 0)
+    chg_finish (operation, CHG_ACCEPTED, record);
+  else if (record->generation == operation->base)
+    chg_write (operation, record->revision);
+  /* A later generation may have been built on this change, then the history
+     says so.  */
+  else if (operation->may_have_written
+           && record->generation > operation->generation)
+    kv_get (operation->kv, operation->history_key, chg_history_seen,
+            operation);
+  else
+    chg_finish (operation, CHG_CONFLICT, record);
+}
+
+static void
+chg_try (void *arg)
+{
+  struct chg_operation *operation = arg;
+
+  chg_read (operation->kv, operation->environment, chg_seen, operation);
+}
+
+/* Replace the document of CHANGE's environment if its generation is still
+   CHANGE->base, and add a history entry in the same transaction.  DONE is
+   called once.  The outcome is CHG_ACCEPTED only after the change was read
+   back from KV, which must be linearizable.  */
+void
+chg_apply (const struct kv_store *kv, struct tm_service *tm,
+           const struct chg_change *change, chg_done done, void *arg)
+{
+  struct chg_operation *operation = g_new0 (struct chg_operation, 1);
+
+  operation->kv = kv;
+  operation->tm = tm;
+  operation->done = done;
+  operation->arg = arg;
+  operation->environment = g_strdup (change->environment);
+  operation->change_id = g_strdup (change->change_id);
+  operation->base = change->base;
+  operation->generation = change->base + 1;
+  operation->key = chg_document_key (change->environment);
+  operation->history_key
+      = chg_history_key (change->environment, operation->generation);
+  operation->value = chg_encode (change, operation->generation, change->text);
+  operation->history = chg_encode (change, operation->generation, NULL);
+  if (strlen (operation->value) > CHG_VALUE_MAX_BYTES)
+    chg_finish (operation, CHG_TOO_LARGE, NULL);
+  else
+    chg_try (operation);
+}
+
+static void
+chg_read_result (void *arg, const struct kv_result *result)
+{
+  struct chg_reading *reading = arg;
+  struct chg_record none = { 0 };
+  struct chg_record *record = NULL;
+
+  if (result->outcome == KV_OK && result->pair_count == 0)
+    reading->done (reading->arg, &none);
+  else
+    {
+      if (result->outcome == KV_OK)
+        record = chg_record_parse (result->pairs[0].value,
+                                   result->pairs[0].value_bytes);
+      if (record != NULL)
+        record->revision = result->pairs[0].revision;
+      reading->done (reading->arg, record);
+      chg_record_free (record);
+    }
+  g_free (reading);
+}
+
+/* Read the document of ENVIRONMENT.  DONE gets a record with generation 0 if
+   there is none, and NULL if KV did not answer or its value is malformed.  */
+void
+chg_read (const struct kv_store *kv, const char *environment,
+          chg_read_done done, void *arg)
+{
+  struct chg_reading *reading = g_new (struct chg_reading, 1);
+  char *key = chg_document_key (environment);
+
+  reading->done = done;
+  reading->arg = arg;
+  kv_get (kv, key, chg_read_result, reading);
+  g_free (key);
+}
--- /dev/null
+++ b/libcowslip/chg_record.c
@@ -0,0 +1,72 @@
+#include <inttypes.h>
+
+#include <glib.h>
+
+#include "chg.h"
+#include "jsn.h"
+
+/* Return the key of the document of ENVIRONMENT, to be freed.  */
+char *
+chg_document_key (const char *environment)
+{
+  return g_strdup_printf ("cowslip/%s/document", environment);
+}
+
+/* Return the prefix of the history of ENVIRONMENT, to be freed.  */
+char *
+chg_history_prefix (const char *environment)
+{
+  return g_strdup_printf ("cowslip/%s/history/", environment);
+}
+
+/* Return the key of one history entry, to be freed.  Ten digits keep the keys
+   in the order of their generations.  */
+char *
+chg_history_key (const char *environment, uint64_t generation)
+{
+  return g_strdup_printf ("cowslip/%s/history/%010" PRIu64, environment,
+                          generation);
+}
+
+/* Return the record in the BYTES at VALUE, or NULL if they are not one.  */
+struct chg_record *
+chg_record_parse (const char *value, size_t bytes)
+{
+  struct json_object *object = jsn_parse (value, bytes, NULL);
+  struct chg_record *record;
+  struct jsn_reader reader;
+  struct jsn_range any = { 1, INT64_MAX, .required = true, .fallback = 0 };
+
+  if (object == NULL)
+    return NULL;
+  record = g_new0 (struct chg_record, 1);
+  jsn_open (&reader, object, "");
+  record->generation = jsn_number (&reader, "generation", any);
+  record->time_ms = (int64_t)jsn_number (&reader, "time_ms", any);
+  record->digest = jsn_string (&reader, "digest", true);
+  record->author = jsn_string (&reader, "author", true);
+  record->comment = jsn_string (&reader, "comment", false);
+  record->change_id = jsn_string (&reader, "change_id", true);
+  record->text = jsn_string (&reader, "document", false);
+  if (!jsn_close (&reader, NULL))
+    {
+      chg_record_free (record);
+      record = NULL;
+    }
+  json_object_put (object);
+  return record;
+}
+
+/* Free RECORD, which may be NULL.  */
+void
+chg_record_free (struct chg_record *record)
+{
+  if (record == NULL)
+    return;
+  g_free (record->digest);
+  g_free (record->author);
+  g_free (record->comment);
+  g_free (record->change_id);
+  g_free (record->text);
+  g_free (record);
+}
--- a/libcowslip/env.h
+++ b/libcowslip/env.h
@@ -8,7 +8,7 @@
 #include <glib.h>
 
 #define ENV_DIGEST_CHARS       16
-#define ENV_DOCUMENT_MAX_BYTES (1000U * 1000U)
+#define ENV_DOCUMENT_MAX_BYTES (700U * 1000U)
 
 #define ENV_ERROR (env_error_quark ())
 
@@ -35,6 +35,7 @@
 {
   char *address; /* "IP:PORT" */
   char *zone;
+  char *environment; /* NULL: belongs to every environment */
 };
 
 /* Engines of one kind.  */
@@ -100,6 +101,8 @@
 GQuark env_error_quark (void);
 struct env_document *env_parse (const char *text, size_t bytes,
                                 GError **error);
+struct env_document *env_parse_for (const char *text, size_t bytes,
+                                    const char *environment, GError **error);
 struct env_document *env_ref (struct env_document *document);
 void env_unref (struct env_document *document);
 
--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -200,8 +200,15 @@
   g_free (handle);
 }
 
-/* Close the listening socket and let idle connections end.  Requests under way
-   go on.  */
+/* Ask callers to close their connections: answers carry "connection: close".
+   New connections are still accepted.  */
+void
+http_server_close_idle (struct http_server *server)
+{
+  h2o_context_request_shutdown (&server->context);
+}
+
+/* Close the listening socket.  Requests under way go on.  */
 void
 http_server_stop_accepting (struct http_server *server)
 {
@@ -209,7 +216,6 @@
     return;
   uv_close ((uv_handle_t *)server->listener, http_listener_closed);
   server->listener = NULL;
-  h2o_context_request_shutdown (&server->context);
 }
 
 /* Free SERVER, which must have no active request.  Its connections close with
--- a/libcowslip/http_server.h
+++ b/libcowslip/http_server.h
@@ -21,6 +21,7 @@
                                      size_t max_body_bytes,
                                      http_handler handler, void *arg,
                                      GError **error);
+void http_server_close_idle (struct http_server *server);
 void http_server_stop_accepting (struct http_server *server);
 void http_server_free (struct http_server *server);
 uint32_t http_server_active (const struct http_server *server);
--- /dev/null
+++ b/libcowslip/jsn.c
@@ -0,0 +1,238 @@
+#include <arpa/inet.h>
+#include <stdarg.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "jsn.h"
+
+#define JSN_DEPTH_MAX      32
+#define JSN_NAME_MAX_CHARS 127
+#define JSN_HOST_MAX_CHARS 63
+
+G_DEFINE_QUARK (jsn - error - quark, jsn_error)
+
+static unsigned
+jsn_line (const char *text, size_t offset)
+{
+  unsigned line = 1;
+
+  for (size_t i = 0; i < offset; i++)
+    line += text[i] == '\n';
+  return line;
+}
+
+static bool
+jsn_only_space (const char *text, size_t bytes)
+{
+  for (size_t i = 0; i < bytes; i++)
+    if (strchr (" \t\r\n", text[i]) == NULL || text[i] == '\0')
+      return false;
+  return true;
+}
+
+/* Parse BYTES at TEXT, which may hold comments.  Return a new reference, or
+   NULL with ERROR naming the line.  Nesting deeper than 32 is refused.  */
+struct json_object *
+jsn_parse (const char *text, size_t bytes, GError **error)
+{
+  struct json_tokener *tokener = json_tokener_new_ex (JSN_DEPTH_MAX);
+  struct json_object *object
+      = json_tokener_parse_ex (tokener, text, (int)bytes);
+  enum json_tokener_error status = json_tokener_get_error (tokener);
+  size_t end = json_tokener_get_parse_end (tokener);
+
+  if (status == json_tokener_continue && bytes > 0)
+    {
+      /* A bare number at the end of the text is only complete with a
+         terminator.  */
+      object = json_tokener_parse_ex (tokener, "", 1);
+      status = json_tokener_get_error (tokener);
+      end = bytes;
+    }
+  json_tokener_free (tokener);
+  if (status != json_tokener_success)
+    {
+      g_set_error (error, JSN_ERROR, JSN_ERROR_SYNTAX, "line %u: %s",
+                   jsn_line (text, MIN (end, bytes)),
+                   bytes == 0 ? "empty" : json_tokener_error_desc (status));
+      json_object_put (object);
+      return NULL;
+    }
+  if (end < bytes && !jsn_only_space (text + end, bytes - end))
+    {
+      g_set_error (error, JSN_ERROR, JSN_ERROR_SYNTAX,
+                   "line %u: text after the end", jsn_line (text, end));
+      json_object_put (object);
+      return NULL;
+    }
+  return object;
+}
+
+/* Start to read OBJECT, borrowed, which stands at PATH in its document.  */
+void
+jsn_open (struct jsn_reader *reader, struct json_object *object,
+          const char *path)
+{
+  reader->object = object;
+  reader->path = g_strdup (path);
+  reader->known = g_hash_table_new (g_str_hash, g_str_equal);
+  reader->error = NULL;
+  if (!json_object_is_type (object, json_type_object))
+    {
+      g_set_error (&reader->error, JSN_ERROR, JSN_ERROR_VALUE,
+                   "%s: must be an object", path[0] == '\0' ? "text" : path);
+      reader->object = NULL;
+    }
+}
+
+/* End reading.  Return false and set ERROR if a read failed or if the object
+   has a key that was never read.  */
+bool
+jsn_close (struct jsn_reader *reader, GError **error)
+{
+  bool good;
+
+  if (reader->error == NULL && reader->object != NULL)
+    {
+      json_object_object_foreach (reader->object, key, value)
+      {
+        (void)value;
+        if (!g_hash_table_contains (reader->known, key))
+          jsn_fail (reader, key, "unknown key");
+      }
+    }
+  good = reader->error == NULL;
+  if (!good)
+    g_propagate_error (error, reader->error);
+  g_hash_table_destroy (reader->known);
+  g_free (reader->path);
+  return good;
+}
+
+/* Record an error about KEY unless there is one already.  */
+void
+jsn_fail (struct jsn_reader *reader, const char *key, const char *format, ...)
+{
+  va_list ap;
+  char *reason;
+
+  if (reader->error != NULL)
+    return;
+  va_start (ap, format);
+  reason = g_strdup_vprintf (format, ap);
+  va_end (ap);
+  g_set_error (&reader->error, JSN_ERROR, JSN_ERROR_VALUE, "%s%s%s: %s",
+               reader->path, reader->path[0] == '\0' ? "" : ".", key, reason);
+  g_free (reason);
+}
+
+/* Return the value of KEY, borrowed, if it has TYPE; else NULL.  */
+struct json_object *
+jsn_get (struct jsn_reader *reader, const char *key, enum json_type type,
+         bool required)
+{
+  struct json_object *value = NULL;
+
+  g_hash_table_add (reader->known, (gpointer)key);
+  if (reader->object == NULL
+      || !json_object_object_get_ex (reader->object, key, &value))
+    {
+      if (required)
+        jsn_fail (reader, key, "missing");
+      return NULL;
+    }
+  if (json_object_is_type (value, type))
+    return value;
+  jsn_fail (reader, key, "must be %s, is %s", json_type_to_name (type),
+            json_type_to_name (json_object_get_type (value)));
+  return NULL;
+}
+
+/* Return the whole number at KEY, which must lie in RANGE.  */
+uint64_t
+jsn_number (struct jsn_reader *reader, const char *key, struct jsn_range range)
+{
+  struct json_object *value
+      = jsn_get (reader, key, json_type_int, range.required);
+  uint64_t number;
+
+  if (value == NULL)
+    return range.fallback;
+  number = json_object_get_uint64 (value);
+  if (json_object_get_int64 (value) >= 0 && number >= range.min
+      && number <= range.max)
+    return number;
+  jsn_fail (reader, key, "must be from %llu to %llu",
+            (unsigned long long)range.min, (unsigned long long)range.max);
+  return range.fallback;
+}
+
+/* Return the whole number at KEY, maybe negative, or FALLBACK.  */
+int32_t
+jsn_integer (struct jsn_reader *reader, const char *key, int32_t fallback)
+{
+  struct json_object *value = jsn_get (reader, key, json_type_int, false);
+  int64_t number;
+
+  if (value == NULL)
+    return fallback;
+  number = json_object_get_int64 (value);
+  if (number >= INT32_MIN && number <= INT32_MAX)
+    return (int32_t)number;
+  jsn_fail (reader, key, "must fit 32 bits");
+  return fallback;
+}
+
+/* Return the truth value at KEY, or FALLBACK if it is missing.  */
+bool
+jsn_flag (struct jsn_reader *reader, const char *key, bool fallback)
+{
+  struct json_object *value = jsn_get (reader, key, json_type_boolean, false);
+
+  return value == NULL ? fallback : json_object_get_boolean (value);
+}
+
+/* Return a copy of the text at KEY, or NULL.  */
+char *
+jsn_string (struct jsn_reader *reader, const char *key, bool required)
+{
+  struct json_object *value
+      = jsn_get (reader, key, json_type_string, required);
+
+  return value == NULL ? NULL : g_strdup (json_object_get_string (value));
+}
+
+/* Return whether TEXT may name an instance, zone, model or the like: 1 to 127
+   letters, digits and any of "._:-", because names become parts of keys and
+   counters.  */
+bool
+jsn_is_name (const char *text)
+{
+  size_t chars = text == NULL ? 0 : strlen (text);
+
+  if (chars == 0 || chars > JSN_NAME_MAX_CHARS)
+    return false;
+  for (size_t i = 0; i < chars; i++)
+    if (!g_ascii_isalnum (text[i]) && strchr ("._:-", text[i]) == NULL)
+      return false;
+  return true;
+}
+
+/* Return whether TEXT is an IPv4 address and port, as in "10.0.0.1:80".  */
+bool
+jsn_is_address (const char *text)
+{
+  const char *colon = text == NULL ? NULL : strrchr (text, ':');
+  char host[JSN_HOST_MAX_CHARS + 1];
+  struct in_addr unused;
+  char *end;
+  unsigned long port;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof host
+      || !g_ascii_isdigit (colon[1]))
+    return false;
+  g_strlcpy (host, text, (gsize)(colon - text) + 1);
+  port = strtoul (colon + 1, &end, 10);
+  return *end == '\0' && port > 0 && port <= UINT16_MAX
+         && inet_pton (AF_INET, host, &unused) == 1;
+}
--- /dev/null
+++ b/libcowslip/set.c
@@ -0,0 +1,193 @@
+#include <string.h>
+
+#include "jsn.h"
+#include "lg.h"
+#include "set.h"
+
+#define SET_BODY_DEFAULT_BYTES      (4U << 20)
+#define SET_BODY_MAX_BYTES          (64U << 20)
+#define SET_DRAIN_NOTICE_DEFAULT_MS 3000
+#define SET_DRAIN_DEFAULT_MS        60000
+#define SET_DRAIN_MAX_MS            3600000
+
+static char *
+set_relative (const char *file, const char *name)
+{
+  char *directory;
+  char *path;
+
+  if (g_path_is_absolute (name))
+    return g_strdup (name);
+  directory = g_path_get_dirname (file);
+  path = g_build_filename (directory, name, NULL);
+  g_free (directory);
+  return path;
+}
+
+/* Read the file that KEY names, relative to the settings file FILE.  */
+static char *
+set_secret (struct jsn_reader *reader, const char *key, const char *file,
+            size_t min_bytes, size_t *bytes)
+{
+  char *name = jsn_string (reader, key, true);
+  char *path = name == NULL ? NULL : set_relative (file, name);
+  char *secret = NULL;
+  GError *error = NULL;
+
+  if (path != NULL && !g_file_get_contents (path, &secret, bytes, &error))
+    {
+      jsn_fail (reader, key, "%s", error->message);
+      g_error_free (error);
+    }
+  else if (secret != NULL && *bytes < min_bytes)
+    jsn_fail (reader, key, "%s holds fewer than %zu bytes", path, min_bytes);
+  g_free (name);
+  g_free (path);
+  return secret;
+}
+
+static char *
+set_name (struct jsn_reader *reader, const char *key)
+{
+  char *name = jsn_string (reader, key, true);
+
+  if (name != NULL && !jsn_is_name (name))
+    jsn_fail (reader, key, "not a valid name");
+  return name;
+}
+
+static char *
+set_address (struct jsn_reader *reader, const char *key, bool required)
+{
+  char *address = jsn_string (reader, key, required);
+
+  if (address != NULL && !jsn_is_address (address))
+    jsn_fail (reader, key, "not an IPv4 address and port");
+  return address;
+}
+
+static GPtrArray *
+set_peers (struct jsn_reader *reader)
+{
+  struct json_object *list = jsn_get (reader, "peers", json_type_array, false);
+  GPtrArray *peers = g_ptr_array_new_with_free_func (g_free);
+  size_t count = list == NULL ? 0 : json_object_array_length (list);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      struct json_object *item = json_object_array_get_idx (list, i);
+      const char *address = json_object_get_string (item);
+
+      if (!jsn_is_address (address))
+        jsn_fail (reader, "peers", "item %zu is not an address", i);
+      g_ptr_array_add (peers, g_strdup (address));
+    }
+  return peers;
+}
+
+static void
+set_read_limits (struct jsn_reader *reader, struct set_settings *settings)
+{
+  settings->member_number = (uint32_t)jsn_number (
+      reader, "member_number",
+      (struct jsn_range){ 1, UINT16_MAX, .required = true, .fallback = 1 });
+  settings->body_max_bytes
+      = (uint32_t)jsn_number (reader, "body_max_bytes",
+                              (struct jsn_range){ 1, SET_BODY_MAX_BYTES, false,
+                                                  SET_BODY_DEFAULT_BYTES });
+  settings->drain_notice_ms = (uint32_t)jsn_number (
+      reader, "drain_notice_ms",
+      (struct jsn_range){ 0, SET_DRAIN_MAX_MS, false,
+                          SET_DRAIN_NOTICE_DEFAULT_MS });
+  settings->drain_max_ms = (uint32_t)jsn_number (
+      reader, "drain_max_ms",
+      (struct jsn_range){ 0, SET_DRAIN_MAX_MS, false, SET_DRAIN_DEFAULT_MS });
+  settings->log_level = (uint32_t)jsn_number (
+      reader, "log_level",
+      (struct jsn_range){ LG_ERR, LG_DEBUG, false, LG_INFO });
+}
+
+static void
+set_read (struct jsn_reader *reader, const char *file,
+          struct set_settings *settings)
+{
+  size_t token_bytes = 0;
+
+  settings->instance = set_name (reader, "instance");
+  settings->zone = set_name (reader, "zone");
+  settings->region = set_name (reader, "region");
+  settings->environment = set_name (reader, "environment");
+  settings->http_address = set_address (reader, "http_address", true);
+  settings->rpc_address = set_address (reader, "rpc_address", true);
+  settings->kv_address = set_address (reader, "kv_address", true);
+  settings->instance_list_address
+      = set_address (reader, "instance_list_address", false);
+  settings->peers = set_peers (reader);
+  settings->peer_key
+      = set_secret (reader, "peer_key_file", file, SET_KEY_MIN_BYTES,
+                    &settings->peer_key_bytes);
+  settings->operator_token = set_secret (reader, "operator_token_file", file,
+                                         SET_KEY_MIN_BYTES, &token_bytes);
+  if (settings->operator_token != NULL)
+    g_strstrip (settings->operator_token);
+  set_read_limits (reader, settings);
+}
+
+/* Read and check the settings in FILE.  Return NULL and set ERROR, naming the
+   file and the line or key, if they cannot be used.  */
+struct set_settings *
+set_load (const char *file, GError **error)
+{
+  struct set_settings *settings;
+  struct json_object *object;
+  struct jsn_reader reader;
+  char *text;
+  size_t bytes;
+
+  if (!g_file_get_contents (file, &text, &bytes, error))
+    return NULL;
+  object = jsn_parse (text, bytes, error);
+  g_free (text);
+  if (object == NULL)
+    {
+      g_prefix_error (error, "%s: ", file);
+      return NULL;
+    }
+  settings = g_new0 (struct set_settings, 1);
+  jsn_open (&reader, object, "");
+  set_read (&reader, file, settings);
+  if (!jsn_close (&reader, error))
+    {
+      g_prefix_error (error, "%s: ", file);
+      set_free (settings);
+      settings = NULL;
+    }
+  json_object_put (object);
+  return settings;
+}
+
+/* Free SETTINGS and clear the secrets from memory.  */
+void
+set_free (struct set_settings *settings)
+{
+  if (settings == NULL)
+    return;
+  if (settings->peer_key != NULL)
+    explicit_bzero (settings->peer_key, settings->peer_key_bytes);
+  if (settings->operator_token != NULL)
+    explicit_bzero (settings->operator_token,
+                    strlen (settings->operator_token));
+  g_free (settings->instance);
+  g_free (settings->zone);
+  g_free (settings->region);
+  g_free (settings->environment);
+  g_free (settings->http_address);
+  g_free (settings->rpc_address);
+  g_free (settings->kv_address);
+  g_free (settings->instance_list_address);
+  if (settings->peers != NULL)
+    g_ptr_array_free (settings->peers, TRUE);
+  g_free (settings->peer_key);
+  g_free (settings->operator_token);
+  g_free (settings);
+}
