--- a/libcowslip/set.c
+++ b/libcowslip/set.c
@@ -40,7 +40,7 @@
       g_error_free (error);
     }
   else if (secret != NULL && *bytes < min_bytes)
-    jsn_fail (reader, key, "%s holds fewer than %zu bytes", path, min_bytes);
+    jsn_fail (reader, key, "%s holds fewer than %zu bytes", name, min_bytes);
   g_free (name);
   g_free (path);
   return secret;
