Keep the first error when several places of a document are wrong

Cause: mutated documents made a section report its error over an earlier one, which GLib warns about and which leaks the first. Change: an inner object's error is kept only if the outer one has none. GLib warnings now end a test.

--- a/libcowslip/env_parse.c
+++ b/libcowslip/env_parse.c
@@ -111,7 +111,6 @@
   struct jsn_reader reader;
   char *path
       = g_strdup_printf ("%s.endpoints[%u]", outer->path, endpoints->len);
-  GError *error = NULL;
 
   jsn_open (&reader, item, path);
   endpoint->address = jsn_string (&reader, "address", true);
@@ -119,13 +118,7 @@
   endpoint->environment = jsn_string (&reader, "environment", false);
   if (reader.error == NULL)
     env_check_endpoint (parser, &reader, endpoint);
-  if (!jsn_close (&reader, &error))
-    {
-      if (outer->error == NULL)
-        outer->error = error;
-      else
-        g_error_free (error);
-    }
+  (void)jsn_close_inner (&reader, outer);
   g_free (path);
   if (outer->error == NULL
       && (parser->environment == NULL || endpoint->environment == NULL
@@ -318,7 +311,7 @@
       jsn_fail (&reader, "name", "not a valid name");
     if (reader.object != NULL)
       read (parser, &reader, name);
-    good = jsn_close (&reader, &outer->error);
+    good = jsn_close_inner (&reader, outer);
     g_free (path);
     if (!good)
       return false;
@@ -345,10 +338,7 @@
       &reader, "adapter_loads_max", ENV_BATCH_MAX, ENV_ADAPTER_LOADS_DEFAULT);
   limits->weight_loads_max = env_count (
       &reader, "weight_loads_max", ENV_BATCH_MAX, ENV_WEIGHT_LOADS_DEFAULT);
-  if (outer->error == NULL)
-    (void)jsn_close (&reader, &outer->error);
-  else
-    (void)jsn_close (&reader, NULL);
+  (void)jsn_close_inner (&reader, outer);
   json_object_put (none);
 }
 
--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -109,6 +109,14 @@
   return good;
 }
 
+/* End reading an object inside of OUTER's.  Its error becomes OUTER's unless
+   that has one already.  Return whether there was none.  */
+bool
+jsn_close_inner (struct jsn_reader *reader, struct jsn_reader *outer)
+{
+  return jsn_close (reader, outer->error == NULL ? &outer->error : NULL);
+}
+
 /* Record an error about KEY unless there is one already.  */
 void
 jsn_fail (struct jsn_reader *reader, const char *key, const char *format, ...)
--- a/libcowslip/jsn.h
+++ b/libcowslip/jsn.h
@@ -40,6 +40,7 @@
 void jsn_open (struct jsn_reader *reader, struct json_object *object,
                const char *path);
 bool jsn_close (struct jsn_reader *reader, GError **error);
+bool jsn_close_inner (struct jsn_reader *reader, struct jsn_reader *outer);
 struct json_object *jsn_get (struct jsn_reader *reader, const char *key,
                              enum json_type type, bool required);
 uint64_t jsn_number (struct jsn_reader *reader, const char *key,
--- /dev/null
+++ b/regress/mutate.h
@@ -0,0 +1,20 @@
+#ifndef REGRESS_MUTATE_H
+#define REGRESS_MUTATE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* One decoder and a valid input from which the mutations start.  DECODE takes
+   ownership of nothing.  */
+struct mutate_target
+{
+  const char *name;
+  const char *input;
+  size_t bytes;
+  void (*decode) (const char *data, size_t bytes);
+};
+
+void mutate_run (const struct mutate_target *target, uint64_t seed,
+                 uint32_t inputs);
+
+#endif
--- a/regress/unit.c
+++ b/regress/unit.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 
 #include "unit.h"
 
@@ -15,6 +16,7 @@
   bool passed;
 
   signal (SIGPIPE, SIG_IGN);
+  g_log_set_always_fatal (G_LOG_LEVEL_WARNING | G_LOG_LEVEL_CRITICAL);
   if (CU_initialize_registry () != CUE_SUCCESS)
     return EXIT_FAILURE;
   registered = CU_add_suite (suite, NULL, NULL);
