Add routing, health, admission, retry budgets and suspicion

The path of model requests needs decisions that run without sockets and clocks. rt_ chooses the better of two random replicas with a preference by prefix in logarithmic time; hlt_ ejects slow endpoints; adm_ orders waiting requests; rty_ bounds repeated attempts; psn_ keeps fingerprints of requests that may have crashed an endpoint; hst_ counts durations.

--- /dev/null
+++ b/libcowslip/adm.c
@@ -0,0 +1,348 @@
+#include "adm_impl.h"
+#include "adm_order.h"
+
+/* Weight of the newest duration in the average of its class.  */
+#define ADM_SERVED_WEIGHT 0.1
+/* Time kept for the refusal itself to reach the caller before the deadline. */
+#define ADM_REFUSE_US 5000
+
+static void
+adm_queue_free (gpointer data)
+{
+  struct adm_queue *queue = data;
+
+  for (int i = 0; i < ADM_LANES; i++)
+    g_sequence_free (queue->lanes[i]);
+  g_sequence_free (queue->late);
+  g_free (queue->model);
+  g_free (queue);
+}
+
+/* Return empty queues that call ACTIONS with ARG.  */
+struct adm_queues *
+adm_new (struct tm_service *tm, const struct adm_actions *actions, void *arg)
+{
+  struct adm_queues *queues = g_new0 (struct adm_queues, 1);
+
+  queues->tm = tm;
+  queues->actions = *actions;
+  queues->arg = arg;
+  queues->by_model
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, adm_queue_free);
+  queues->served
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  queues->all = g_sequence_new (NULL);
+  return queues;
+}
+
+/* Free QUEUES, in which nothing waits any more.  */
+void
+adm_free (struct adm_queues *queues)
+{
+  if (queues == NULL)
+    return;
+  g_hash_table_destroy (queues->by_model);
+  g_hash_table_destroy (queues->served);
+  g_sequence_free (queues->all);
+  g_free (queues);
+}
+
+/* Let at most WAITING_MAX requests wait.  */
+void
+adm_set_limit (struct adm_queues *queues, uint32_t waiting_max)
+{
+  queues->waiting_max = waiting_max;
+}
+
+static struct adm_queue *
+adm_queue (struct adm_queues *queues, const char *model)
+{
+  struct adm_queue *queue = g_hash_table_lookup (queues->by_model, model);
+
+  if (queue != NULL)
+    return queue;
+  queue = g_new0 (struct adm_queue, 1);
+  queue->model = g_strdup (model);
+  for (int i = 0; i < ADM_LANES; i++)
+    queue->lanes[i] = g_sequence_new (NULL);
+  queue->late = g_sequence_new (NULL);
+  g_hash_table_insert (queues->by_model, queue->model, queue);
+  return queue;
+}
+
+/* Return the first entry of SEQUENCE, or NULL.  */
+struct adm_entry *
+adm_first (GSequence *sequence)
+{
+  return g_sequence_is_empty (sequence)
+             ? NULL
+             : g_sequence_get (g_sequence_get_begin_iter (sequence));
+}
+
+/* Take ENTRY out of its lane; its timer goes on.  */
+void
+adm_unlink (struct adm_entry *entry)
+{
+  g_sequence_remove (entry->place);
+  g_sequence_remove (entry->global_place);
+  if (entry->late_place != NULL)
+    g_sequence_remove (entry->late_place);
+  entry->late_place = NULL;
+  entry->queue = NULL;
+}
+
+/* Take ENTRY out of its queue.  Nothing happens if it does not wait.  */
+void
+adm_remove (struct adm_queues *queues, struct adm_entry *entry)
+{
+  if (entry->queue == NULL)
+    return;
+  tm_cancel (queues->tm, &entry->timer);
+  adm_unlink (entry);
+}
+
+static void
+adm_refuse (struct adm_queues *queues, struct adm_entry *entry,
+            enum rsn_refusal reason)
+{
+  adm_remove (queues, entry);
+  queues->actions.refuse (queues->arg, entry, reason);
+}
+
+static void
+adm_expired (void *arg)
+{
+  struct adm_entry *entry = arg;
+
+  adm_refuse (entry->queues, entry, RSN_QUEUE_DEADLINE);
+}
+
+/* Set the latest useful start of ENTRY: the usual duration of its class before
+   the deadline, but not in the first half of its time.  */
+static void
+adm_set_latest (struct adm_queues *queues, struct adm_entry *entry)
+{
+  uint64_t now_us = tm_now_us (queues->tm);
+  uint64_t left_us
+      = entry->deadline_us > now_us ? entry->deadline_us - now_us : 0;
+  const double *average
+      = g_hash_table_lookup (queues->served, entry->class_name);
+  uint64_t need_us
+      = ADM_REFUSE_US + (average == NULL ? 0 : (uint64_t)*average);
+
+  entry->arrived_us = now_us;
+  entry->latest_us = entry->deadline_us - MIN (need_us, left_us / 2);
+}
+
+static bool
+adm_hopeless (const struct adm_queue *queue, const struct adm_entry *entry,
+              enum rsn_refusal *reason)
+{
+  switch (queue->outlook)
+    {
+    case ADM_NONE:
+      *reason = RSN_NO_ENDPOINT;
+      return true;
+    case ADM_BLOCKED:
+      *reason = RSN_CONTROL_UNAVAILABLE;
+      return true;
+    case ADM_EXPECTED:
+      *reason = RSN_COLD_TOO_LATE;
+      return queue->ready_us > entry->latest_us;
+    case ADM_UNKNOWN:
+    case ADM_READY:
+      break;
+    }
+  return false;
+}
+
+/* Put ENTRY into the lane of QUEUE to which it belongs.  */
+void
+adm_insert (struct adm_queues *queues, struct adm_queue *queue,
+            struct adm_entry *entry)
+{
+  int lane = entry->suspect ? ADM_LANE_SUSPECT : ADM_LANE_FREE;
+
+  entry->queue = queue;
+  entry->place = g_sequence_insert_sorted (queue->lanes[lane], entry,
+                                           adm_by_turn, NULL);
+  entry->global_place
+      = g_sequence_insert_sorted (queues->all, entry, adm_by_worth, NULL);
+  if (!entry->suspect)
+    entry->late_place
+        = g_sequence_insert_sorted (queue->late, entry, adm_by_latest, NULL);
+}
+
+/* Make room for ENTRY; return false if nothing that waits is worth less.  */
+static bool
+adm_make_room (struct adm_queues *queues, const struct adm_entry *entry)
+{
+  struct adm_entry *least;
+
+  if (adm_waiting (queues) < queues->waiting_max)
+    return true;
+  least = adm_first (queues->all);
+  if (least == NULL || least->priority >= entry->priority)
+    return false;
+  adm_refuse (queues, least, RSN_QUEUE_FULL);
+  return true;
+}
+
+static void
+adm_enqueue (struct adm_queues *queues, struct adm_queue *queue,
+             struct adm_entry *entry)
+{
+  uint64_t now_us = tm_now_us (queues->tm);
+  enum rsn_refusal reason;
+
+  entry->queues = queues;
+  entry->order = queues->next_order++;
+  adm_set_latest (queues, entry);
+  if (adm_hopeless (queue, entry, &reason))
+    {
+      queues->actions.refuse (queues->arg, entry, reason);
+      return;
+    }
+  if (!adm_make_room (queues, entry))
+    {
+      queues->actions.refuse (queues->arg, entry, RSN_QUEUE_FULL);
+      return;
+    }
+  adm_insert (queues, queue, entry);
+  tm_after (queues->tm, &entry->timer,
+            entry->latest_us > now_us ? entry->latest_us - now_us : 0,
+            adm_expired, entry);
+}
+
+/* A request for MODEL arrived; it is reported as demand.  */
+void
+adm_arrived (struct adm_queues *queues, const char *model)
+{
+  adm_queue (queues, model)->arrivals++;
+}
+
+/* Start ENTRY now if no other request of its lane waits and an endpoint is
+   free; else let it wait or refuse it.  The actions may be called before the
+   function returns.  */
+void
+adm_submit (struct adm_queues *queues, struct adm_entry *entry)
+{
+  struct adm_queue *queue = adm_queue (queues, entry->model);
+  int lane = entry->suspect ? ADM_LANE_SUSPECT : ADM_LANE_FREE;
+  enum adm_start start = ADM_NO_CAPACITY;
+
+  if (g_sequence_is_empty (queue->lanes[lane]))
+    start = queues->actions.start (queues->arg, entry);
+  if (start == ADM_STARTED || start == ADM_GONE)
+    return;
+  if (start == ADM_SUSPECT_WAITS)
+    entry->suspect = true;
+  adm_enqueue (queues, queue, entry);
+}
+
+/* Take note of the OUTLOOK of MODEL, with READY_US if it is ADM_EXPECTED, and
+   refuse now what cannot be served in time.  */
+void
+adm_set_outlook (struct adm_queues *queues, const char *model,
+                 enum adm_outlook outlook, uint64_t ready_us)
+{
+  struct adm_queue *queue = adm_queue (queues, model);
+
+  queue->outlook = outlook;
+  queue->ready_us = ready_us;
+  for (int lane = 0; lane < ADM_LANES; lane++)
+    {
+      GSequenceIter *at = g_sequence_get_begin_iter (queue->lanes[lane]);
+
+      while (!g_sequence_iter_is_end (at))
+        {
+          struct adm_entry *entry = g_sequence_get (at);
+          enum rsn_refusal reason;
+
+          at = g_sequence_iter_next (at);
+          if (adm_hopeless (queue, entry, &reason))
+            adm_refuse (queues, entry, reason);
+        }
+    }
+}
+
+/* A request of class CLASS_NAME took DURATION_US from its start to its end. */
+void
+adm_served (struct adm_queues *queues, const char *class_name,
+            uint64_t duration_us)
+{
+  double *average = g_hash_table_lookup (queues->served, class_name);
+
+  if (average == NULL)
+    {
+      average = g_new (double, 1);
+      *average = (double)duration_us;
+      g_hash_table_insert (queues->served, g_strdup (class_name), average);
+      return;
+    }
+  *average += ((double)duration_us - *average) * ADM_SERVED_WEIGHT;
+}
+
+/* Return how many requests wait.  */
+uint32_t
+adm_waiting (const struct adm_queues *queues)
+{
+  return (uint32_t)g_sequence_get_length (queues->all);
+}
+
+/* Return how many requests for MODEL wait.  */
+uint32_t
+adm_waiting_for (const struct adm_queues *queues, const char *model)
+{
+  const struct adm_queue *queue
+      = g_hash_table_lookup (queues->by_model, model);
+  uint32_t waiting = 0;
+
+  for (int lane = 0; queue != NULL && lane < ADM_LANES; lane++)
+    waiting += (uint32_t)g_sequence_get_length (queue->lanes[lane]);
+  return waiting;
+}
+
+static void
+adm_demand_add (struct adm_demand *demand, GSequence *sequence)
+{
+  const struct adm_entry *first = adm_first (sequence);
+
+  if (first == NULL)
+    return;
+  if (demand->waiting == 0 || first->priority > demand->priority)
+    demand->priority = first->priority;
+  demand->waiting += (uint32_t)g_sequence_get_length (sequence);
+}
+
+/* Call EACH with ARG for each model with demand and start counting arrivals
+   anew.  */
+void
+adm_demands (struct adm_queues *queues,
+             void (*each) (void *arg, const struct adm_demand *demand),
+             void *arg)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, queues->by_model);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct adm_queue *queue = value;
+      struct adm_demand demand = { .model = queue->model,
+                                   .earliest_us = UINT64_MAX,
+                                   .arrivals = queue->arrivals };
+      const struct adm_entry *entry = adm_first (queue->late);
+
+      if (entry != NULL)
+        demand.earliest_us = entry->deadline_us;
+      entry = adm_first (queue->lanes[ADM_LANE_SUSPECT]);
+      if (entry != NULL)
+        demand.earliest_us = MIN (demand.earliest_us, entry->deadline_us);
+      for (int lane = 0; lane < ADM_LANES; lane++)
+        adm_demand_add (&demand, queue->lanes[lane]);
+      queue->arrivals = 0;
+      if (demand.waiting > 0 || demand.arrivals > 0)
+        each (arg, &demand);
+    }
+}
--- /dev/null
+++ b/libcowslip/psn.c
@@ -0,0 +1,293 @@
+#include "psn.h"
+
+#define PSN_CRASHES_MAX 2
+#define PSN_LAPSE_US    600000000ULL
+#define PSN_US_PER_MS   1000
+#define PSN_TABLE_MAX   4096 /* as many as one message carries */
+/* Breaks that are seen within this time may belong to one crash.  */
+#define PSN_ONE_CRASH_US 5000000ULL
+
+struct psn_endpoint
+{
+  char *address;
+  struct psn_run *runs;
+};
+
+struct psn_suspicion
+{
+  uint64_t fingerprint;
+  uint32_t crashes;
+  uint64_t last_us;
+  char *crashed; /* address of the last endpoint, NULL: told by a peer */
+};
+
+struct psn_table
+{
+  struct tm_service *tm;
+  psn_changed changed;
+  void *arg;
+  GHashTable *endpoints;
+  GHashTable *suspicions;
+};
+
+static void
+psn_endpoint_free (gpointer data)
+{
+  struct psn_endpoint *endpoint = data;
+
+  g_free (endpoint->address);
+  g_free (endpoint);
+}
+
+static void
+psn_suspicion_free (gpointer data)
+{
+  struct psn_suspicion *suspicion = data;
+
+  g_free (suspicion->crashed);
+  g_free (suspicion);
+}
+
+/* Return an empty table that calls CHANGED with ARG when this instance blames
+   or clears a fingerprint.  */
+struct psn_table *
+psn_new (struct tm_service *tm, psn_changed changed, void *arg)
+{
+  struct psn_table *table = g_new0 (struct psn_table, 1);
+
+  table->tm = tm;
+  table->changed = changed;
+  table->arg = arg;
+  table->endpoints = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                            psn_endpoint_free);
+  table->suspicions = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                             psn_suspicion_free);
+  return table;
+}
+
+/* Free TABLE.  */
+void
+psn_free (struct psn_table *table)
+{
+  if (table == NULL)
+    return;
+  g_hash_table_destroy (table->endpoints);
+  g_hash_table_destroy (table->suspicions);
+  g_free (table);
+}
+
+static bool
+psn_lapsed (const struct psn_table *table,
+            const struct psn_suspicion *suspicion)
+{
+  return tm_now_us (table->tm) - suspicion->last_us >= PSN_LAPSE_US;
+}
+
+static struct psn_suspicion *
+psn_find (struct psn_table *table, uint64_t fingerprint)
+{
+  struct psn_suspicion *found;
+
+  if (g_hash_table_size (table->suspicions) == 0)
+    return NULL;
+  found = g_hash_table_lookup (table->suspicions, &fingerprint);
+  if (found == NULL || !psn_lapsed (table, found))
+    return found;
+  g_hash_table_remove (table->suspicions, &fingerprint);
+  return NULL;
+}
+
+static gboolean
+psn_is_lapsed (gpointer key, gpointer value, gpointer table)
+{
+  (void)key;
+  return psn_lapsed (table, value);
+}
+
+/* Return the suspicion of FINGERPRINT, made if there is room.  */
+static struct psn_suspicion *
+psn_make (struct psn_table *table, uint64_t fingerprint)
+{
+  struct psn_suspicion *suspicion = psn_find (table, fingerprint);
+
+  if (suspicion != NULL)
+    return suspicion;
+  g_hash_table_foreach_remove (table->suspicions, psn_is_lapsed, table);
+  if (g_hash_table_size (table->suspicions) >= PSN_TABLE_MAX)
+    return NULL;
+  suspicion = g_new0 (struct psn_suspicion, 1);
+  suspicion->fingerprint = fingerprint;
+  g_hash_table_insert (table->suspicions, &suspicion->fingerprint, suspicion);
+  return suspicion;
+}
+
+/* Return how many crashes are counted for FINGERPRINT.  */
+uint32_t
+psn_crashes (struct psn_table *table, uint64_t fingerprint)
+{
+  const struct psn_suspicion *suspicion = psn_find (table, fingerprint);
+
+  return suspicion == NULL ? 0 : suspicion->crashes;
+}
+
+/* Return how a request with FINGERPRINT is to be treated.  */
+enum psn_verdict
+psn_check (struct psn_table *table, uint64_t fingerprint)
+{
+  uint32_t crashes = psn_crashes (table, fingerprint);
+
+  if (crashes == 0)
+    return PSN_CLEAR;
+  return crashes >= PSN_CRASHES_MAX ? PSN_POISON : PSN_SUSPECT;
+}
+
+/* RUN, with FINGERPRINT, begins on the endpoint at ADDRESS.  */
+void
+psn_begin (struct psn_table *table, struct psn_run *run, uint64_t fingerprint,
+           const char *address)
+{
+  struct psn_endpoint *endpoint
+      = g_hash_table_lookup (table->endpoints, address);
+
+  if (endpoint == NULL)
+    {
+      endpoint = g_new0 (struct psn_endpoint, 1);
+      endpoint->address = g_strdup (address);
+      g_hash_table_insert (table->endpoints, endpoint->address, endpoint);
+    }
+  run->fingerprint = fingerprint;
+  run->endpoint = endpoint;
+  run->begun_us = tm_now_us (table->tm);
+  run->next = endpoint->runs;
+  run->link = &endpoint->runs;
+  if (run->next != NULL)
+    run->next->link = &run->next;
+  endpoint->runs = run;
+}
+
+/* RUN has ended.  If its answer was WHOLE, its fingerprint is no longer
+   suspected.  */
+void
+psn_end (struct psn_table *table, struct psn_run *run, bool whole)
+{
+  if (run->endpoint == NULL)
+    return;
+  *run->link = run->next;
+  if (run->next != NULL)
+    run->next->link = run->link;
+  run->endpoint = NULL;
+  if (!whole || psn_find (table, run->fingerprint) == NULL)
+    return;
+  g_hash_table_remove (table->suspicions, &run->fingerprint);
+  table->changed (table->arg, run->fingerprint, 0);
+}
+
+/* Return whether the break of RUN belongs to the last crash counted for
+   SUSPICION: RUN had begun by then, on the same endpoint.  A peer's report
+   does not name the endpoint, so there the time alone decides.  */
+static bool
+psn_same_crash (const struct psn_suspicion *suspicion,
+                const struct psn_run *run, uint64_t now_us)
+{
+  if (suspicion->crashes == 0 || run->begun_us > suspicion->last_us
+      || now_us - suspicion->last_us >= PSN_ONE_CRASH_US)
+    return false;
+  return suspicion->crashed == NULL
+         || g_str_equal (suspicion->crashed, run->endpoint->address);
+}
+
+static void
+psn_blame (struct psn_table *table, const struct psn_run *run)
+{
+  struct psn_suspicion *suspicion = psn_make (table, run->fingerprint);
+  uint64_t now_us = tm_now_us (table->tm);
+
+  if (suspicion == NULL || psn_same_crash (suspicion, run, now_us))
+    return;
+  suspicion->crashes++;
+  suspicion->last_us = now_us;
+  g_free (suspicion->crashed);
+  suspicion->crashed = g_strdup (run->endpoint->address);
+  table->changed (table->arg, run->fingerprint, suspicion->crashes);
+}
+
+/* The connection of RUN broke before its answer was whole: every request in
+   flight on that endpoint is suspected.  The breaks of the other connections
+   that follow from the same crash are not counted again.  */
+void
+psn_broken (struct psn_table *table, const struct psn_run *run)
+{
+  if (run->endpoint == NULL)
+    return;
+  for (const struct psn_run *r = run->endpoint->runs; r != NULL; r = r->next)
+    psn_blame (table, r);
+}
+
+/* Return how many suspects run on the endpoint at ADDRESS.  */
+uint32_t
+psn_suspects_at (struct psn_table *table, const char *address)
+{
+  const struct psn_endpoint *endpoint
+      = g_hash_table_lookup (table->endpoints, address);
+  uint32_t count = 0;
+
+  if (endpoint == NULL || g_hash_table_size (table->suspicions) == 0)
+    return 0;
+  for (const struct psn_run *r = endpoint->runs; r != NULL; r = r->next)
+    if (psn_check (table, r->fingerprint) != PSN_CLEAR)
+      count++;
+  return count;
+}
+
+/* A peer counts CRASHES for FINGERPRINT, the last one AGE_MS ago; 0 crashes
+   mean that the suspicion has ended.  Several instances see the same crash,
+   so the higher count is taken and not the sum.  */
+void
+psn_merge (struct psn_table *table, uint64_t fingerprint, uint32_t crashes,
+           uint32_t age_ms)
+{
+  uint64_t now_us = tm_now_us (table->tm);
+  uint64_t age_us = (uint64_t)age_ms * PSN_US_PER_MS;
+  uint64_t last_us = age_us > now_us ? 0 : now_us - age_us;
+  struct psn_suspicion *suspicion;
+
+  if (age_us >= PSN_LAPSE_US)
+    return;
+  if (crashes == 0)
+    {
+      g_hash_table_remove (table->suspicions, &fingerprint);
+      return;
+    }
+  suspicion = psn_make (table, fingerprint);
+  if (suspicion == NULL)
+    return;
+  if (crashes > suspicion->crashes)
+    {
+      g_free (suspicion->crashed);
+      suspicion->crashed = NULL;
+      suspicion->crashes = crashes;
+    }
+  suspicion->last_us = MAX (suspicion->last_us, last_us);
+}
+
+/* Call EACH with ARG for every suspected fingerprint.  */
+void
+psn_each (const struct psn_table *table,
+          void (*each) (void *arg, uint64_t fingerprint, uint32_t crashes,
+                        uint32_t age_ms),
+          void *arg)
+{
+  uint64_t now_us = tm_now_us (table->tm);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, table->suspicions);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct psn_suspicion *s = value;
+
+      if (!psn_lapsed (table, s))
+        each (arg, s->fingerprint, s->crashes,
+              (uint32_t)((now_us - s->last_us) / PSN_US_PER_MS));
+    }
+}
--- /dev/null
+++ b/libcowslip/rt_impl.h
@@ -0,0 +1,28 @@
+#ifndef COWSLIP_RT_IMPL_H
+#define COWSLIP_RT_IMPL_H
+
+#include "rt.h"
+
+/* Shared by the rt_*.c files only.  */
+
+struct rt_model
+{
+  char *name;
+  GPtrArray *ranks[RT_RANK_COUNT]; /* struct rt_replica */
+  GPtrArray *sorted;               /* all ready replicas */
+  bool changed;
+};
+
+struct rt_table
+{
+  struct tm_service *tm;
+  gsl_rng *random;
+  GHashTable *endpoints;
+  GHashTable *models;
+  uint64_t fence;
+};
+
+void rt_list_add (struct rt_replica *replica);
+void rt_list_remove (struct rt_replica *replica);
+
+#endif
