--- /dev/null
+++ b/libcowslip/dsp.c
@@ -0,0 +1,395 @@
+#include "dsp_impl.h"
+
+#define DSP_SECOND_US 1000000
+/* Ended suspicions are told together.  */
+#define DSP_CLEARED_US 200000
+
+static void dsp_every_second (void *arg);
+
+static void
+dsp_endpoint_ejected (void *arg, const char *address, bool ejected)
+{
+  struct dsp *dsp = arg;
+  struct rt_endpoint *endpoint = rt_endpoint (dsp->routes, address);
+
+  rt_set_ejected (dsp->routes, endpoint, ejected);
+  ctr_add (dsp->counters,
+           ejected ? "ejections_total" : "ejections_ended_total", 1);
+  dsp->actions.ejected (dsp->arg, address, ejected);
+  if (!ejected)
+    dsp_wake_endpoint (dsp, endpoint);
+}
+
+/* An endpoint without a ready replica cannot be probed; requests do not reach
+   it either, so it returns without one.  */
+static void
+dsp_probe (void *arg, const char *address)
+{
+  struct dsp *dsp = arg;
+  const struct rt_endpoint *endpoint = rt_endpoint (dsp->routes, address);
+
+  for (guint i = 0; i < endpoint->replicas->len; i++)
+    {
+      const struct rt_replica *r = g_ptr_array_index (endpoint->replicas, i);
+
+      if (!r->ready)
+        continue;
+      dsp->actions.probe (dsp->arg, address, rt_model_name (r->model));
+      return;
+    }
+  hlt_probed (dsp->health, address, true, 0);
+}
+
+static void
+dsp_tell_changed (void *arg)
+{
+  struct dsp *dsp = arg;
+  GArray *told = dsp->changed;
+
+  if (told->len == 0)
+    return;
+  dsp->changed = g_array_new (FALSE, FALSE, sizeof (struct dsp_suspect));
+  dsp->actions.suspects (dsp->arg, (const struct dsp_suspect *)told->data,
+                         told->len, 0);
+  g_array_free (told, TRUE);
+}
+
+static void
+dsp_suspicion_changed (void *arg, uint64_t fingerprint, uint32_t crashes)
+{
+  struct dsp *dsp = arg;
+  struct dsp_suspect suspect = { fingerprint, crashes };
+
+  if (crashes > 0)
+    ctr_add (dsp->counters, "suspicions_total", 1);
+  g_array_append_val (dsp->changed, suspect);
+  if (!tm_pending (&dsp->suspects_timer))
+    tm_after (dsp->tm, &dsp->suspects_timer, DSP_CLEARED_US, dsp_tell_changed,
+              dsp);
+}
+
+/* Return a dispatcher without endpoints or models that calls ACTIONS with ARG,
+   counts in COUNTERS and draws from RANDOM.  */
+struct dsp *
+dsp_new (struct tm_service *tm, gsl_rng *random, struct ctr_set *counters,
+         const struct dsp_actions *actions, void *arg)
+{
+  static const struct hlt_actions health = { dsp_endpoint_ejected, dsp_probe };
+  static const struct adm_actions admission
+      = { dsp_admit, dsp_refuse_waiting };
+  struct dsp *dsp = g_new0 (struct dsp, 1);
+
+  dsp->tm = tm;
+  dsp->counters = counters;
+  dsp->actions = *actions;
+  dsp->arg = arg;
+  dsp->routes = rt_new (tm, random);
+  dsp->health = hlt_new (tm, &health, dsp);
+  dsp->queues = adm_new (tm, &admission, dsp);
+  dsp->budgets = rty_new (tm);
+  dsp->suspicions = psn_new (tm, dsp_suspicion_changed, dsp);
+  dsp->first_token = hst_new ("first_token_ms");
+  dsp->queue_time = hst_new ("queue_time_ms");
+  dsp->models
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  dsp->reporting = g_hash_table_new (g_int64_hash, g_int64_equal);
+  dsp->changed = g_array_new (FALSE, FALSE, sizeof (struct dsp_suspect));
+  dsp->demands = g_array_new (FALSE, FALSE, sizeof (struct adm_demand));
+  tm_after (tm, &dsp->second, DSP_SECOND_US, dsp_every_second, dsp);
+  return dsp;
+}
+
+/* Free DSP, which must have no active request.  */
+void
+dsp_free (struct dsp *dsp)
+{
+  if (dsp == NULL)
+    return;
+  tm_cancel (dsp->tm, &dsp->second);
+  tm_cancel (dsp->tm, &dsp->suspects_timer);
+  hst_flush (dsp->first_token, dsp->counters);
+  hst_flush (dsp->queue_time, dsp->counters);
+  hst_free (dsp->first_token);
+  hst_free (dsp->queue_time);
+  hlt_free (dsp->health);
+  rt_free (dsp->routes);
+  adm_free (dsp->queues);
+  rty_free (dsp->budgets);
+  psn_free (dsp->suspicions);
+  g_hash_table_destroy (dsp->models);
+  g_hash_table_destroy (dsp->reporting);
+  g_array_free (dsp->changed, TRUE);
+  g_array_free (dsp->demands, TRUE);
+  g_free (dsp);
+}
+
+/* Add 1 to the counter NAME of CLASS_NAME.  */
+void
+dsp_count (struct dsp *dsp, const char *name, const char *class_name)
+{
+  char full[256];
+
+  g_snprintf (full, sizeof full, "%s{class=\"%s\"}", name, class_name);
+  ctr_add (dsp->counters, full, 1);
+}
+
+static void
+dsp_collect_demand (void *arg, const struct adm_demand *demand)
+{
+  g_array_append_vals (arg, demand, 1);
+}
+
+/* Report the demand that there is.  */
+void
+dsp_demand_now (struct dsp *dsp)
+{
+  g_array_set_size (dsp->demands, 0);
+  adm_demands (dsp->queues, dsp_collect_demand, dsp->demands);
+  if (dsp->demands->len > 0)
+    dsp->actions.demand (dsp->arg,
+                         (const struct adm_demand *)dsp->demands->data,
+                         dsp->demands->len);
+}
+
+static void
+dsp_every_second (void *arg)
+{
+  struct dsp *dsp = arg;
+
+  hst_flush (dsp->first_token, dsp->counters);
+  hst_flush (dsp->queue_time, dsp->counters);
+  ctr_set_gauge (dsp->counters, "requests_waiting", adm_waiting (dsp->queues));
+  ctr_set_gauge (dsp->counters, "requests_active", dsp->active);
+  dsp_demand_now (dsp);
+  tm_after (dsp->tm, &dsp->second, DSP_SECOND_US, dsp_every_second, dsp);
+}
+
+/* Let at most WAITING_MAX requests wait, and RETRY_PERCENT attempts per 100
+   requests be repeated.  */
+void
+dsp_set_limits (struct dsp *dsp, uint32_t waiting_max, uint32_t retry_percent)
+{
+  adm_set_limit (dsp->queues, waiting_max);
+  rty_set_percent (dsp->budgets, retry_percent);
+}
+
+/* The endpoint at ADDRESS belongs to POOL and runs BATCH requests at once.  */
+void
+dsp_add_endpoint (struct dsp *dsp, const char *address, const char *pool,
+                  uint32_t batch)
+{
+  struct rt_endpoint *endpoint = rt_endpoint (dsp->routes, address);
+
+  endpoint->configured = true;
+  rt_set_batch (dsp->routes, endpoint, batch);
+  hlt_add (dsp->health, pool, address);
+}
+
+/* Begin to name all endpoints and models of a new configuration.  */
+void
+dsp_configure_begin (struct dsp *dsp)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dsp->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct dsp_model *)value)->configured = false;
+  g_hash_table_iter_init (&iter, rt_endpoints (dsp->routes));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct rt_endpoint *)value)->configured = false;
+}
+
+/* MODEL may have BUDGET replicas in this zone.  */
+void
+dsp_add_model (struct dsp *dsp, const char *model, uint32_t budget)
+{
+  struct dsp_model *found = g_hash_table_lookup (dsp->models, model);
+
+  if (found == NULL)
+    {
+      found = g_new0 (struct dsp_model, 1);
+      g_hash_table_insert (dsp->models, g_strdup (model), found);
+    }
+  found->budget = budget;
+  found->configured = true;
+  if (budget == 0 && found->outlook != ADM_READY)
+    found->outlook = ADM_NONE;
+  else if (budget > 0 && found->outlook == ADM_NONE)
+    found->outlook = ADM_UNKNOWN;
+}
+
+/* The new configuration is complete: requests for other models are refused,
+   and other endpoints no longer count for their pool.  */
+void
+dsp_configure_end (struct dsp *dsp)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dsp->models);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct dsp_model *model = value;
+
+      if (!model->configured)
+        model->outlook = ADM_NONE;
+      adm_set_outlook (dsp->queues, key, model->outlook, model->ready_us);
+      if (!model->configured)
+        g_hash_table_iter_remove (&iter);
+    }
+  g_hash_table_iter_init (&iter, rt_endpoints (dsp->routes));
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (!((struct rt_endpoint *)value)->configured)
+      {
+        hlt_remove (dsp->health, key);
+        rt_set_ejected (dsp->routes, value, false);
+      }
+  adm_wake_all (dsp->queues);
+}
+
+static enum adm_outlook
+dsp_replica_outlook (const struct vw_replica *replica)
+{
+  switch (replica->state)
+    {
+    case VW_READY:
+      return ADM_READY;
+    case VW_BLOCKED:
+      return ADM_BLOCKED;
+    case VW_LOADING:
+      return ADM_EXPECTED;
+    case VW_COLD:
+      /* A time here is the earliest at which a load could be ready.  */
+      return replica->ready_us > 0 ? ADM_EXPECTED : ADM_UNKNOWN;
+    case VW_QUIESCING:
+    case VW_DOUBTFUL:
+      break;
+    }
+  return ADM_UNKNOWN;
+}
+
+/* Take one replica of the view into account for MODEL: the best one counts. */
+static void
+dsp_fold (struct dsp_model *model, const struct vw_replica *replica)
+{
+  static const uint8_t value[] = { [ADM_NONE] = 0,
+                                   [ADM_BLOCKED] = 1,
+                                   [ADM_UNKNOWN] = 2,
+                                   [ADM_EXPECTED] = 3,
+                                   [ADM_READY] = 4 };
+  enum adm_outlook outlook = dsp_replica_outlook (replica);
+
+  if (outlook == ADM_EXPECTED && model->outlook == ADM_EXPECTED)
+    model->ready_us = MIN (model->ready_us, replica->ready_us);
+  else if (outlook == ADM_EXPECTED && value[model->outlook] < value[outlook])
+    model->ready_us = replica->ready_us;
+  if (value[outlook] > value[model->outlook])
+    model->outlook = outlook;
+}
+
+/* Take over VIEW, the newest of the own zone.  */
+void
+dsp_view (struct dsp *dsp, const struct vw_view *view)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, dsp->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct dsp_model *)value)->outlook = ADM_NONE;
+  rt_view_begin (dsp->routes, view->fence);
+  for (guint i = 0; i < view->replicas->len; i++)
+    {
+      const struct vw_replica *r = g_ptr_array_index (view->replicas, i);
+      struct dsp_model *model = g_hash_table_lookup (dsp->models, r->model);
+
+      if (r->state == VW_READY)
+        rt_view_ready (dsp->routes, r->model, r->endpoint);
+      if (model != NULL)
+        dsp_fold (model, r);
+    }
+  rt_view_end (dsp->routes);
+  g_hash_table_iter_init (&iter, dsp->models);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct dsp_model *model = value;
+
+      /* The controller may not have pinned a slot yet.  */
+      if (model->outlook == ADM_NONE && model->budget > 0)
+        model->outlook = ADM_UNKNOWN;
+      adm_set_outlook (dsp->queues, key, model->outlook, model->ready_us);
+    }
+  adm_wake_all (dsp->queues);
+}
+
+/* The engine at ADDRESS reported its load AGE_MS ago.  */
+void
+dsp_load (struct dsp *dsp, const char *address, uint32_t running,
+          uint32_t waiting, uint32_t age_ms)
+{
+  rt_report (dsp->routes, rt_endpoint (dsp->routes, address), running, waiting,
+             age_ms);
+}
+
+/* Give the endpoint at ADDRESS no new work while it is LEAVING.  */
+void
+dsp_leaving (struct dsp *dsp, const char *address, bool leaving)
+{
+  struct rt_endpoint *endpoint = rt_endpoint (dsp->routes, address);
+
+  rt_set_leaving (dsp->routes, endpoint, leaving);
+  if (!leaving)
+    dsp_wake_endpoint (dsp, endpoint);
+}
+
+/* Stop using the replica of MODEL at ADDRESS; return its requests in flight.
+ */
+uint32_t
+dsp_quiesce (struct dsp *dsp, const char *model, const char *address)
+{
+  return rt_quiesce (dsp->routes, model, address);
+}
+
+/* The probe of ADDRESS ended.  */
+void
+dsp_probed (struct dsp *dsp, const char *address, bool answered,
+            uint64_t first_byte_us)
+{
+  hlt_probed (dsp->health, address, answered, first_byte_us);
+}
+
+/* A peer reported a suspected fingerprint.  */
+void
+dsp_merge_suspect (struct dsp *dsp, uint64_t fingerprint, uint32_t crashes,
+                   uint32_t age_ms)
+{
+  psn_merge (dsp->suspicions, fingerprint, crashes, age_ms);
+}
+
+/* Return how many requests have not ended.  */
+uint32_t
+dsp_active (const struct dsp *dsp)
+{
+  return dsp->active;
+}
+
+struct rt_table *
+dsp_routes (const struct dsp *dsp)
+{
+  return dsp->routes;
+}
+
+struct psn_table *
+dsp_suspicions (const struct dsp *dsp)
+{
+  return dsp->suspicions;
+}
+
+struct adm_queues *
+dsp_queues (const struct dsp *dsp)
+{
+  return dsp->queues;
+}
--- /dev/null
+++ b/libcowslip/dsp_actions.c
@@ -0,0 +1,329 @@
+#include "dsp_impl.h"
+
+#define DSP_US_PER_MS 1000ULL
+
+static bool
+dsp_no_suspect (void *arg, const struct rt_endpoint *endpoint)
+{
+  const struct dsp *dsp = arg;
+
+  return psn_suspects_at (dsp->suspicions, endpoint->address) == 0;
+}
+
+static struct rt_replica *
+dsp_pick (struct dsp_request *request, bool only_untried, bool suspect)
+{
+  struct dsp *dsp = request->dsp;
+  struct rt_wish wish = { .prefix = request->spec.prefix,
+                          .tried = request->tried,
+                          .tried_count = request->tried_count,
+                          .only_untried = only_untried,
+                          .allowed = suspect ? dsp_no_suspect : NULL,
+                          .arg = dsp };
+
+  return rt_pick (dsp->routes, request->spec.model, &wish);
+}
+
+static struct dsp_request *
+dsp_of_entry (struct adm_entry *entry)
+{
+  return (struct dsp_request *)((char *)entry
+                                - offsetof (struct dsp_request, entry));
+}
+
+/* Start the request of ENTRY if an endpoint can take it.  */
+enum adm_start
+dsp_admit (void *arg, struct adm_entry *entry)
+{
+  struct dsp *dsp = arg;
+  struct dsp_request *request = dsp_of_entry (entry);
+  enum psn_verdict verdict
+      = psn_check (dsp->suspicions, request->spec.fingerprint);
+
+  if (verdict == PSN_POISON)
+    {
+      adm_remove (dsp->queues, entry);
+      rq_refused (&request->rq, RSN_POISON);
+      return ADM_GONE;
+    }
+  request->chosen = dsp_pick (request, false, verdict == PSN_SUSPECT);
+  if (request->chosen == NULL)
+    return verdict == PSN_SUSPECT ? ADM_SUSPECT_WAITS : ADM_NO_CAPACITY;
+  adm_remove (dsp->queues, entry);
+  rq_launch (&request->rq);
+  return ADM_STARTED;
+}
+
+/* The request of ENTRY cannot wait any longer, for REASON.  */
+void
+dsp_refuse_waiting (void *arg, struct adm_entry *entry,
+                    enum rsn_refusal reason)
+{
+  struct dsp_request *request = dsp_of_entry (entry);
+
+  (void)arg;
+  rq_refused (&request->rq, reason);
+}
+
+static void
+dsp_do_wait (void *arg)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+  uint32_t before = adm_waiting (dsp->queues);
+  bool first = adm_waiting_for (dsp->queues, request->spec.model) == 0;
+
+  request->entry.suspect
+      = psn_check (dsp->suspicions, request->spec.fingerprint) != PSN_CLEAR;
+  /* The request may be over and freed after this.  */
+  adm_submit (dsp->queues, &request->entry);
+  if (first && adm_waiting (dsp->queues) > before)
+    dsp_demand_now (dsp);
+}
+
+static void
+dsp_do_withdraw (void *arg)
+{
+  struct dsp_request *request = arg;
+
+  adm_remove (request->dsp->queues, &request->entry);
+}
+
+static void
+dsp_do_hedge (void *arg)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+
+  if (psn_check (dsp->suspicions, request->spec.fingerprint) != PSN_CLEAR)
+    return;
+  request->chosen = dsp_pick (request, true, false);
+  if (request->chosen == NULL
+      || !rty_take (dsp->budgets, request->spec.class_name, RTY_HEDGE))
+    return;
+  ctr_retry (dsp->counters, RTY_HEDGE);
+  rq_launch (&request->rq);
+}
+
+static void
+dsp_note_launch (struct dsp_request *request)
+{
+  struct dsp *dsp = request->dsp;
+
+  if (request->launched_us != 0)
+    return;
+  request->launched_us = tm_now_us (dsp->tm);
+  hst_observe (dsp->queue_time, request->spec.class_name,
+               request->launched_us - request->arrived_us);
+}
+
+static void
+dsp_do_launch (void *arg, uint64_t attempt, uint32_t resume_from)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+  struct rt_replica *replica = request->chosen;
+  struct dsp_flight *flight = &request->flights[0];
+  struct dsp_launch launch = { .attempt = attempt,
+                               .address = replica->endpoint->address,
+                               .resume_from = resume_from,
+                               .fresh = request->tried_count > 0 };
+
+  if (flight->attempt != 0)
+    flight = &request->flights[1];
+  dsp_note_launch (request);
+  *flight = (struct dsp_flight){ .attempt = attempt,
+                                 .replica = replica,
+                                 .started_us = tm_now_us (dsp->tm) };
+  if (request->tried_count < RQ_ATTEMPTS_MAX)
+    request->tried[request->tried_count++] = replica->endpoint;
+  rt_begin (dsp->routes, replica);
+  psn_begin (dsp->suspicions, &flight->run, request->spec.fingerprint,
+             replica->endpoint->address);
+  dsp->actions.launch (request->owner, &launch);
+}
+
+/* An attempt without a first byte says that its endpoint needs at least the
+   time that has passed; without this, an endpoint that is always overtaken by
+   hedges would never look slow.  */
+static void
+dsp_do_cancel (void *arg, uint64_t attempt)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+  const struct dsp_flight *flight = dsp_flight (request, attempt);
+  uint64_t passed_us;
+
+  dsp->actions.cancel (request->owner, attempt);
+  if (flight == NULL)
+    return;
+  passed_us = tm_now_us (dsp->tm) - flight->started_us;
+  if (!flight->first_byte && request->rq.promise.hedge_us > 0
+      && passed_us >= request->rq.promise.hedge_us)
+    hlt_sample (dsp->health, flight->replica->endpoint->address, passed_us);
+  dsp_land (request, attempt, false);
+}
+
+static void
+dsp_do_report (void *arg, uint64_t attempt)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+  GArray *told = dsp->changed;
+  struct dsp_suspect own = { request->spec.fingerprint, 0 };
+
+  request->ticket = attempt;
+  g_hash_table_insert (dsp->reporting, &request->ticket, request);
+  dsp->changed = g_array_new (FALSE, FALSE, sizeof (struct dsp_suspect));
+  tm_cancel (dsp->tm, &dsp->suspects_timer);
+  /* The crash may have been told already for another request; the peers must
+     still have answered before this one goes on.  */
+  own.crashes = psn_crashes (dsp->suspicions, own.fingerprint);
+  if (own.crashes > 0)
+    g_array_append_val (told, own);
+  dsp->actions.suspects (dsp->arg, (const struct dsp_suspect *)told->data,
+                         told->len, request->ticket);
+  g_array_free (told, TRUE);
+}
+
+/* All reachable peers have answered the report with TICKET.  */
+void
+dsp_reported (struct dsp *dsp, uint64_t ticket)
+{
+  struct dsp_request *request = g_hash_table_lookup (dsp->reporting, &ticket);
+
+  if (request == NULL)
+    return;
+  g_hash_table_remove (dsp->reporting, &ticket);
+  request->ticket = 0;
+  rq_reported (&request->rq, ticket);
+}
+
+static bool
+dsp_do_budget (void *arg, enum rty_reason reason)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+
+  if (!rty_take (dsp->budgets, request->spec.class_name, reason))
+    return false;
+  ctr_retry (dsp->counters, reason);
+  return true;
+}
+
+static bool
+dsp_do_poison (void *arg)
+{
+  struct dsp_request *request = arg;
+
+  return psn_check (request->dsp->suspicions, request->spec.fingerprint)
+         == PSN_POISON;
+}
+
+static void
+dsp_do_straggles (void *arg, uint64_t attempt)
+{
+  struct dsp_request *request = arg;
+  struct dsp_flight *flight = dsp_flight (request, attempt);
+
+  if (flight == NULL || flight->straggles)
+    return;
+  flight->straggles = true;
+  rt_straggler (request->dsp->routes, flight->replica, true);
+  dsp_count (request->dsp, "stragglers_total", request->spec.class_name);
+}
+
+static void
+dsp_do_first (void *arg, uint64_t attempt)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+  struct dsp_flight *flight = dsp_flight (request, attempt);
+  uint64_t now_us = tm_now_us (dsp->tm);
+
+  if (flight != NULL && !flight->first_byte)
+    {
+      flight->first_byte = true;
+      hlt_sample (dsp->health, flight->replica->endpoint->address,
+                  now_us - flight->started_us);
+    }
+  if (request->first_us != 0)
+    return;
+  request->first_us = now_us;
+  hst_observe (dsp->first_token, request->spec.class_name,
+               now_us - request->arrived_us);
+}
+
+static void
+dsp_do_send (void *arg, const char *data, size_t bytes)
+{
+  struct dsp_request *request = arg;
+
+  request->dsp->actions.send (request->owner, data, bytes);
+}
+
+static void
+dsp_do_answer (void *arg, const struct rq_answer *answer)
+{
+  struct dsp_request *request = arg;
+
+  request->dsp->actions.answer (request->owner, answer);
+}
+
+static void
+dsp_do_refuse (void *arg, enum rsn_refusal reason, bool not_run, bool started)
+{
+  struct dsp_request *request = arg;
+
+  request->dsp->actions.refuse (request->owner, reason, not_run, started);
+}
+
+static void
+dsp_count_outcome (struct dsp_request *request, enum rq_outcome outcome)
+{
+  struct dsp *dsp = request->dsp;
+  const struct dsp_spec *spec = &request->spec;
+  uint64_t now_us = tm_now_us (dsp->tm);
+  char name[64];
+
+  g_snprintf (name, sizeof name, "requests_%s_total",
+              rq_outcome_text (outcome));
+  dsp_count (dsp, name, spec->class_name);
+  if (outcome != RQ_DELIVERED)
+    return;
+  if (now_us - request->arrived_us <= spec->deadline_ms * DSP_US_PER_MS)
+    dsp_count (dsp, "requests_delivered_in_time_total", spec->class_name);
+  if (spec->stream && spec->first_token_ms > 0
+      && request->first_us - request->arrived_us
+             <= spec->first_token_ms * DSP_US_PER_MS)
+    dsp_count (dsp, "first_token_in_time_total", spec->class_name);
+}
+
+static void
+dsp_do_done (void *arg, enum rq_outcome outcome)
+{
+  struct dsp_request *request = arg;
+  struct dsp *dsp = request->dsp;
+
+  dsp_count_outcome (request, outcome);
+  if (request->ticket != 0)
+    g_hash_table_remove (dsp->reporting, &request->ticket);
+  dsp->active--;
+  dsp->actions.done (request->owner, outcome);
+  g_free (request);
+}
+
+const struct rq_actions dsp_request_actions = { .wait = dsp_do_wait,
+                                                .withdraw = dsp_do_withdraw,
+                                                .hedge = dsp_do_hedge,
+                                                .launch = dsp_do_launch,
+                                                .cancel = dsp_do_cancel,
+                                                .report = dsp_do_report,
+                                                .budget = dsp_do_budget,
+                                                .poison = dsp_do_poison,
+                                                .straggles = dsp_do_straggles,
+                                                .first = dsp_do_first,
+                                                .send = dsp_do_send,
+                                                .answer = dsp_do_answer,
+                                                .refuse = dsp_do_refuse,
+                                                .done = dsp_do_done };
--- /dev/null
+++ b/libcowslip/dsp_impl.h
@@ -0,0 +1,84 @@
+#ifndef COWSLIP_DSP_IMPL_H
+#define COWSLIP_DSP_IMPL_H
+
+#include "dsp.h"
+#include "hlt.h"
+#include "hst.h"
+#include "psn.h"
+#include "rt.h"
+#include "rty.h"
+
+/* Shared by the dsp_*.c files only.  */
+
+struct dsp
+{
+  struct tm_service *tm;
+  struct ctr_set *counters;
+  struct dsp_actions actions;
+  void *arg;
+  struct rt_table *routes;
+  struct hlt_health *health;
+  struct adm_queues *queues;
+  struct rty_budgets *budgets;
+  struct psn_table *suspicions;
+  struct hst_set *first_token;
+  struct hst_set *queue_time;
+  GHashTable *models;    /* name to struct dsp_model */
+  GHashTable *reporting; /* ticket to struct dsp_request */
+  GArray *changed;       /* struct dsp_suspect that peers do not know */
+  GArray *demands;       /* struct adm_demand */
+  struct tm_timer suspects_timer;
+  struct tm_timer second;
+  uint64_t next_attempt;
+  uint32_t active;
+};
+
+/* What the zone offers for one model.  */
+struct dsp_model
+{
+  uint32_t budget;
+  bool configured;
+  enum adm_outlook outlook;
+  uint64_t ready_us;
+};
+
+/* One attempt in flight.  */
+struct dsp_flight
+{
+  uint64_t attempt; /* 0: free */
+  struct rt_replica *replica;
+  struct psn_run run;
+  uint64_t started_us;
+  bool first_byte;
+  bool straggles;
+};
+
+struct dsp_request
+{
+  struct dsp *dsp;
+  void *owner;
+  struct dsp_spec spec;
+  struct rq_request rq;
+  struct adm_entry entry;
+  struct dsp_flight flights[RQ_LIVE_MAX];
+  const struct rt_endpoint *tried[RQ_ATTEMPTS_MAX];
+  uint32_t tried_count;
+  struct rt_replica *chosen; /* for the next launch */
+  uint64_t ticket;
+  uint64_t arrived_us;
+  uint64_t launched_us; /* first launch, 0: none */
+  uint64_t first_us;    /* first byte, 0: none */
+};
+
+extern const struct rq_actions dsp_request_actions;
+
+enum adm_start dsp_admit (void *arg, struct adm_entry *entry);
+void dsp_refuse_waiting (void *arg, struct adm_entry *entry,
+                         enum rsn_refusal reason);
+void dsp_wake_endpoint (struct dsp *dsp, const struct rt_endpoint *endpoint);
+struct dsp_flight *dsp_flight (struct dsp_request *request, uint64_t attempt);
+void dsp_land (struct dsp_request *request, uint64_t attempt, bool whole);
+void dsp_demand_now (struct dsp *dsp);
+void dsp_count (struct dsp *dsp, const char *name, const char *class_name);
+
+#endif
--- /dev/null
+++ b/libcowslip/rq.c
@@ -0,0 +1,380 @@
+#include "rq.h"
+
+#define RQ_STATUS_NOT_FOUND    404
+#define RQ_STATUS_SERVER_ERROR 500
+
+static void rq_deadline (void *arg);
+static void rq_hedge (void *arg);
+
+/* Prepare REQUEST, whose ACTIONS are called with ARG and whose attempts take
+   their ids from NEXT_ID, which all requests of a process share.  */
+void
+rq_init (struct rq_request *request, struct tm_service *tm,
+         const struct rq_promise *promise, const struct rq_actions *actions,
+         void *arg, uint64_t *next_id)
+{
+  *request = (struct rq_request){ .tm = tm,
+                                  .actions = actions,
+                                  .arg = arg,
+                                  .next_id = next_id,
+                                  .promise = *promise };
+}
+
+/* The request arrived: it waits for an endpoint.  */
+void
+rq_start (struct rq_request *request)
+{
+  tm_after (request->tm, &request->deadline, request->promise.deadline_us,
+            rq_deadline, request);
+  request->state = RQ_WAITING;
+  if (request->actions->poison (request->arg))
+    rq_refused (request, RSN_POISON);
+  else
+    request->actions->wait (request->arg);
+}
+
+static struct rq_attempt *
+rq_find (struct rq_request *request, uint64_t id)
+{
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    if (id != 0 && request->live[i].id == id)
+      return &request->live[i];
+  return NULL;
+}
+
+/* Return whether ATTEMPT is under way and not abandoned.  */
+bool
+rq_is_live (const struct rq_request *request, uint64_t attempt)
+{
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    if (attempt != 0 && request->live[i].id == attempt)
+      return true;
+  return false;
+}
+
+static uint32_t
+rq_live_count (const struct rq_request *request)
+{
+  uint32_t count = 0;
+
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    if (request->live[i].id != 0)
+      count++;
+  return count;
+}
+
+static void
+rq_forget (struct rq_request *request, struct rq_attempt *attempt)
+{
+  tm_cancel (request->tm, &attempt->straggler);
+  attempt->id = 0;
+}
+
+/* Cancel all attempts but KEEP.  Work that was cancelled may have run.  */
+static void
+rq_cancel_others (struct rq_request *request, uint64_t keep)
+{
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    {
+      uint64_t id = request->live[i].id;
+
+      if (id == 0 || id == keep)
+        continue;
+      request->may_have_run = true;
+      rq_forget (request, &request->live[i]);
+      request->actions->cancel (request->arg, id);
+    }
+}
+
+/* Leave the request in its final state; the owner may free it within.  */
+static void
+rq_finish (struct rq_request *request, enum rq_outcome outcome)
+{
+  if (request->state == RQ_WAITING)
+    request->actions->withdraw (request->arg);
+  rq_cancel_others (request, 0);
+  tm_cancel (request->tm, &request->deadline);
+  tm_cancel (request->tm, &request->hedge);
+  request->state = RQ_DONE;
+  request->actions->done (request->arg, outcome);
+}
+
+/* Refuse for REASON, as an event if a stream has begun.  A reason that stands
+   for "never started" is replaced if an attempt may have run.  */
+static void
+rq_refuse (struct rq_request *request, enum rsn_refusal reason)
+{
+  bool started = request->tokens > 0;
+
+  rq_cancel_others (request, 0);
+  if (request->may_have_run && rsn_never_started (reason))
+    reason = RSN_ENDPOINT_FAILED;
+  request->actions->refuse (request->arg, reason, !request->may_have_run,
+                            started);
+  rq_finish (request, started ? RQ_CUT : RQ_REFUSED);
+}
+
+static void
+rq_deadline (void *arg)
+{
+  struct rq_request *request = arg;
+
+  rq_refuse (request,
+             request->attempts == 0 ? RSN_QUEUE_DEADLINE : RSN_DEADLINE);
+}
+
+/* The owner cannot provide an endpoint, for REASON.  */
+void
+rq_refused (struct rq_request *request, enum rsn_refusal reason)
+{
+  if (request->state == RQ_WAITING)
+    rq_refuse (request, reason);
+}
+
+static void
+rq_straggles (void *arg)
+{
+  struct rq_attempt *attempt = arg;
+  struct rq_request *request = attempt->request;
+
+  request->actions->straggles (request->arg, attempt->id);
+}
+
+/* The owner has an endpoint: start one more attempt there.  Nothing happens if
+   none is wanted.  */
+void
+rq_launch (struct rq_request *request)
+{
+  struct rq_attempt *attempt = NULL;
+
+  for (int i = 0; i < RQ_LIVE_MAX && attempt == NULL; i++)
+    if (request->live[i].id == 0)
+      attempt = &request->live[i];
+  if (attempt == NULL
+      || (request->state != RQ_WAITING && request->state != RQ_RUNNING))
+    return;
+  request->state = RQ_RUNNING;
+  request->attempts++;
+  attempt->request = request;
+  attempt->id = ++*request->next_id;
+  if (request->promise.straggler_us > 0)
+    tm_after (request->tm, &attempt->straggler, request->promise.straggler_us,
+              rq_straggles, attempt);
+  if (request->promise.hedge_us > 0 && !request->hedged
+      && request->tokens == 0)
+    tm_after (request->tm, &request->hedge, request->promise.hedge_us,
+              rq_hedge, request);
+  request->actions->launch (request->arg, attempt->id, request->tokens);
+}
+
+static void
+rq_hedge (void *arg)
+{
+  struct rq_request *request = arg;
+
+  if (request->state != RQ_RUNNING || request->first_byte
+      || rq_live_count (request) != 1)
+    return;
+  request->hedged = true;
+  request->actions->hedge (request->arg);
+}
+
+static void
+rq_first (struct rq_request *request, uint64_t id)
+{
+  request->first_byte = true;
+  tm_cancel (request->tm, &request->hedge);
+  request->actions->first (request->arg, id);
+}
+
+/* ATTEMPT began to answer, other than with a stream.  */
+void
+rq_head (struct rq_request *request, uint64_t attempt)
+{
+  if (rq_find (request, attempt) != NULL)
+    rq_first (request, attempt);
+}
+
+static enum rsn_refusal
+rq_failure_refusal (const struct rq_request *request)
+{
+  switch (request->failure)
+    {
+    case RTY_CUT_BEFORE_FIRST_BYTE:
+    case RTY_RESUME:
+      return RSN_ANSWER_CUT;
+    case RTY_CONNECT_FAILED:
+    case RTY_NOT_STARTED:
+    case RTY_SERVER_ERROR:
+    case RTY_REPLICA_GONE:
+    case RTY_HEDGE:
+    case RTY_REASON_COUNT:
+      break;
+    }
+  return RSN_ENDPOINT_FAILED;
+}
+
+/* No attempt is left: try again or give up.  */
+static void
+rq_decide (struct rq_request *request)
+{
+  if (request->actions->poison (request->arg))
+    {
+      rq_refuse (request, RSN_POISON);
+      return;
+    }
+  if (request->tokens > 0)
+    request->failure = RTY_RESUME;
+  if ((request->tokens > 0 && !request->promise.can_resume)
+      || request->attempts >= RQ_ATTEMPTS_MAX)
+    {
+      rq_refuse (request, rq_failure_refusal (request));
+      return;
+    }
+  if (!request->actions->budget (request->arg, request->failure))
+    {
+      rq_refuse (request, RSN_RETRY_BUDGET);
+      return;
+    }
+  request->state = RQ_WAITING;
+  request->winner = 0;
+  request->actions->wait (request->arg);
+}
+
+static void
+rq_attempt_over (struct rq_request *request, struct rq_attempt *attempt,
+                 enum rty_reason reason, bool ran)
+{
+  rq_forget (request, attempt);
+  if (ran)
+    request->may_have_run = true;
+  request->failure = reason;
+  if (rq_live_count (request) == 0)
+    rq_decide (request);
+}
+
+/* ATTEMPT failed as FAILURE says; SENT tells whether any byte was written
+   towards its endpoint.  */
+void
+rq_failed (struct rq_request *request, uint64_t attempt,
+           enum rq_failure failure, bool sent)
+{
+  struct rq_attempt *found = rq_find (request, attempt);
+
+  if (found == NULL)
+    return;
+  if (!sent || failure == RQ_CONNECT_FAILED)
+    {
+      rq_attempt_over (request, found, RTY_CONNECT_FAILED, sent);
+      return;
+    }
+  if (failure == RQ_TIMED_OUT)
+    {
+      rq_attempt_over (request, found, RTY_SERVER_ERROR, true);
+      return;
+    }
+  rq_forget (request, found);
+  request->may_have_run = true;
+  request->failure = RTY_CUT_BEFORE_FIRST_BYTE;
+  if (rq_live_count (request) == 0)
+    {
+      request->state = RQ_REPORTING;
+      request->reported = attempt;
+    }
+  request->actions->report (request->arg, attempt);
+}
+
+/* All peers know of the broken connection of ATTEMPT.  */
+void
+rq_reported (struct rq_request *request, uint64_t attempt)
+{
+  if (request->state == RQ_REPORTING && request->reported == attempt)
+    rq_decide (request);
+}
+
+/* One whole event of ATTEMPT's stream, DATA with its line ends, arrived.  The
+   first attempt that delivers a token gives the whole answer.  */
+void
+rq_event (struct rq_request *request, uint64_t attempt,
+          enum rq_event_kind kind, const char *data, size_t bytes)
+{
+  struct rq_attempt *found = rq_find (request, attempt);
+
+  if (found == NULL)
+    return;
+  if (kind == RQ_EVENT_ERROR)
+    {
+      request->actions->cancel (request->arg, attempt);
+      rq_attempt_over (request, found, RTY_SERVER_ERROR, true);
+      return;
+    }
+  if (request->winner == 0)
+    {
+      request->winner = attempt;
+      rq_cancel_others (request, attempt);
+      rq_first (request, attempt);
+    }
+  request->may_have_run = true;
+  if (kind == RQ_EVENT_TOKEN)
+    request->tokens++;
+  request->actions->send (request->arg, data, bytes);
+  if (kind != RQ_EVENT_END || request->state == RQ_DONE)
+    return;
+  rq_forget (request, found);
+  rq_finish (request, RQ_DELIVERED);
+}
+
+/* ATTEMPT gave a whole ANSWER that is not a stream.  */
+void
+rq_answer (struct rq_request *request, uint64_t attempt,
+           const struct rq_answer *answer)
+{
+  struct rq_attempt *found = rq_find (request, attempt);
+
+  if (found == NULL)
+    return;
+  if (answer->not_started)
+    rq_attempt_over (request, found, RTY_NOT_STARTED, false);
+  else if (answer->status >= RQ_STATUS_SERVER_ERROR)
+    rq_attempt_over (request, found, RTY_SERVER_ERROR, true);
+  else if (answer->status == RQ_STATUS_NOT_FOUND)
+    rq_attempt_over (request, found, RTY_REPLICA_GONE, true);
+  else if (request->tokens > 0)
+    {
+      /* A resumed stream was answered with something else.  */
+      rq_forget (request, found);
+      rq_refuse (request, RSN_ANSWER_CUT);
+    }
+  else
+    {
+      rq_forget (request, found);
+      rq_cancel_others (request, 0);
+      request->actions->answer (request->arg, answer);
+      rq_finish (request, RQ_DELIVERED);
+    }
+}
+
+/* The caller has left.  */
+void
+rq_gone (struct rq_request *request)
+{
+  if (request->state != RQ_DONE)
+    rq_finish (request, RQ_GONE);
+}
+
+/* The caller reads too slowly: its answer ends here, incomplete.  */
+void
+rq_slow (struct rq_request *request)
+{
+  if (request->state != RQ_DONE)
+    rq_finish (request, RQ_CUT);
+}
+
+/* Return the name of OUTCOME in counters.  */
+const char *
+rq_outcome_text (enum rq_outcome outcome)
+{
+  static const char *const texts[] = { "delivered", "refused", "cut", "gone" };
+
+  return texts[outcome];
+}
