Add stand-ins of the platform

The daemon and the tools need a platform to run against, and tests must be able to cause the failures of docs/design.md section 2. Add one program each for the key-value service, engines, plain services, the instance list and the weight store. Faults are switched with POST /fault and records are read with GET /records. A stand-in answers with a text that is a function of the request, so that a checker can tell whose answer it is.

Makefile: the objects of a stand-in were never named as prerequisites, because make replaces the % of a patsubst in a pattern rule; use addsuffix instead.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 CFLAGS = -O2 -g
 STRICT = -Wall -Wextra -Werror
-CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved
+CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin
 MODFLAGS = $(shell pkg-config --cflags $(MODULES))
 LIBS = $(shell pkg-config --libs $(MODULES)) -lm -lpthread
 COMPILE = @$(CC) -std=gnu11 $(CFLAGS) $(SANFLAGS) $(STRICT) $(CPPFLAGS) \
@@ -81,7 +81,9 @@
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
 .SECONDEXPANSION:
-$(BUILD)/standin-%: $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard standin/$$*/*.c)) \
+# patsubst cannot be used here: make replaces its % by the stem.
+$(BUILD)/standin-%: \
+		$$(addprefix $(BUILD)/,$$(addsuffix .o,$$(basename $$(wildcard standin/$$*/*.c)))) \
 		$(STANDIN_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
--- /dev/null
+++ b/standin/answer.h
@@ -0,0 +1,18 @@
+#ifndef STANDIN_ANSWER_H
+#define STANDIN_ANSWER_H
+
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+#define ANSWER_TOKEN_BYTES 16
+
+/* The text that an engine stand-in answers, so that a checker can tell whether
+   a caller got the whole answer to its own request.  */
+char *answer_prompt (struct json_object *body);
+uint64_t answer_seed (const char *model, const char *prompt);
+void answer_token (uint64_t seed, uint32_t index,
+                   char out[ANSWER_TOKEN_BYTES]);
+uint64_t answer_digest (const char *data, size_t bytes);
+
+#endif
--- /dev/null
+++ b/standin/engine/cached.c
@@ -0,0 +1,77 @@
+#include <string.h>
+
+#include "engine.h"
+
+static void
+eng_cached_free (struct eng_cached *cached)
+{
+  g_free (cached->name);
+  g_free (cached->version);
+  g_free (cached);
+}
+
+/* Return the checkpoint of NAME and VERSION that is kept in host memory or on
+   disk, or NULL.  */
+struct eng_cached *
+eng_cached (struct engine *engine, const char *name, const char *version)
+{
+  for (GList *l = engine->cached.head; l != NULL; l = l->next)
+    {
+      struct eng_cached *cached = l->data;
+
+      if (strcmp (cached->name, name) == 0
+          && strcmp (cached->version, version) == 0)
+        return cached;
+    }
+  return NULL;
+}
+
+/* The most recent checkpoints stay in host memory, the next ones on disk, the
+   others are dropped.  */
+static void
+eng_cached_assign (struct engine *engine)
+{
+  uint64_t host_bytes = 0;
+  uint64_t disk_bytes = 0;
+  GList *next;
+
+  for (GList *l = engine->cached.head; l != NULL; l = next)
+    {
+      struct eng_cached *cached = l->data;
+
+      next = l->next;
+      if (host_bytes + cached->bytes <= engine->options->host_bytes)
+        {
+          cached->tier = ENG_MEMORY;
+          host_bytes += cached->bytes;
+          continue;
+        }
+      if (disk_bytes + cached->bytes <= engine->options->disk_bytes)
+        {
+          cached->tier = ENG_DISK;
+          disk_bytes += cached->bytes;
+          continue;
+        }
+      eng_cached_free (cached);
+      g_queue_delete_link (&engine->cached, l);
+    }
+}
+
+/* Keep the checkpoint of MODEL as the most recent one.  */
+void
+eng_cache (struct engine *engine, const struct eng_model *model)
+{
+  struct eng_cached *cached = eng_cached (engine, model->name, model->version);
+
+  if (cached == NULL)
+    {
+      cached = g_new0 (struct eng_cached, 1);
+      cached->name = g_strdup (model->name);
+      cached->version = g_strdup (model->version);
+      cached->bytes = model->bytes;
+    }
+  else
+    g_queue_remove (&engine->cached, cached);
+  g_queue_push_head (&engine->cached, cached);
+  eng_cached_assign (engine);
+}
--- /dev/null
+++ b/standin/engine/report.c
@@ -0,0 +1,60 @@
+#include "engine.h"
+
+#define ENG_REPORT_EVERY_US (50 * STAND_US_PER_MS)
+
+/* The load at one time; GET /admin/report shows one of the past.  */
+struct eng_snapshot
+{
+  uint64_t time_us;
+  uint64_t used_bytes;
+  uint32_t running;
+  uint32_t waiting;
+};
+
+static void
+eng_report_take (void *arg)
+{
+  struct engine *engine = arg;
+  struct eng_snapshot *snapshot = g_new0 (struct eng_snapshot, 1);
+  uint64_t lag_us = (uint64_t)engine->options->report_lag_ms * STAND_US_PER_MS;
+  const struct eng_snapshot *second;
+
+  snapshot->time_us = stand_now_us ();
+  snapshot->used_bytes = eng_used_bytes (engine);
+  snapshot->running = engine->running->len;
+  snapshot->waiting = (uint32_t)g_sequence_get_length (engine->waiting);
+  g_queue_push_tail (&engine->reports, snapshot);
+  /* The first is the newest one that is at least as old as the lag.  */
+  while ((second = g_queue_peek_nth (&engine->reports, 1)) != NULL
+         && second->time_us + lag_us <= snapshot->time_us)
+    g_free (g_queue_pop_head (&engine->reports));
+  tm_after (engine->host->tm, &engine->report_timer, ENG_REPORT_EVERY_US,
+            eng_report_take, engine);
+}
+
+/* Take a snapshot of the load from now on every 50 ms.  */
+void
+eng_reports_start (struct engine *engine)
+{
+  g_queue_init (&engine->reports);
+  eng_report_take (engine);
+}
+
+/* Answer GET /admin/report.  */
+void
+eng_report (struct engine *engine, struct http_exchange *exchange)
+{
+  const struct eng_snapshot *snapshot = g_queue_peek_head (&engine->reports);
+  struct json_object *body = json_object_new_object ();
+
+  stand_add_int (body, "running", snapshot->running);
+  stand_add_int (body, "waiting", snapshot->waiting);
+  stand_add_int (body, "used_bytes", (int64_t)snapshot->used_bytes);
+  stand_add_int (
+      body, "age_ms",
+      (int64_t)((stand_now_us () - snapshot->time_us) / STAND_US_PER_MS));
+  json_object_object_add (
+      body, "leaving",
+      json_object_new_boolean (stand_fault (&engine->faults, "leaving")));
+  stand_reply (exchange, 200, body);
+}
--- /dev/null
+++ b/standin/host.c
@@ -0,0 +1,61 @@
+#include <stdlib.h>
+#include <time.h>
+
+#include "lg.h"
+#include "standin.h"
+
+#define STAND_BODY_MAX_BYTES (4U << 20)
+
+static void
+stand_on_signal (uv_signal_t *signal, int number)
+{
+  (void)number;
+  uv_stop (signal->loop);
+}
+
+/* Prepare HOST; log lines carry IDENT.  */
+void
+stand_init (struct stand_host *host, const char *ident)
+{
+  lg_open (ident);
+  uv_loop_init (&host->loop);
+  tm_uv_start (&host->driver, &host->loop);
+  host->tm = host->driver.service;
+  host->client = http_client_new (&host->loop, host->tm);
+  uv_signal_init (&host->loop, &host->terminate);
+  uv_signal_init (&host->loop, &host->interrupt);
+  uv_signal_start (&host->terminate, stand_on_signal, SIGTERM);
+  uv_signal_start (&host->interrupt, stand_on_signal, SIGINT);
+}
+
+/* Answer requests to ADDRESS ("IP:PORT") by HANDLER with ARG.  Log the cause
+   and return false if the address cannot be used.  */
+bool
+stand_listen (struct stand_host *host, const char *address,
+              http_handler handler, void *arg)
+{
+  GError *error = NULL;
+
+  if (http_server_new (&host->loop, address, STAND_BODY_MAX_BYTES, handler,
+                       arg, &error)
+      != NULL)
+    return true;
+  lg_write (LG_LISTEN_FAILED, "%s", error->message);
+  g_error_free (error);
+  return false;
+}
+
+/* Run until SIGTERM or SIGINT.  */
+void
+stand_run (struct stand_host *host)
+{
+  uv_run (&host->loop, UV_RUN_DEFAULT);
+}
+
+/* Return the time of the monotonic clock in microseconds, by which records of
+   stand-ins on one machine can be compared.  */
+uint64_t
+stand_now_us (void)
+{
+  return uv_hrtime () / 1000;
+}
--- /dev/null
+++ b/standin/json.c
@@ -0,0 +1,110 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+/* Return the JSON object in the body of EXCHANGE, to be freed with
+   json_object_put, or NULL if it is not one.  */
+struct json_object *
+stand_body (struct http_exchange *exchange)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  struct json_object *body = json_tokener_parse_ex (
+      tokener, http_body (exchange), (int)http_body_bytes (exchange));
+
+  json_tokener_free (tokener);
+  if (json_object_is_type (body, json_type_object))
+    return body;
+  json_object_put (body);
+  return NULL;
+}
+
+/* Answer EXCHANGE with BODY, which is freed.  */
+void
+stand_reply (struct http_exchange *exchange, uint16_t status,
+             struct json_object *body)
+{
+  size_t bytes;
+  const char *text = json_object_to_json_string_length (
+      body, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE, &bytes);
+
+  http_respond (exchange, status, "application/json", text, bytes);
+  json_object_put (body);
+}
+
+/* Answer EXCHANGE with {"error": MESSAGE}.  */
+void
+stand_reply_error (struct http_exchange *exchange, uint16_t status,
+                   const char *message)
+{
+  struct json_object *body = json_object_new_object ();
+
+  stand_add_string (body, "error", message);
+  stand_reply (exchange, status, body);
+}
+
+/* Close the connection of EXCHANGE without a whole answer.  */
+void
+stand_break (struct http_exchange *exchange)
+{
+  http_stream_start (exchange, 200, "application/json");
+  http_stream_end (exchange, false);
+}
+
+/* Return whether EXCHANGE is METHOD PATH.  */
+bool
+stand_is (const struct http_exchange *exchange, const char *method,
+          const char *path)
+{
+  return strcmp (http_method (exchange), method) == 0
+         && strcmp (http_path (exchange), path) == 0;
+}
+
+/* Return the string KEY of OBJECT, or "" if it has none.  */
+const char *
+stand_string (struct json_object *object, const char *key)
+{
+  struct json_object *value = json_object_object_get (object, key);
+
+  return value == NULL ? "" : json_object_get_string (value);
+}
+
+/* Return the integer KEY of OBJECT, a number or a decimal string, or
+   ABSENT.  */
+int64_t
+stand_int (struct json_object *object, const char *key, int64_t absent)
+{
+  struct json_object *value = json_object_object_get (object, key);
+
+  return value == NULL ? absent : json_object_get_int64 (value);
+}
+
+/* Set KEY of OBJECT to VALUE.  */
+void
+stand_add_int (struct json_object *object, const char *key, int64_t value)
+{
+  json_object_object_add (object, key, json_object_new_int64 (value));
+}
+
+/* Set KEY of OBJECT to VALUE.  */
+void
+stand_add_string (struct json_object *object, const char *key,
+                  const char *value)
+{
+  json_object_object_add (object, key, json_object_new_string (value));
+}
+
+/* Return the unsigned integer KEY of the query of EXCHANGE, 0 if absent.  */
+uint64_t
+stand_query_uint (const struct http_exchange *exchange, const char *key)
+{
+  char **pairs = g_strsplit (http_query (exchange), "&", -1);
+  size_t key_bytes = strlen (key);
+  uint64_t value = 0;
+
+  for (char **pair = pairs; *pair != NULL; pair++)
+    if (strncmp (*pair, key, key_bytes) == 0 && (*pair)[key_bytes] == '=')
+      value = strtoull (*pair + key_bytes + 1, NULL, 10);
+  g_strfreev (pairs);
+  return value;
+}
--- /dev/null
+++ b/standin/kv/store.h
@@ -0,0 +1,64 @@
+#ifndef STANDIN_KV_STORE_H
+#define STANDIN_KV_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/* A key with its value, as etcd describes it.  */
+struct kvs_entry
+{
+  char *key;
+  GBytes *value;
+  int64_t create_revision;
+  int64_t mod_revision;
+  int64_t version;
+  int64_t lease;
+};
+
+/* One change; the entry of a deletion holds the key and the revision.  */
+struct kvs_event
+{
+  struct kvs_entry entry;
+  bool deleted;
+};
+
+/* Keys from KEY on: only KEY if END is empty, all if END is one zero byte,
+   else those before END.  */
+struct kvs_range
+{
+  char *key;
+  char *end;
+  size_t end_bytes;
+};
+
+struct kvs_store;
+
+typedef void (*kvs_visit) (void *arg, const struct kvs_entry *entry);
+/* Called after each revision with the index of its first event.  */
+typedef void (*kvs_committed) (void *arg, uint64_t first);
+
+struct kvs_store *kvs_new (kvs_committed committed, void *arg);
+int64_t kvs_revision (const struct kvs_store *store);
+int64_t kvs_pending_revision (const struct kvs_store *store);
+const struct kvs_entry *kvs_get (const struct kvs_store *store,
+                                 const char *key);
+uint32_t kvs_each (const struct kvs_store *store,
+                   const struct kvs_range *range, kvs_visit visit, void *arg);
+bool kvs_in_range (const struct kvs_range *range, const char *key);
+
+void kvs_put (struct kvs_store *store, const char *key, GBytes *value,
+              int64_t lease);
+uint32_t kvs_delete (struct kvs_store *store, const struct kvs_range *range);
+uint32_t kvs_delete_lease (struct kvs_store *store, int64_t lease);
+void kvs_commit (struct kvs_store *store);
+
+int64_t kvs_compacted (const struct kvs_store *store);
+uint64_t kvs_event_end (const struct kvs_store *store);
+const struct kvs_event *kvs_event (const struct kvs_store *store,
+                                   uint64_t index);
+uint64_t kvs_event_from (const struct kvs_store *store, int64_t revision);
+
+#endif
--- /dev/null
+++ b/standin/kv/txn.c
@@ -0,0 +1,225 @@
+#include <string.h>
+
+#include "gateway.h"
+
+/* One operation of a transaction.  */
+struct kvg_op
+{
+  struct json_object *put;
+  struct json_object *range;
+  struct json_object *del;
+};
+
+static struct kvg_op
+kvg_op (struct json_object *request)
+{
+  struct kvg_op op
+      = { kvg_pick (request, "requestPut", "request_put"),
+          kvg_pick (request, "requestRange", "request_range"),
+          kvg_pick (request, "requestDeleteRange", "request_delete_range") };
+
+  return op;
+}
+
+static size_t
+kvg_list_length (struct json_object *list)
+{
+  return json_object_is_type (list, json_type_array)
+             ? json_object_array_length (list)
+             : 0;
+}
+
+static bool
+kvg_list_writes (struct json_object *list)
+{
+  for (size_t i = 0; i < kvg_list_length (list); i++)
+    {
+      struct kvg_op op = kvg_op (json_object_array_get_idx (list, i));
+
+      if (op.put != NULL || op.del != NULL)
+        return true;
+    }
+  return false;
+}
+
+/* Return whether the transaction REQUEST may write, by which it counts as a
+   write.  */
+bool
+kvg_txn_writes (struct json_object *request)
+{
+  return kvg_list_writes (json_object_object_get (request, "success"))
+         || kvg_list_writes (json_object_object_get (request, "failure"));
+}
+
+static const char *
+kvg_put_refusal (struct kvg *gateway, struct json_object *put)
+{
+  int64_t lease = stand_int (put, "lease", 0);
+  size_t bytes = strlen (stand_string (put, "value")) / 4 * 3;
+
+  if (bytes > KVG_VALUE_MAX_BYTES + 2)
+    return "etcdserver: request is too large";
+  if (lease != 0 && kvg_lease (gateway, lease) == NULL)
+    return "etcdserver: requested lease not found";
+  return NULL;
+}
+
+static const char *
+kvg_list_refusal (struct kvg *gateway, struct json_object *list)
+{
+  for (size_t i = 0; i < kvg_list_length (list); i++)
+    {
+      struct kvg_op op = kvg_op (json_object_array_get_idx (list, i));
+      struct json_object *any = op.put != NULL     ? op.put
+                                : op.range != NULL ? op.range
+                                                   : op.del;
+      struct kvs_range range = { 0 };
+      const char *refusal = NULL;
+
+      if (any == NULL)
+        return "etcdserver: key not found";
+      if (!kvg_read_range (any, &range))
+        refusal = "etcdserver: key is not provided";
+      kvg_range_clear (&range);
+      if (refusal == NULL && op.put != NULL)
+        refusal = kvg_put_refusal (gateway, op.put);
+      if (refusal != NULL)
+        return refusal;
+    }
+  return NULL;
+}
+
+/* Return why the transaction REQUEST cannot run at all, or NULL.  */
+const char *
+kvg_txn_refusal (struct kvg *gateway, struct json_object *request)
+{
+  const char *refusal = kvg_list_refusal (
+      gateway, json_object_object_get (request, "success"));
+
+  if (refusal != NULL)
+    return refusal;
+  return kvg_list_refusal (gateway,
+                           json_object_object_get (request, "failure"));
+}
+
+static bool
+kvg_compare_holds (struct kvg *gateway, struct json_object *compare)
+{
+  const char *target = stand_string (compare, "target");
+  const char *result = stand_string (compare, "result");
+  struct kvs_range range;
+  const struct kvs_entry *entry;
+  int64_t have = 0;
+  int64_t want = 0;
+
+  (void)kvg_read_range (compare, &range);
+  entry = kvs_get (gateway->store, range.key);
+  kvg_range_clear (&range);
+  if (strcmp (target, "MOD") == 0)
+    {
+      have = entry == NULL ? 0 : entry->mod_revision;
+      want = json_object_get_int64 (
+          kvg_pick (compare, "mod_revision", "modRevision"));
+    }
+  else if (strcmp (target, "CREATE") == 0)
+    {
+      have = entry == NULL ? 0 : entry->create_revision;
+      want = json_object_get_int64 (
+          kvg_pick (compare, "create_revision", "createRevision"));
+    }
+  else
+    {
+      have = entry == NULL ? 0 : entry->version;
+      want = stand_int (compare, "version", 0);
+    }
+  if (strcmp (result, "GREATER") == 0)
+    return have > want;
+  if (strcmp (result, "LESS") == 0)
+    return have < want;
+  if (strcmp (result, "NOT_EQUAL") == 0)
+    return have != want;
+  return have == want;
+}
+
+static bool
+kvg_compares_hold (struct kvg *gateway, struct json_object *list)
+{
+  for (size_t i = 0; i < kvg_list_length (list); i++)
+    if (!kvg_compare_holds (gateway, json_object_array_get_idx (list, i)))
+      return false;
+  return true;
+}
+
+static void
+kvg_run_put (struct kvg *gateway, struct json_object *put)
+{
+  struct kvs_range range;
+  gsize bytes;
+  guchar *value = g_base64_decode (stand_string (put, "value"), &bytes);
+  GBytes *held = g_bytes_new_take (value, bytes);
+
+  (void)kvg_read_range (put, &range);
+  kvs_put (gateway->store, range.key, held, stand_int (put, "lease", 0));
+  g_bytes_unref (held);
+  kvg_range_clear (&range);
+}
+
+static uint32_t
+kvg_run_delete (struct kvg *gateway, struct json_object *del)
+{
+  struct kvs_range range;
+  uint32_t count;
+
+  (void)kvg_read_range (del, &range);
+  count = kvs_delete (gateway->store, &range);
+  kvg_range_clear (&range);
+  return count;
+}
+
+static struct json_object *
+kvg_run_op (struct kvg *gateway, struct json_object *request)
+{
+  struct json_object *response = json_object_new_object ();
+  struct json_object *inner = json_object_new_object ();
+  struct kvg_op op = kvg_op (request);
+
+  if (op.range != NULL)
+    {
+      json_object_put (inner);
+      json_object_object_add (response, "response_range",
+                              kvg_range (gateway, op.range));
+      return response;
+    }
+  if (op.put != NULL)
+    kvg_run_put (gateway, op.put);
+  else
+    kvg_add_int64 (inner, "deleted", kvg_run_delete (gateway, op.del));
+  json_object_object_add (inner, "header", kvg_header (gateway));
+  json_object_object_add (
+      response, op.put != NULL ? "response_put" : "response_delete_range",
+      inner);
+  return response;
+}
+
+/* Run the transaction REQUEST, which kvg_txn_refusal allowed, as one revision
+   and return its answer.  */
+struct json_object *
+kvg_txn (struct kvg *gateway, struct json_object *request)
+{
+  struct json_object *answer = json_object_new_object ();
+  struct json_object *responses = json_object_new_array ();
+  bool holds = kvg_compares_hold (gateway,
+                                  json_object_object_get (request, "compare"));
+  struct json_object *list
+      = json_object_object_get (request, holds ? "success" : "failure");
+
+  for (size_t i = 0; i < kvg_list_length (list); i++)
+    json_object_array_add (
+        responses, kvg_run_op (gateway, json_object_array_get_idx (list, i)));
+  kvs_commit (gateway->store);
+  json_object_object_add (answer, "header", kvg_header (gateway));
+  if (holds)
+    json_object_object_add (answer, "succeeded", json_object_new_boolean (1));
+  json_object_object_add (answer, "responses", responses);
+  return answer;
+}
--- /dev/null
+++ b/standin/weights/main.c
@@ -0,0 +1,215 @@
+#include <argp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+#define WTS_TICK_US            (5 * STAND_US_PER_MS)
+#define WTS_ADAPTER_MIN_MS     5
+#define WTS_ADAPTER_SPREAD_MS  10
+#define WTS_ADAPTERS_FULL_RATE 32
+
+/* One fetch that waits or runs.  */
+struct wts_fetch
+{
+  struct http_exchange *exchange;
+  double left; /* bytes of a checkpoint, ms of an adapter */
+};
+
+/* Fetches of one kind share a rate beyond FULL_RATE of them.  */
+struct wts_lane
+{
+  GQueue fetches;
+  double per_second; /* of each fetch at full rate */
+  uint32_t full_rate;
+  uint32_t peak;
+  uint64_t total;
+};
+
+/* The weight store stand-in.  */
+struct wts
+{
+  struct stand_host host;
+  struct stand_faults faults;
+  struct wts_lane weights;
+  struct wts_lane adapters;
+  GQueue waiting; /* checkpoint fetches that the rate limit holds back */
+  double loads_per_second;
+  uint64_t next_start_us;
+  uint64_t last_us;
+  uint32_t waiting_peak;
+  struct tm_timer tick;
+};
+
+static const struct argp_option options[]
+    = { { "listen", 'l', "ADDRESS", 0, "listen on ADDRESS (IP:PORT)", 0 },
+        { "loads", 'n', "RATE", 0,
+          "start RATE fetches a second (default 3, 0: no limit)", 0 },
+        { "at-once", 'c', "NUMBER", 0,
+          "fetches at once at full speed (default 4)", 0 },
+        { "bytes", 'b', "RATE", 0,
+          "bytes a second of one fetch (default 2000000000)", 0 },
+        { 0 } };
+
+static const char *listen_address = "127.0.0.1:7003";
+static struct wts store
+    = { .weights = { .per_second = 2e9, .full_rate = 4 },
+        .adapters
+        = { .per_second = 1000, .full_rate = WTS_ADAPTERS_FULL_RATE },
+        .loads_per_second = 3 };
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  (void)state;
+  switch (key)
+    {
+    case 'l':
+      listen_address = arg;
+      return 0;
+    case 'n':
+      store.loads_per_second = strtod (arg, NULL);
+      return 0;
+    case 'c':
+      store.weights.full_rate = (uint32_t)strtoul (arg, NULL, 10);
+      return 0;
+    case 'b':
+      store.weights.per_second = strtod (arg, NULL);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static void
+wts_lane_add (struct wts_lane *lane, struct wts_fetch *fetch)
+{
+  g_queue_push_tail (&lane->fetches, fetch);
+  lane->total++;
+  if (lane->fetches.length > lane->peak)
+    lane->peak = lane->fetches.length;
+}
+
+static void
+wts_lane_advance (struct wts_lane *lane, double seconds, double slow_factor)
+{
+  double share = lane->fetches.length > lane->full_rate
+                     ? (double)lane->full_rate / lane->fetches.length
+                     : 1;
+  double amount = lane->per_second * share * seconds / slow_factor;
+  GList *next;
+
+  for (GList *l = lane->fetches.head; l != NULL; l = next)
+    {
+      struct wts_fetch *fetch = l->data;
+
+      next = l->next;
+      fetch->left -= amount;
+      if (fetch->left > 0)
+        continue;
+      stand_reply (fetch->exchange, 200, json_object_new_object ());
+      g_queue_delete_link (&lane->fetches, l);
+      g_free (fetch);
+    }
+}
+
+static void
+wts_start_waiting (uint64_t now_us)
+{
+  while (store.waiting.length > 0
+         && (store.loads_per_second <= 0 || store.next_start_us <= now_us))
+    {
+      wts_lane_add (&store.weights, g_queue_pop_head (&store.waiting));
+      if (store.loads_per_second > 0)
+        store.next_start_us
+            = now_us + (uint64_t)(STAND_US_PER_S / store.loads_per_second);
+    }
+}
+
+static void
+wts_tick (void *arg)
+{
+  uint64_t now_us = stand_now_us ();
+  int64_t slow_factor = stand_fault (&store.faults, "slow_factor");
+  double seconds = (double)(now_us - store.last_us) / STAND_US_PER_S;
+
+  store.last_us = now_us;
+  wts_start_waiting (now_us);
+  wts_lane_advance (&store.weights, seconds, (double)MAX (slow_factor, 1));
+  wts_lane_advance (&store.adapters, seconds, (double)MAX (slow_factor, 1));
+  if (store.weights.fetches.length + store.adapters.fetches.length
+          + store.waiting.length
+      > 0)
+    tm_after (store.host.tm, &store.tick, WTS_TICK_US, wts_tick, arg);
+}
+
+static void
+wts_fetch (struct http_exchange *exchange, bool adapter)
+{
+  struct wts_fetch *fetch = g_new0 (struct wts_fetch, 1);
+
+  fetch->exchange = exchange;
+  fetch->left
+      = adapter ? WTS_ADAPTER_MIN_MS
+                      + g_random_double_range (0, WTS_ADAPTER_SPREAD_MS - 1)
+                : (double)stand_query_uint (exchange, "bytes");
+  if (!tm_pending (&store.tick))
+    store.last_us = stand_now_us ();
+  if (adapter)
+    wts_lane_add (&store.adapters, fetch);
+  else
+    g_queue_push_tail (&store.waiting, fetch);
+  if (store.waiting.length > store.waiting_peak)
+    store.waiting_peak = store.waiting.length;
+  if (!tm_pending (&store.tick))
+    wts_tick (NULL);
+}
+
+static void
+wts_records (struct http_exchange *exchange)
+{
+  struct json_object *body = json_object_new_object ();
+
+  stand_add_int (body, "fetches", (int64_t)store.weights.total);
+  stand_add_int (body, "at_once_peak", store.weights.peak);
+  stand_add_int (body, "waiting_peak", store.waiting_peak);
+  stand_add_int (body, "adapters", (int64_t)store.adapters.total);
+  stand_add_int (body, "adapters_at_once_peak", store.adapters.peak);
+  stand_reply (exchange, 200, body);
+}
+
+static void
+wts_handle (void *arg, struct http_exchange *exchange)
+{
+  const char *path = http_path (exchange);
+
+  (void)arg;
+  if (stand_faults_serve (&store.faults, exchange))
+    return;
+  if (stand_is (exchange, "GET", "/records"))
+    wts_records (exchange);
+  else if (stand_fault (&store.faults, "outage") != 0)
+    stand_reply_error (exchange, 503, "outage");
+  else if (g_str_has_prefix (path, "/weights/"))
+    wts_fetch (exchange, false);
+  else if (g_str_has_prefix (path, "/adapters/"))
+    wts_fetch (exchange, true);
+  else
+    stand_reply_error (exchange, 404, "not found");
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { options, parse_option, NULL, "Stand-in of the weight store.",
+          NULL,    NULL,         NULL };
+
+  argp_parse (&parser, argc, argv, 0, NULL, NULL);
+  stand_init (&store.host, "standin-weights");
+  stand_faults_init (&store.faults, "{\"slow_factor\": 1, \"outage\": 0}");
+  if (!stand_listen (&store.host, listen_address, wts_handle, NULL))
+    return EXIT_FAILURE;
+  stand_run (&store.host);
+  return EXIT_SUCCESS;
+}
