Add zone control: election, fencing numbers and placement

Loads must be ordered by one instance of a zone even when holders pause, answers are lost and the key-value service is down, and no slot may be loaded on two engines.

own_ holds the controller key under a lease and gives out authority per order: by the lease's safe time, by promises of all recorded members during an outage, and by a higher fencing number for engines that check it. The epoch and the member list are kept in the placement record as well, because the controller key vanishes with its lease. plc_ pins slots to engines, seals engines, counts doubtful slots as memory and replicas, and decides on loads, evictions, quiescing and moves.

--- /dev/null
+++ b/libcowslip/own_kv.c
@@ -0,0 +1,221 @@
+#include "own_private.h"
+
+/* Only the two lowest members read the controller key often; the others would
+   add load to the key-value service and learn the holder from views.  */
+#define OWN_READ_MS        1000
+#define OWN_READ_SELDOM_MS 10000
+#define OWN_SPREAD_MS      100
+#define OWN_CANDIDATES     2
+#define OWN_RETRY_MS       500
+/* A call that takes longer than this counts as unanswered.  */
+#define OWN_ANSWER_MS 1000
+
+/* Return whether the key-value service answered the last call.  */
+bool
+own_kv_answers (const struct own *own)
+{
+  uint64_t now_us = own_now (own);
+  uint64_t limit_us = OWN_ANSWER_MS * OWN_US_PER_MS;
+
+  return !own->kv_failed && !(own->calling && now_us > own->call_us + limit_us)
+         && !(own->renewing && now_us > own->renew_us + limit_us);
+}
+
+static uint64_t
+own_read_interval_us (const struct own *own)
+{
+  guint lower = 0;
+
+  for (guint i = 0; i < own->members->len; i++)
+    {
+      const struct own_peer *peer = g_ptr_array_index (own->members, i);
+
+      if (peer->reachable && !peer->draining
+          && peer->number < own->config.number)
+        lower++;
+    }
+  if (own->holding || lower < OWN_CANDIDATES)
+    return OWN_READ_MS * OWN_US_PER_MS;
+  return (OWN_READ_SELDOM_MS + own->config.number % 16 * OWN_SPREAD_MS)
+         * OWN_US_PER_MS;
+}
+
+/* Note that a call begins, of which there is one at a time beside the renewal
+   of the lease.  */
+void
+own_begin_call (struct own *own)
+{
+  own->calling = true;
+  own->call_us = own_now (own);
+  own_ref (own);
+}
+
+static void
+own_note_outcome (struct own *own, enum kv_outcome outcome)
+{
+  own->kv_failed = outcome == KV_UNKNOWN || outcome == KV_UNAVAILABLE;
+  if (own->kv_failed)
+    own->failed_us = own_now (own);
+}
+
+/* Note that the call ended with OUTCOME.  Return whether OWN still wants the
+   answer; the caller gives up the reference in any case.  */
+bool
+own_end_call (struct own *own, enum kv_outcome outcome)
+{
+  own->calling = false;
+  if (own->closed)
+    return false;
+  own_note_outcome (own, outcome);
+  own->next_read_us = own_now (own) + own_read_interval_us (own);
+  return true;
+}
+
+static const struct kv_pair *
+own_pair (const struct kv_result *result, const char *key)
+{
+  for (size_t i = 0; i < result->pair_count; i++)
+    if (g_str_equal (result->pairs[i].key, key))
+      return &result->pairs[i];
+  return NULL;
+}
+
+static bool
+own_note_placement (struct own *own, const struct kv_pair *pair)
+{
+  struct own_placement *placement = pair == NULL
+                                        ? own_placement_new ()
+                                        : own_placement_decode (pair->value);
+
+  if (placement == NULL)
+    return false;
+  own_placement_free (own->placement);
+  own->placement = placement;
+  own->placement_revision = pair == NULL ? 0 : pair->revision;
+  own->highest_fence
+      = MAX (own->highest_fence, placement->epoch << OWN_EPOCH_SHIFT);
+  return true;
+}
+
+static void
+own_act_on_record (struct own *own, const struct own_record *record,
+                   int64_t lease)
+{
+  bool is_own = g_str_equal (record->holder, own->config.instance)
+                && record->incarnation == own->config.incarnation;
+
+  own->highest_fence
+      = MAX (own->highest_fence, record->epoch << OWN_EPOCH_SHIFT);
+  if (record->holder[0] == '\0')
+    own_take (own, true);
+  else if (!is_own)
+    {
+      own_lose (own);
+      own_note_holder (own, record->holder);
+    }
+  else if (own->holding && !own->by_round
+           && own->fence >> OWN_EPOCH_SHIFT == record->epoch)
+    own_save_read_back (own);
+  else
+    own_take_again (own, lease);
+}
+
+static void
+own_read_done (void *arg, const struct kv_result *result)
+{
+  struct own *own = arg;
+  const struct kv_pair *controller;
+  struct own_record record;
+
+  if (!own_end_call (own, result->outcome) || result->outcome != KV_OK)
+    {
+      own_unref (own);
+      return;
+    }
+  own->kv_read = true;
+  controller = own_pair (result, own->controller_key);
+  own->controller_revision = controller == NULL ? 0 : controller->revision;
+  /* A record that cannot be read gives no authority.  */
+  if (!own_note_placement (own, own_pair (result, own->placement_key))
+      || (controller != NULL
+          && !own_record_decode (controller->value, &record)))
+    own_lose (own);
+  else if (controller == NULL)
+    own_take (own, false);
+  else
+    {
+      own_act_on_record (own, &record, controller->lease);
+      own_record_clear (&record);
+    }
+  own_unref (own);
+}
+
+static void
+own_read (struct own *own)
+{
+  struct kv_op ops[] = { { .kind = KV_GET, .key = own->controller_key },
+                         { .kind = KV_GET, .key = own->placement_key } };
+  struct kv_txn txn = { .then_ops = ops, .then_count = G_N_ELEMENTS (ops) };
+
+  own_begin_call (own);
+  kv_txn (&own->config.kv, &txn, own_read_done, own);
+}
+
+static void
+own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
+{
+  struct own *own = arg;
+  uint64_t valid_us = (OWN_TTL_S * 1000 - OWN_MARGIN_MS) * OWN_US_PER_MS;
+
+  own->renewing = false;
+  if (own->closed || lease != own->lease)
+    {
+      own_unref (own);
+      return;
+    }
+  own_note_outcome (own, outcome);
+  if (outcome == KV_OK)
+    own->lease_safe_us = own->renew_us + valid_us;
+  else if (outcome == KV_CONFLICT)
+    {
+      own->lease_safe_us = 0;
+      own->lease = 0;
+      own->next_read_us = 0;
+    }
+  else
+    own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
+  own_unref (own);
+}
+
+static void
+own_renew (struct own *own)
+{
+  own->renewing = true;
+  own->renew_us = own_now (own);
+  own->next_renew_us = own->renew_us + OWN_RENEW_MS * OWN_US_PER_MS;
+  own_ref (own);
+  own->config.kv.methods->lease_renew (own->config.kv.context, own->lease,
+                                       own_renew_done, own);
+}
+
+/* Make the calls to the key-value service that are due.  */
+void
+own_kv_tick (struct own *own)
+{
+  uint64_t now_us = own_now (own);
+  bool by_lease = own->holding && !own->by_round && own->lease != 0;
+
+  if (by_lease && !own->renewing && now_us >= own->next_renew_us)
+    own_renew (own);
+  if (own->calling)
+    return;
+  if (own->release_done != NULL)
+    own_release (own);
+  else if (own->reread || !by_lease)
+    {
+      if (now_us >= own->next_read_us)
+        own_read (own);
+    }
+  else
+    own_save_tick (own);
+}
--- /dev/null
+++ b/libcowslip/plc_load.c
@@ -0,0 +1,155 @@
+#include "plc_private.h"
+
+/* A load that waits for its turn.  */
+struct plc_candidate
+{
+  struct plc_slot *slot;
+  enum plc_tier tier;
+  uint64_t free_bytes;
+};
+
+/* Return the cheapest place from which the engine of SLOT can load it.  */
+enum plc_tier
+plc_slot_tier (const struct plc_slot *slot)
+{
+  const struct plc_cached_copy *copy
+      = g_hash_table_lookup (slot->engine->cached, slot->model->name);
+
+  if (copy == NULL || g_strcmp0 (copy->version, slot->model->version) != 0)
+    return PLC_REMOTE;
+  return copy->tier;
+}
+
+static bool
+plc_is_loadable (const struct plc *plc, const struct plc_slot *slot)
+{
+  return slot->state == PLC_COLD && slot->engine->sealed
+         && !plc_slot_misplaced (slot) && slot->target == NULL
+         && plc_now (plc) >= slot->not_before_us;
+}
+
+static gint
+plc_compare_slots (gconstpointer a, gconstpointer b)
+{
+  const struct plc_candidate *x = a;
+  const struct plc_candidate *y = b;
+
+  if (x->tier != y->tier)
+    return x->tier < y->tier ? -1 : 1;
+  return (x->free_bytes < y->free_bytes) - (x->free_bytes > y->free_bytes);
+}
+
+static gint
+plc_compare_loads (gconstpointer a, gconstpointer b)
+{
+  const struct plc_candidate *x = a;
+  const struct plc_candidate *y = b;
+  const struct plc_model *m = x->slot->model;
+  const struct plc_model *n = y->slot->model;
+
+  if (m->priority != n->priority)
+    return m->priority > n->priority ? -1 : 1;
+  if (m->earliest_us != n->earliest_us)
+    return m->earliest_us < n->earliest_us ? -1 : 1;
+  return plc_compare_slots (a, b);
+}
+
+static uint32_t
+plc_replicas_wanted (const struct plc_model *model)
+{
+  uint32_t wanted = (model->waiting + model->batch - 1) / model->batch;
+
+  return MIN (wanted, model->budget);
+}
+
+/* Add to LOADS the slots of MODEL that its demand needs.  */
+static void
+plc_add_loads (struct plc *plc, struct plc_model *model, GArray *loads)
+{
+  uint32_t wanted = plc_replicas_wanted (model);
+  GArray *slots = g_array_new (FALSE, FALSE, sizeof (struct plc_candidate));
+
+  for (guint i = 0; i < model->slots->len; i++)
+    {
+      struct plc_slot *slot = g_ptr_array_index (model->slots, i);
+      struct plc_candidate candidate = { slot, plc_slot_tier (slot), 0 };
+      uint64_t used = plc_engine_used (slot->engine);
+      uint64_t size = plc_engine_size (slot->engine);
+
+      candidate.free_bytes = size > used ? size - used : 0;
+      if (wanted > 0
+          && (slot->state == PLC_LOADED || slot->state == PLC_LOADING))
+        wanted--;
+      if (plc_is_loadable (plc, slot))
+        g_array_append_val (slots, candidate);
+    }
+  g_array_sort (slots, plc_compare_slots);
+  g_array_append_vals (loads, slots->data, MIN (wanted, slots->len));
+  g_array_free (slots, TRUE);
+}
+
+static uint64_t
+plc_load_time_us (const struct plc *plc, const struct plc_candidate *load)
+{
+  return plc_estimate_us (&plc->estimate, load->tier, load->slot->model->bytes,
+                          plc_now (plc));
+}
+
+static void
+plc_start_load (struct plc *plc, const struct plc_candidate *load)
+{
+  struct plc_slot *slot = load->slot;
+
+  if (!plc_send (plc, slot->engine, PLC_LOAD, slot))
+    return;
+  slot->state = PLC_LOADING;
+  slot->bytes = plc_model_need (slot->model);
+  slot->tier = load->tier;
+  slot->since_us = plc_now (plc);
+  slot->ready_us = plc_now (plc) + plc_load_time_us (plc, load);
+  plc_note_event (plc, PLC_NOTE_LOAD, slot->engine, slot->model->name);
+}
+
+/* Start LOAD unless something stands against it.  HELD are the engines on
+   which a load that goes first waits for memory.  */
+static void
+plc_try_load (struct plc *plc, const struct plc_candidate *load,
+              GHashTable *held)
+{
+  struct plc_slot *slot = load->slot;
+  struct plc_model *model = slot->model;
+
+  if (g_hash_table_contains (held, slot->engine)
+      || plc_now (plc) + plc_load_time_us (plc, load) > model->latest_us
+      || plc_model_replicas (plc, model) >= model->budget
+      || (load->tier == PLC_REMOTE
+          && plc_store_in_use (plc) >= plc->weight_loads))
+    return;
+  if (plc_make_room (plc, slot))
+    plc_start_load (plc, load);
+  else
+    g_hash_table_add (held, slot->engine);
+}
+
+/* Start the waiting loads that may start now, the most urgent first.  */
+void
+plc_run_loads (struct plc *plc)
+{
+  GArray *loads = g_array_new (FALSE, FALSE, sizeof (struct plc_candidate));
+  GHashTable *held = g_hash_table_new (NULL, NULL);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, plc->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      plc_sum_demand (plc, value);
+      plc_add_loads (plc, value, loads);
+    }
+  g_array_sort (loads, plc_compare_loads);
+  plc->waiting_loads = loads->len;
+  for (guint i = 0; i < loads->len; i++)
+    plc_try_load (plc, &g_array_index (loads, struct plc_candidate, i), held);
+  g_hash_table_destroy (held);
+  g_array_free (loads, TRUE);
+}
