Add authenticated ONC RPC between instances

Instances need calls with time limits over persistent connections. A call carries the sender's name, incarnation and sequence number and the receiver's address and incarnation, under an HMAC-SHA256 over the whole record. The receiver's incarnation comes from the answer to the null procedure, so a recorded call cannot be played to a restarted instance, which has forgotten the sequence numbers. Until a connection has proved the key it may send 1,024 bytes and has 10 s.

Garbage, a wrong key, replay, retired incarnations and oversize drop the connection with a counter and a log event; a restarted peer is reached again. Six tests, among them 300 seeded random records.

--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -80,8 +80,10 @@
 void rpc_answer (struct rpc_request *request, void *result);
 void rpc_send (struct rpc_node *node, const struct rpc_call *call,
                rpc_done done, void *arg);
+const char *rpc_address (const struct rpc_node *node);
 uint64_t rpc_bytes_sent (const struct rpc_node *node);
 uint64_t rpc_bytes_received (const struct rpc_node *node);
+bool_t rpc_xdr_void (XDR *xdr, void *value);
 const char *rpc_outcome_text (enum rpc_outcome outcome);
 
 #endif
--- /dev/null
+++ b/libcowslip/rpc_conn.c
@@ -0,0 +1,162 @@
+#include <string.h>
+
+#include "lg.h"
+#include "rpc_impl.h"
+
+/* A peer that does not read keeps at most this much of our memory.  */
+#define RPC_CONN_QUEUE_MAX_BYTES (8U << 20)
+#define RPC_CONN_LOG_US          1000000
+
+struct rpc_write
+{
+  uv_write_t request;
+  GByteArray *record;
+};
+
+/* Return a connection that is not open yet and takes records of up to
+   LIMIT_BYTES.  */
+struct rpc_conn *
+rpc_conn_new (struct rpc_node *node, uint32_t limit_bytes)
+{
+  struct rpc_conn *conn = g_new0 (struct rpc_conn, 1);
+
+  conn->node = node;
+  conn->last_input_us = tm_now_us (node->tm);
+  rpc_record_init (&conn->input, limit_bytes);
+  uv_tcp_init (node->loop, &conn->tcp);
+  conn->tcp.data = conn;
+  return conn;
+}
+
+static void
+rpc_conn_closed (uv_handle_t *handle)
+{
+  struct rpc_conn *conn = handle->data;
+
+  rpc_record_clear (&conn->input);
+  g_free (conn);
+}
+
+/* Close CONN; its owner learns of it at once, its memory is freed when the
+   loop turns.  */
+void
+rpc_conn_close (struct rpc_conn *conn)
+{
+  if (conn->closing)
+    return;
+  conn->closing = true;
+  tm_cancel (conn->node->tm, &conn->limit);
+  uv_close ((uv_handle_t *)&conn->tcp, rpc_conn_closed);
+  conn->on_closed (conn);
+}
+
+/* Count and log that CONN sent something that no peer sends, for REASON.  Log
+   lines are at most one a second, because anyone can cause them.  */
+void
+rpc_conn_bad (struct rpc_conn *conn, const char *reason)
+{
+  struct rpc_node *node = conn->node;
+  uint64_t now_us = tm_now_us (node->tm);
+  struct sockaddr_in peer = { 0 };
+  char *counter = g_strdup_printf ("rpc_bad_total{reason=\"%s\"}", reason);
+  char host[64] = "?";
+  int bytes = sizeof peer;
+
+  ctr_add (node->counters, counter, 1);
+  g_free (counter);
+  node->unlogged++;
+  if (now_us < node->next_log_us)
+    return;
+  if (uv_tcp_getpeername (&conn->tcp, (struct sockaddr *)&peer, &bytes) == 0)
+    uv_ip4_name (&peer, host, sizeof host);
+  lg_write (LG_RPC_BAD, "peer=%s:%u reason=%s count=%u", host,
+            ntohs (peer.sin_port), reason, node->unlogged);
+  node->next_log_us = now_us + RPC_CONN_LOG_US;
+  node->unlogged = 0;
+}
+
+static void
+rpc_conn_space (uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
+{
+  struct rpc_conn *conn = handle->data;
+
+  (void)suggested;
+  *buffer = uv_buf_init (conn->node->space, sizeof conn->node->space);
+}
+
+static void
+rpc_conn_input (uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer)
+{
+  struct rpc_conn *conn = stream->data;
+  const uint8_t *data = (const uint8_t *)buffer->base;
+  size_t bytes;
+
+  if (count < 0)
+    {
+      rpc_conn_close (conn);
+      return;
+    }
+  bytes = (size_t)count;
+  conn->node->bytes_received += bytes;
+  conn->last_input_us = tm_now_us (conn->node->tm);
+  while (bytes > 0 && !conn->closing)
+    {
+      enum rpc_record_state state
+          = rpc_record_feed (&conn->input, &data, &bytes);
+
+      if (state == RPC_RECORD_MORE)
+        return;
+      if (state == RPC_RECORD_BAD)
+        rpc_conn_bad (conn, "record");
+      if (state == RPC_RECORD_BAD
+          || !conn->on_record (conn, conn->input.data->data,
+                               conn->input.data->len))
+        {
+          rpc_conn_close (conn);
+          return;
+        }
+      rpc_record_next (&conn->input);
+    }
+}
+
+/* Start reading records from CONN.  */
+void
+rpc_conn_read (struct rpc_conn *conn)
+{
+  uv_tcp_nodelay (&conn->tcp, 1);
+  uv_read_start ((uv_stream_t *)&conn->tcp, rpc_conn_space, rpc_conn_input);
+}
+
+static void
+rpc_conn_written (uv_write_t *request, int status)
+{
+  struct rpc_write *write = request->data;
+
+  (void)status;
+  g_byte_array_free (write->record, TRUE);
+  g_free (write);
+}
+
+/* Send RECORD and free it.  Return false if too much is waiting already;
+   nothing is sent then.  */
+bool
+rpc_conn_write (struct rpc_conn *conn, GByteArray *record)
+{
+  struct rpc_write *write;
+  uv_buf_t buffer = uv_buf_init ((char *)record->data, record->len);
+
+  if (conn->closing
+      || uv_stream_get_write_queue_size ((uv_stream_t *)&conn->tcp)
+             > RPC_CONN_QUEUE_MAX_BYTES)
+    {
+      g_byte_array_free (record, TRUE);
+      return false;
+    }
+  write = g_new0 (struct rpc_write, 1);
+  write->record = record;
+  write->request.data = write;
+  conn->node->bytes_sent += record->len;
+  uv_write (&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
+            rpc_conn_written);
+  return true;
+}
--- /dev/null
+++ b/libcowslip/rpc_peer.c
@@ -0,0 +1,372 @@
+#include <string.h>
+
+#include "rpc_impl.h"
+
+#define RPC_CONNECT_LIMIT_US 3000000
+/* Calls to a peer that refused a connection fail at once for this time, so
+   that many callers do not connect again and again.  */
+#define RPC_RECONNECT_US 100000
+
+/* The other end of calls that this process makes.  */
+struct rpc_peer
+{
+  struct rpc_node *node;
+  char *address;
+  struct rpc_conn *conn; /* NULL: none */
+  uint8_t hello_mac[RPC_AUTH_MAC_BYTES];
+  uint64_t incarnation; /* 0: not known yet; calls wait */
+  uint64_t retry_us;    /* no connection attempt before */
+  struct tm_timer start;
+  GQueue waiting;   /* struct rpc_pending, not sent */
+  GHashTable *sent; /* xid -> struct rpc_pending */
+};
+
+struct rpc_pending
+{
+  struct rpc_peer *peer;
+  uint32_t xid;
+  uint32_t procedure;
+  GByteArray *body; /* NULL: cannot be encoded */
+  uint8_t mac[RPC_AUTH_MAC_BYTES];
+  xdrproc_t decode_result;
+  size_t result_bytes;
+  struct tm_timer limit;
+  uint64_t sent_us; /* 0: not sent */
+  rpc_done done;
+  void *arg;
+};
+
+static void
+rpc_pending_free (struct rpc_pending *call)
+{
+  tm_cancel (call->peer->node->tm, &call->limit);
+  if (call->body != NULL)
+    g_byte_array_free (call->body, TRUE);
+  g_free (call);
+}
+
+static void
+rpc_pending_end (struct rpc_pending *call, enum rpc_outcome outcome,
+                 void *result)
+{
+  static const char *const names[]
+      = { [RPC_OK] = "rpc_calls_total{outcome=\"ok\"}",
+          [RPC_CONNECT_FAILED] = "rpc_calls_total{outcome=\"connect_failed\"}",
+          [RPC_BROKEN] = "rpc_calls_total{outcome=\"broken\"}",
+          [RPC_TIMEOUT] = "rpc_calls_total{outcome=\"timeout\"}",
+          [RPC_REFUSED] = "rpc_calls_total{outcome=\"refused\"}" };
+
+  ctr_add (call->peer->node->counters, names[outcome], 1);
+  call->done (call->arg, outcome, result);
+  rpc_pending_free (call);
+}
+
+static void
+rpc_fail_waiting (struct rpc_peer *peer)
+{
+  GQueue failed = peer->waiting;
+  struct rpc_pending *call;
+
+  g_queue_init (&peer->waiting);
+  while ((call = g_queue_pop_head (&failed)) != NULL)
+    rpc_pending_end (call, RPC_CONNECT_FAILED, NULL);
+}
+
+static void
+rpc_peer_closed (struct rpc_conn *conn)
+{
+  struct rpc_peer *peer = conn->peer;
+  GHashTable *broken = peer->sent;
+  GHashTableIter iter;
+  void *call;
+
+  if (peer->incarnation == 0)
+    peer->retry_us = tm_now_us (peer->node->tm) + RPC_RECONNECT_US;
+  peer->conn = NULL;
+  peer->incarnation = 0;
+  peer->sent = g_hash_table_new (g_int_hash, g_int_equal);
+  g_hash_table_iter_init (&iter, broken);
+  while (g_hash_table_iter_next (&iter, NULL, &call))
+    rpc_pending_end (call, RPC_BROKEN, NULL);
+  g_hash_table_destroy (broken);
+  rpc_fail_waiting (peer);
+}
+
+static GByteArray *
+rpc_peer_call (struct rpc_peer *peer, uint32_t xid, uint32_t procedure,
+               const GByteArray *body, uint8_t *mac)
+{
+  struct rpc_node *node = peer->node;
+  struct rpc_credential credential = { .incarnation = node->incarnation,
+                                       .sequence = node->next_sequence++,
+                                       .to_incarnation = peer->incarnation };
+
+  g_strlcpy (credential.instance, node->instance, sizeof credential.instance);
+  g_strlcpy (credential.to_address, peer->address,
+             sizeof credential.to_address);
+  return rpc_message_call (node->auth, &credential, xid, procedure, body, mac);
+}
+
+static void
+rpc_pending_send (struct rpc_pending *call)
+{
+  struct rpc_peer *peer = call->peer;
+
+  if (call->body == NULL
+      || !rpc_conn_write (peer->conn,
+                          rpc_peer_call (peer, call->xid, call->procedure,
+                                         call->body, call->mac)))
+    {
+      rpc_pending_end (call, RPC_CONNECT_FAILED, NULL);
+      return;
+    }
+  call->sent_us = tm_now_us (peer->node->tm);
+  g_hash_table_insert (peer->sent, &call->xid, call);
+}
+
+static void
+rpc_send_waiting (struct rpc_peer *peer)
+{
+  struct rpc_pending *call;
+
+  while (peer->conn != NULL
+         && (call = g_queue_pop_head (&peer->waiting)) != NULL)
+    rpc_pending_send (call);
+}
+
+/* The answer to the null procedure carries the incarnation that later calls
+   are addressed to.  */
+static bool
+rpc_peer_hello (struct rpc_conn *conn, uint8_t *record, size_t bytes)
+{
+  struct rpc_peer *peer = conn->peer;
+  struct rpc_reply reply;
+  u_int64_t incarnation = 0;
+
+  if (rpc_message_open_reply (peer->node->auth, peer->hello_mac, record, bytes,
+                              &reply)
+          != RPC_MESSAGE_GOOD
+      || !reply.accepted || reply.status != SUCCESS
+      || !rpc_message_decode ((xdrproc_t)xdr_u_int64_t, &incarnation,
+                              reply.body, reply.body_bytes)
+      || incarnation == 0)
+    {
+      struct rpc_pending *first = g_queue_pop_head (&peer->waiting);
+
+      if (first != NULL)
+        rpc_pending_end (first, RPC_REFUSED, NULL);
+      return false;
+    }
+  peer->incarnation = incarnation;
+  tm_cancel (peer->node->tm, &conn->limit);
+  rpc_send_waiting (peer);
+  return true;
+}
+
+static void
+rpc_pending_answered (struct rpc_pending *call, const struct rpc_reply *reply)
+{
+  void *result;
+
+  if (!reply->accepted || reply->status != SUCCESS)
+    {
+      rpc_pending_end (call, RPC_REFUSED, NULL);
+      return;
+    }
+  result = g_malloc0 (MAX (call->result_bytes, 1));
+  rpc_pending_end (call,
+                   rpc_message_decode (call->decode_result, result,
+                                       reply->body, reply->body_bytes)
+                       ? RPC_OK
+                       : RPC_REFUSED,
+                   result);
+  g_free (result);
+}
+
+static bool
+rpc_peer_record (struct rpc_conn *conn, uint8_t *record, size_t bytes)
+{
+  struct rpc_peer *peer = conn->peer;
+  struct rpc_pending *call;
+  struct rpc_reply reply;
+  uint32_t xid;
+
+  if (!rpc_message_xid (record, bytes, &xid))
+    {
+      rpc_conn_bad (conn, "garbage");
+      return false;
+    }
+  if (peer->incarnation == 0)
+    return rpc_peer_hello (conn, record, bytes);
+  call = g_hash_table_lookup (peer->sent, &xid);
+  /* The answer to a call whose time limit has passed.  */
+  if (call == NULL)
+    return true;
+  if (rpc_message_open_reply (peer->node->auth, call->mac, record, bytes,
+                              &reply)
+      != RPC_MESSAGE_GOOD)
+    {
+      rpc_conn_bad (conn, "answer");
+      return false;
+    }
+  g_hash_table_remove (peer->sent, &xid);
+  rpc_pending_answered (call, &reply);
+  return reply.accepted;
+}
+
+static void
+rpc_peer_late (void *arg)
+{
+  rpc_conn_close (arg);
+}
+
+static void
+rpc_peer_connected (uv_connect_t *request, int status)
+{
+  struct rpc_conn *conn = request->handle->data;
+  struct rpc_peer *peer = conn->peer;
+
+  if (conn->closing)
+    return;
+  if (status != 0)
+    {
+      rpc_conn_close (conn);
+      return;
+    }
+  rpc_conn_read (conn);
+  (void)rpc_conn_write (
+      conn, rpc_peer_call (peer, 0, NULLPROC, NULL, peer->hello_mac));
+}
+
+static bool
+rpc_peer_address (const char *address, struct sockaddr_in *out)
+{
+  char **parts = g_strsplit (address, ":", 2);
+  uint64_t port = 0;
+  bool good = parts[0] != NULL && parts[1] != NULL
+              && g_ascii_string_to_unsigned (parts[1], 10, 1, UINT16_MAX,
+                                             &port, NULL)
+              && uv_ip4_addr (parts[0], (int)port, out) == 0;
+
+  g_strfreev (parts);
+  return good;
+}
+
+static void
+rpc_peer_connect (struct rpc_peer *peer)
+{
+  struct rpc_node *node = peer->node;
+  struct sockaddr_in address;
+
+  if (!rpc_peer_address (peer->address, &address)
+      || tm_now_us (node->tm) < peer->retry_us)
+    {
+      rpc_fail_waiting (peer);
+      return;
+    }
+  peer->conn = rpc_conn_new (node, RPC_RECORD_MAX_BYTES);
+  peer->conn->peer = peer;
+  peer->conn->on_record = rpc_peer_record;
+  peer->conn->on_closed = rpc_peer_closed;
+  tm_after (node->tm, &peer->conn->limit, RPC_CONNECT_LIMIT_US, rpc_peer_late,
+            peer->conn);
+  if (uv_tcp_connect (&peer->conn->connect, &peer->conn->tcp,
+                      (struct sockaddr *)&address, rpc_peer_connected)
+      != 0)
+    rpc_conn_close (peer->conn);
+}
+
+/* A connection that has been silent since the call was sent may be dead
+   without a packet that says so; the next call opens a new one.  */
+static void
+rpc_pending_late (void *arg)
+{
+  struct rpc_pending *call = arg;
+  struct rpc_conn *conn = call->peer->conn;
+  bool sent = call->sent_us != 0;
+  bool silent = sent && conn != NULL && conn->last_input_us < call->sent_us;
+
+  if (sent)
+    g_hash_table_remove (call->peer->sent, &call->xid);
+  else
+    g_queue_remove (&call->peer->waiting, call);
+  rpc_pending_end (call, sent ? RPC_TIMEOUT : RPC_CONNECT_FAILED, NULL);
+  if (silent)
+    rpc_conn_close (conn);
+}
+
+/* Calls start from the timer service, so that no caller is answered from
+   within rpc_send.  */
+static void
+rpc_peer_start (void *arg)
+{
+  struct rpc_peer *peer = arg;
+
+  if (peer->conn == NULL && !g_queue_is_empty (&peer->waiting))
+    rpc_peer_connect (peer);
+  else if (peer->incarnation != 0)
+    rpc_send_waiting (peer);
+}
+
+static struct rpc_peer *
+rpc_peer_find (struct rpc_node *node, const char *address)
+{
+  struct rpc_peer *peer = g_hash_table_lookup (node->peers, address);
+
+  if (peer != NULL)
+    return peer;
+  peer = g_new0 (struct rpc_peer, 1);
+  peer->node = node;
+  peer->address = g_strdup (address);
+  peer->sent = g_hash_table_new (g_int_hash, g_int_equal);
+  g_queue_init (&peer->waiting);
+  g_hash_table_insert (node->peers, peer->address, peer);
+  return peer;
+}
+
+/* Free PEER.  Its calls end without a report.  */
+void
+rpc_peer_free (void *arg)
+{
+  struct rpc_peer *peer = arg;
+  struct rpc_pending *call;
+  GHashTableIter iter;
+  void *sent;
+
+  tm_cancel (peer->node->tm, &peer->start);
+  while ((call = g_queue_pop_head (&peer->waiting)) != NULL)
+    rpc_pending_free (call);
+  g_hash_table_iter_init (&iter, peer->sent);
+  while (g_hash_table_iter_next (&iter, NULL, &sent))
+    rpc_pending_free (sent);
+  g_hash_table_remove_all (peer->sent);
+  if (peer->conn != NULL)
+    rpc_conn_close (peer->conn);
+  g_hash_table_destroy (peer->sent);
+  g_free (peer->address);
+  g_free (peer);
+}
+
+/* Make CALL and report its result once to DONE with ARG, never from within
+   this function.  CALL and what it points to are used only during this
+   function.  Arguments that cannot be encoded end as RPC_CONNECT_FAILED.  */
+void
+rpc_send (struct rpc_node *node, const struct rpc_call *call, rpc_done done,
+          void *arg)
+{
+  struct rpc_pending *pending = g_new0 (struct rpc_pending, 1);
+
+  pending->peer = rpc_peer_find (node, call->address);
+  pending->xid = node->next_xid++;
+  pending->procedure = call->procedure;
+  pending->body = rpc_message_encode (call->encode_args, call->args);
+  pending->decode_result = call->decode_result;
+  pending->result_bytes = call->result_bytes;
+  pending->done = done;
+  pending->arg = arg;
+  g_queue_push_tail (&pending->peer->waiting, pending);
+  tm_after (node->tm, &pending->limit,
+            (uint64_t)call->timeout_ms * RPC_US_PER_MS, rpc_pending_late,
+            pending);
+  tm_after (node->tm, &pending->peer->start, 0, rpc_peer_start, pending->peer);
+}
--- /dev/null
+++ b/libcowslip/rpc_server.c
@@ -0,0 +1,264 @@
+#include <string.h>
+
+#include "rpc_impl.h"
+
+#define RPC_BACKLOG       512
+#define RPC_ACCEPTED_MAX  1024
+#define RPC_PROOF_TIME_US 10000000
+
+struct rpc_request
+{
+  struct rpc_conn *conn; /* NULL: the caller is gone */
+  const struct rpc_auth *auth;
+  struct rpc_procedure procedure;
+  uint32_t xid;
+  uint8_t mac[RPC_AUTH_MAC_BYTES];
+  void *args;
+  bool serving;
+  bool answered;
+};
+
+static void
+rpc_request_free (struct rpc_request *request)
+{
+  xdr_free (request->procedure.decode_args, request->args);
+  g_free (request->args);
+  g_free (request);
+}
+
+/* Answer REQUEST with RESULT, which is encoded at once.  The arguments are
+   freed as soon as the procedure has returned.  */
+void
+rpc_answer (struct rpc_request *request, void *result)
+{
+  GByteArray *body;
+
+  if (request->conn != NULL)
+    {
+      body = rpc_message_encode (request->procedure.encode_result, result);
+      g_hash_table_remove (request->conn->requests, request);
+      (void)rpc_conn_write (
+          request->conn,
+          rpc_message_reply (request->auth, request->mac, request->xid,
+                             body != NULL ? SUCCESS : SYSTEM_ERR, body));
+      if (body != NULL)
+        g_byte_array_free (body, TRUE);
+    }
+  request->conn = NULL;
+  request->answered = true;
+  if (!request->serving)
+    rpc_request_free (request);
+}
+
+static bool
+rpc_reply_status (struct rpc_conn *conn, const struct rpc_incoming *call,
+                  enum accept_stat status)
+{
+  return rpc_conn_write (conn, rpc_message_reply (conn->node->auth, call->mac,
+                                                  call->xid, status, NULL));
+}
+
+static bool
+rpc_serve_null (struct rpc_conn *conn, const struct rpc_incoming *call)
+{
+  u_int64_t incarnation = conn->node->incarnation;
+  GByteArray *body
+      = rpc_message_encode ((xdrproc_t)xdr_u_int64_t, &incarnation);
+
+  (void)rpc_conn_write (conn, rpc_message_reply (conn->node->auth, call->mac,
+                                                 call->xid, SUCCESS, body));
+  g_byte_array_free (body, TRUE);
+  return true;
+}
+
+static bool
+rpc_serve_call (struct rpc_conn *conn, const struct rpc_incoming *call)
+{
+  struct rpc_entry *entry;
+  struct rpc_origin origin = { .incarnation = call->credential.incarnation };
+  struct rpc_request *request;
+
+  if (!call->program_known)
+    return rpc_reply_status (conn, call, PROG_UNAVAIL);
+  if (call->procedure >= RPC_PROCEDURE_MAX)
+    return rpc_reply_status (conn, call, PROC_UNAVAIL);
+  entry = &conn->node->entries[call->procedure];
+  if (!entry->known)
+    return rpc_reply_status (conn, call, PROC_UNAVAIL);
+  request = g_new0 (struct rpc_request, 1);
+  request->procedure = entry->procedure;
+  request->args = g_malloc0 (MAX (entry->procedure.args_bytes, 1));
+  if (!rpc_message_decode (entry->procedure.decode_args, request->args,
+                           call->body, call->body_bytes))
+    {
+      rpc_request_free (request);
+      rpc_conn_bad (conn, "arguments");
+      return false;
+    }
+  request->conn = conn;
+  request->auth = conn->node->auth;
+  request->xid = call->xid;
+  memcpy (request->mac, call->mac, sizeof request->mac);
+  g_hash_table_add (conn->requests, request);
+  g_strlcpy (origin.instance, call->credential.instance,
+             sizeof origin.instance);
+  request->serving = true;
+  entry->procedure.serve (entry->arg, &origin, request->args, request);
+  request->serving = false;
+  if (request->answered)
+    rpc_request_free (request);
+  return true;
+}
+
+/* Return why CALL must not be served, NULL if it may.  */
+static const char *
+rpc_objection (struct rpc_node *node, const struct rpc_incoming *call)
+{
+  const struct rpc_credential *credential = &call->credential;
+
+  if (strcmp (credential->to_address, node->address) != 0)
+    return "address";
+  /* The null procedure has no effect, so it may come from anywhere and any
+     time; it must not touch the memory of sequence numbers.  */
+  if (call->procedure == NULLPROC)
+    return NULL;
+  if (credential->to_incarnation != node->incarnation)
+    return "incarnation";
+  switch (rpc_replay_check (node->replay, credential->instance,
+                            credential->incarnation, credential->sequence))
+    {
+    case RPC_REPLAY_NEW:
+      return NULL;
+    case RPC_REPLAY_REPEATED:
+      return "replay";
+    case RPC_REPLAY_RETIRED:
+      return "retired";
+    }
+  return NULL;
+}
+
+static bool
+rpc_server_record (struct rpc_conn *conn, uint8_t *record, size_t bytes)
+{
+  struct rpc_incoming call;
+  enum rpc_message_verdict verdict
+      = rpc_message_open_call (conn->node->auth, record, bytes, &call);
+  const char *objection;
+
+  if (verdict == RPC_MESSAGE_GARBAGE)
+    {
+      rpc_conn_bad (conn, "garbage");
+      return false;
+    }
+  objection = verdict == RPC_MESSAGE_BAD_KEY
+                  ? "key"
+                  : rpc_objection (conn->node, &call);
+  if (objection != NULL)
+    {
+      rpc_conn_bad (conn, objection);
+      (void)rpc_conn_write (conn, rpc_message_denied (call.xid));
+      return false;
+    }
+  tm_cancel (conn->node->tm, &conn->limit);
+  conn->input.limit_bytes = RPC_RECORD_MAX_BYTES;
+  return call.procedure == NULLPROC ? rpc_serve_null (conn, &call)
+                                    : rpc_serve_call (conn, &call);
+}
+
+static void
+rpc_accepted_closed (struct rpc_conn *conn)
+{
+  GHashTableIter iter;
+  void *request;
+
+  g_hash_table_remove (conn->node->accepted, conn);
+  g_hash_table_iter_init (&iter, conn->requests);
+  while (g_hash_table_iter_next (&iter, &request, NULL))
+    ((struct rpc_request *)request)->conn = NULL;
+  g_hash_table_destroy (conn->requests);
+  conn->requests = NULL;
+}
+
+static void
+rpc_accepted_late (void *arg)
+{
+  rpc_conn_bad (arg, "silent");
+  rpc_conn_close (arg);
+}
+
+/* Until a connection has sent an authenticated call it may hold only a small
+   record and only for a short time, so that strangers cannot use up memory. */
+static void
+rpc_server_accept (uv_stream_t *listener, int status)
+{
+  struct rpc_node *node = listener->data;
+  struct rpc_conn *conn;
+
+  if (status != 0)
+    return;
+  conn = rpc_conn_new (node, RPC_RECORD_FIRST_BYTES);
+  conn->requests = g_hash_table_new (NULL, NULL);
+  conn->on_record = rpc_server_record;
+  conn->on_closed = rpc_accepted_closed;
+  g_hash_table_add (node->accepted, conn);
+  if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0
+      || g_hash_table_size (node->accepted) > RPC_ACCEPTED_MAX)
+    {
+      rpc_conn_close (conn);
+      return;
+    }
+  tm_after (node->tm, &conn->limit, RPC_PROOF_TIME_US, rpc_accepted_late,
+            conn);
+  rpc_conn_read (conn);
+}
+
+/* Listen on ADDRESS, "IP:PORT"; port 0 takes a free one.  */
+bool
+rpc_server_listen (struct rpc_node *node, const char *address, GError **error)
+{
+  char **parts = g_strsplit (address, ":", 2);
+  struct sockaddr_in local;
+  int bytes = sizeof local;
+  uint64_t port = 0;
+  int status = UV_EINVAL;
+
+  node->listener = g_new0 (uv_tcp_t, 1);
+  uv_tcp_init (node->loop, node->listener);
+  node->listener->data = node;
+  if (parts[0] != NULL && parts[1] != NULL
+      && g_ascii_string_to_unsigned (parts[1], 10, 0, UINT16_MAX, &port, NULL)
+      && uv_ip4_addr (parts[0], (int)port, &local) == 0)
+    status = uv_tcp_bind (node->listener, (struct sockaddr *)&local, 0);
+  if (status == 0)
+    status = uv_listen ((uv_stream_t *)node->listener, RPC_BACKLOG,
+                        rpc_server_accept);
+  if (status == 0)
+    {
+      uv_tcp_getsockname (node->listener, (struct sockaddr *)&local, &bytes);
+      g_snprintf (node->address, sizeof node->address, "%s:%u", parts[0],
+                  ntohs (local.sin_port));
+    }
+  else
+    g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "%s: %s", address,
+                 uv_strerror (status));
+  g_strfreev (parts);
+  return status == 0;
+}
+
+static void
+rpc_listener_closed (uv_handle_t *handle)
+{
+  g_free (handle);
+}
+
+/* Close the listener and the accepted connections.  */
+void
+rpc_server_close (struct rpc_node *node)
+{
+  GList *conns = g_hash_table_get_keys (node->accepted);
+
+  uv_close ((uv_handle_t *)node->listener, rpc_listener_closed);
+  for (GList *at = conns; at != NULL; at = at->next)
+    rpc_conn_close (at->data);
+  g_list_free (conns);
+}
--- /dev/null
+++ b/regress/rpc_test.c
@@ -0,0 +1,409 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "rpc.h"
+#include "rpc_message.h"
+#include "rpc_record.h"
+#include "rpc_replay.h"
+#include "tm_uv.h"
+#include "unit.h"
+
+#define PROC_ADD  1
+#define PROC_HOLD 2
+#define KEY       "0123456789abcdef0123456789abcdef"
+#define OTHER_KEY "0123456789abcdef0123456789abcdeX"
+
+struct rig
+{
+  uv_loop_t loop;
+  uv_timer_t guard;
+  struct tm_uv clock;
+  struct ctr_set *counters;
+  struct rpc_node *server;
+  struct rpc_node *client;
+  struct rpc_request *held;
+  uint32_t served;
+  uint32_t answers;
+  enum rpc_outcome outcome;
+  u_int64_t result;
+  char address[64];
+};
+
+static void
+serve_add (void *arg, const struct rpc_origin *origin, void *args,
+           struct rpc_request *request)
+{
+  struct rig *rig = arg;
+  u_int64_t result = *(u_int64_t *)args + 1;
+
+  rig->served++;
+  CU_ASSERT_STRING_EQUAL (origin->instance, "a");
+  rpc_answer (request, &result);
+}
+
+static void
+serve_hold (void *arg, const struct rpc_origin *origin, void *args,
+            struct rpc_request *request)
+{
+  struct rig *rig = arg;
+
+  (void)origin;
+  (void)args;
+  rig->held = request;
+}
+
+static void
+on_guard (uv_timer_t *timer)
+{
+  (void)timer;
+  g_error ("no event within 20 s");
+}
+
+static struct rpc_node *
+node_new (struct rig *rig, const char *instance, uint64_t incarnation,
+          const char *address, const char *key)
+{
+  struct rpc_config config = { instance, incarnation, address, key, 32 };
+  struct rpc_node *node = rpc_node_new (&rig->loop, rig->clock.service,
+                                        rig->counters, &config, NULL);
+  static const struct rpc_procedure add
+      = { PROC_ADD, (xdrproc_t)xdr_u_int64_t, sizeof (u_int64_t),
+          (xdrproc_t)xdr_u_int64_t, serve_add };
+  static const struct rpc_procedure hold
+      = { PROC_HOLD, (xdrproc_t)xdr_u_int64_t, sizeof (u_int64_t),
+          (xdrproc_t)xdr_u_int64_t, serve_hold };
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node);
+  rpc_serve (node, &add, rig);
+  rpc_serve (node, &hold, rig);
+  return node;
+}
+
+static void
+rig_start (struct rig *rig)
+{
+  memset (rig, 0, sizeof *rig);
+  uv_loop_init (&rig->loop);
+  uv_timer_init (&rig->loop, &rig->guard);
+  uv_timer_start (&rig->guard, on_guard, 20000, 0);
+  tm_uv_start (&rig->clock, &rig->loop);
+  rig->counters = ctr_new ();
+  rig->server = node_new (rig, "b", 20, "127.0.0.1:0", KEY);
+  rig->client = node_new (rig, "a", 10, "127.0.0.1:0", KEY);
+  g_strlcpy (rig->address, rpc_address (rig->server), sizeof rig->address);
+}
+
+static void
+rig_stop (struct rig *rig)
+{
+  rpc_node_free (rig->client);
+  rpc_node_free (rig->server);
+  if (rig->held != NULL)
+    rpc_answer (rig->held, &rig->result);
+  tm_uv_stop (&rig->clock);
+  uv_close ((uv_handle_t *)&rig->guard, NULL);
+  while (uv_run (&rig->loop, UV_RUN_NOWAIT) != 0)
+    ;
+  uv_loop_close (&rig->loop);
+  ctr_free (rig->counters);
+}
+
+static void
+on_done (void *arg, enum rpc_outcome outcome, void *result)
+{
+  struct rig *rig = arg;
+
+  rig->answers++;
+  rig->outcome = outcome;
+  rig->result = outcome == RPC_OK ? *(u_int64_t *)result : 0;
+}
+
+/* Call PROCEDURE with 41 and return the outcome.  */
+static enum rpc_outcome
+call (struct rig *rig, uint32_t procedure, uint32_t timeout_ms)
+{
+  u_int64_t value = 41;
+  struct rpc_call made = { rig->address,
+                           procedure,
+                           (xdrproc_t)xdr_u_int64_t,
+                           &value,
+                           (xdrproc_t)xdr_u_int64_t,
+                           sizeof value,
+                           timeout_ms };
+  uint32_t wanted = rig->answers + 1;
+
+  rpc_send (rig->client, &made, on_done, rig);
+  while (rig->answers < wanted)
+    uv_run (&rig->loop, UV_RUN_ONCE);
+  return rig->outcome;
+}
+
+/* Guards against wrong results and against calls that never end.  */
+static void
+test_calls (void)
+{
+  struct rig rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  CU_ASSERT_EQUAL (rig.result, 42);
+  CU_ASSERT_EQUAL (call (&rig, 7, 5000), RPC_REFUSED);
+  CU_ASSERT_EQUAL (call (&rig, PROC_HOLD, 50), RPC_TIMEOUT);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  CU_ASSERT_TRUE (rpc_bytes_sent (rig.client) > 0);
+  rig_stop (&rig);
+}
+
+/* Guards against a caller that stays bound to a peer that is gone, and against
+   an outcome that says more than is known.  */
+static void
+test_restart (void)
+{
+  struct rig rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  rpc_node_free (rig.server);
+  rig.server = node_new (&rig, "b", 21, rig.address, KEY);
+  while (call (&rig, PROC_ADD, 5000) == RPC_BROKEN)
+    ;
+  CU_ASSERT_EQUAL (rig.outcome, RPC_OK);
+  /* The peer goes away while it serves a call.  */
+  {
+    u_int64_t value = 1;
+    struct rpc_call made = { rig.address,
+                             PROC_HOLD,
+                             (xdrproc_t)xdr_u_int64_t,
+                             &value,
+                             (xdrproc_t)xdr_u_int64_t,
+                             sizeof value,
+                             5000 };
+
+    rpc_send (rig.client, &made, on_done, &rig);
+    while (rig.held == NULL)
+      uv_run (&rig.loop, UV_RUN_ONCE);
+    rpc_node_free (rig.server);
+    rig.server = NULL;
+    while (rig.outcome != RPC_BROKEN)
+      uv_run (&rig.loop, UV_RUN_ONCE);
+  }
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_CONNECT_FAILED);
+  rig_stop (&rig);
+}
+
+/* Guards against callers that do not hold the key.  */
+static void
+test_wrong_key (void)
+{
+  struct rig rig;
+
+  rig_start (&rig);
+  rpc_node_free (rig.client);
+  rig.client = node_new (&rig, "a", 10, "127.0.0.1:0", OTHER_KEY);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_REFUSED);
+  CU_ASSERT_EQUAL (rig.served, 0);
+  CU_ASSERT_EQUAL (ctr_get (rig.counters, "rpc_bad_total{reason=\"key\"}"), 1);
+  rig_stop (&rig);
+}
+
+static int
+raw_connect (const struct rig *rig)
+{
+  struct sockaddr_in peer = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  peer.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  peer.sin_port
+      = htons ((uint16_t)strtoul (strchr (rig->address, ':') + 1, NULL, 10));
+  CU_ASSERT_EQUAL (connect (fd, (struct sockaddr *)&peer, sizeof peer), 0);
+  return fd;
+}
+
+static void
+run_until_counted (struct rig *rig, const char *name, uint64_t wanted)
+{
+  while (ctr_get (rig->counters, name) < wanted)
+    uv_run (&rig->loop, UV_RUN_ONCE);
+}
+
+/* Return whether the connection FD was closed by its other end.  */
+static bool
+raw_closed (int fd)
+{
+  char space[256];
+  ssize_t got;
+
+  while ((got = recv (fd, space, sizeof space, 0)) > 0)
+    ;
+  close (fd);
+  return got <= 0;
+}
+
+/* Guards against a stranger's bytes that crash the instance, fill its memory
+   or are served.  Seeded random records follow the named cases.  */
+static void
+test_garbage (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t count;
+    const char *counter;
+  } cases[] = {
+    { "GET / HTTP/1.1\r\n\r\n", 18, "rpc_bad_total{reason=\"record\"}" },
+    { "\x80\x00\x04\x01", 4, "rpc_bad_total{reason=\"record\"}" },
+    { "\x7f\xff\xff\xff", 4, "rpc_bad_total{reason=\"record\"}" },
+    { "\x00\x00\x00\x00", 4, "rpc_bad_total{reason=\"record\"}" },
+    { "\x80\x00\x00\x00", 4, "rpc_bad_total{reason=\"garbage\"}" },
+    { "\x80\x00\x00\x04"
+      "abcd",
+      8, "rpc_bad_total{reason=\"garbage\"}" },
+  };
+  GRand *random = g_rand_new_with_seed (5);
+  struct rig rig;
+
+  rig_start (&rig);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      uint64_t before = ctr_get (rig.counters, cases[i].counter);
+      int fd = raw_connect (&rig);
+
+      (void)!write (fd, cases[i].bytes, cases[i].count);
+      run_until_counted (&rig, cases[i].counter, before + 1);
+      CU_ASSERT_TRUE (raw_closed (fd));
+    }
+  for (uint64_t i = 0; i < 300; i++)
+    {
+      uint8_t record[304]
+          = { 0x80, 0, 1, 44, 0, 0, 0, 1, 0, 0, 0, 0, 0, 0, 0, 2 };
+      int fd = raw_connect (&rig);
+      uint64_t before
+          = ctr_get (rig.counters, "rpc_bad_total{reason=\"garbage\"}");
+
+      for (size_t at = 16; at < sizeof record; at++)
+        record[at] = (uint8_t)(g_rand_int (random)
+                               & (g_rand_boolean (random) ? 0xff : 1));
+      (void)!write (fd, record, sizeof record);
+      run_until_counted (&rig, "rpc_bad_total{reason=\"garbage\"}",
+                         before + 1);
+      CU_ASSERT_TRUE (raw_closed (fd));
+    }
+  CU_ASSERT_EQUAL (rig.served, 0);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  g_rand_free (random);
+  rig_stop (&rig);
+}
+
+/* Guards against authenticated bytes that are played again, to another
+   address, to a later incarnation or from an earlier one, and against changed
+   ones.  */
+static void
+test_replay (void)
+{
+  static const struct
+  {
+    uint64_t incarnation;
+    uint64_t sequence;
+    const char *to_address;
+    uint64_t to_incarnation;
+    bool flip;
+    const char *reason; /* NULL: served */
+  } cases[] = {
+    { 10, 5, NULL, 20, false, NULL },
+    { 10, 5, NULL, 20, false, "replay" },
+    { 10, 4, NULL, 20, false, NULL },
+    { 10, 9, NULL, 19, false, "incarnation" },
+    { 10, 9, "127.0.0.1:1", 20, false, "address" },
+    { 10, 9, NULL, 20, true, "key" },
+    { 11, 1, NULL, 20, false, NULL },
+    { 10, 10, NULL, 20, false, "retired" },
+    { 11, 90, NULL, 20, false, NULL },
+    { 11, 20, NULL, 20, false, "replay" },
+  };
+  struct rpc_auth *auth = rpc_auth_new (KEY, 32);
+  u_int64_t value = 1;
+  GByteArray *body = rpc_message_encode ((xdrproc_t)xdr_u_int64_t, &value);
+  struct rig rig;
+
+  rig_start (&rig);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct rpc_credential credential
+          = { "a", cases[i].incarnation, cases[i].sequence, "",
+              cases[i].to_incarnation };
+      char *counter
+          = g_strdup_printf ("rpc_bad_total{reason=\"%s\"}", cases[i].reason);
+      uint64_t before = ctr_get (rig.counters, counter);
+      uint32_t served = rig.served;
+      uint8_t mac[RPC_AUTH_MAC_BYTES];
+      int fd = raw_connect (&rig);
+      GByteArray *record;
+
+      g_strlcpy (credential.to_address,
+                 cases[i].to_address != NULL ? cases[i].to_address
+                                             : rig.address,
+                 sizeof credential.to_address);
+      record = rpc_message_call (auth, &credential, 1, PROC_ADD, body, mac);
+      record->data[record->len - 1] ^= cases[i].flip;
+      (void)!write (fd, record->data, record->len);
+      g_byte_array_free (record, TRUE);
+      if (cases[i].reason != NULL)
+        {
+          run_until_counted (&rig, counter, before + 1);
+          CU_ASSERT_EQUAL (rig.served, served);
+          CU_ASSERT_TRUE (raw_closed (fd));
+        }
+      else
+        {
+          while (rig.served == served)
+            uv_run (&rig.loop, UV_RUN_ONCE);
+          close (fd);
+        }
+      g_free (counter);
+    }
+  g_byte_array_free (body, TRUE);
+  rpc_auth_free (auth);
+  rig_stop (&rig);
+}
+
+/* Guards against a peer that sends a record over the limit after it has proved
+   itself.  */
+static void
+test_oversize (void)
+{
+  static const uint8_t head[] = { 0x80, 0x20, 0, 1 };
+  struct rpc_auth *auth = rpc_auth_new (KEY, 32);
+  struct rpc_credential credential = { "a", 10, 1, "", 20 };
+  uint8_t mac[RPC_AUTH_MAC_BYTES];
+  GByteArray *record;
+  struct rig rig;
+  int fd;
+
+  rig_start (&rig);
+  g_strlcpy (credential.to_address, rig.address, sizeof credential.to_address);
+  record = rpc_message_call (auth, &credential, 1, NULLPROC, NULL, mac);
+  g_byte_array_append (record, head, sizeof head);
+  fd = raw_connect (&rig);
+  (void)!write (fd, record->data, record->len);
+  run_until_counted (&rig, "rpc_bad_total{reason=\"record\"}", 1);
+  CU_ASSERT_TRUE (raw_closed (fd));
+  g_byte_array_free (record, TRUE);
+  rpc_auth_free (auth);
+  rig_stop (&rig);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = { { "calls", test_calls },
+                                            { "restart", test_restart },
+                                            { "wrong_key", test_wrong_key },
+                                            { "garbage", test_garbage },
+                                            { "replay", test_replay },
+                                            { "oversize", test_oversize },
+                                            { NULL, NULL } };
+
+  return unit_main ("rpc", tests);
+}
