Add membership and configuration distribution

Instances need to know each other and agree on the configuration while the key-value service, single links and whole zones fail. The decisions take events and time from the timer service only:

- members come from records under a lease and from heartbeats; a member is unreachable after 3 s without one (7 s between zones) and is removed only when the service answers without its record; incarnations that have ended are remembered and ignored;
- heartbeats go to the own zone every second and, from its lowest member, to one contact of each other zone every 2 s; a contact that does not answer is replaced by the next;
- the configuration is watched by the two lowest members of a zone; the others fetch it from a random peer that shows the newest generation, after up to 1 s.
At start all sources are asked and the highest answer is installed; the generation in force never decreases.

Readers of engine reports: over 1,000 engines and 10 members each share is within 40% of its mean, and only the engines of a member that left move.

--- a/regress/fake_kv.c
+++ b/regress/fake_kv.c
@@ -164,7 +164,7 @@
     }
   if (call->done != NULL)
     call->done (call->arg, &result);
-  else
+  else if (call->lease_done != NULL)
     call->lease_done (call->arg, call->outcome,
                       call->outcome_fixed ? 0 : call->lease);
   fake_release (call);
@@ -327,6 +327,22 @@
   kv->next_count = count;
 }
 
+/* Answer no call that was made with ARG, whose owner is gone.  */
+void
+fake_kv_forget (struct fake_kv *kv, const void *arg)
+{
+  for (guint i = 0; i < kv->pending->len; i++)
+    {
+      struct fake_call *call = g_ptr_array_index (kv->pending, i);
+
+      if (call->arg == arg)
+        {
+          call->done = NULL;
+          call->lease_done = NULL;
+        }
+    }
+}
+
 /* End LEASE now; its keys are deleted.  */
 void
 fake_kv_expire (struct fake_kv *kv, int64_t lease)
--- a/regress/fake_kv.h
+++ b/regress/fake_kv.h
@@ -29,6 +29,7 @@
 void fake_kv_set_fault (struct fake_kv *kv, enum fake_kv_fault fault);
 void fake_kv_fault_next (struct fake_kv *kv, enum fake_kv_fault fault,
                          uint32_t count);
+void fake_kv_forget (struct fake_kv *kv, const void *arg);
 void fake_kv_expire (struct fake_kv *kv, int64_t lease);
 void fake_kv_put (struct fake_kv *kv, const char *key, const char *value);
 const char *fake_kv_value (const struct fake_kv *kv, const char *key);
--- /dev/null
+++ b/regress/mem_test.c
@@ -0,0 +1,162 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "mem.h"
+#include "mem_record.h"
+#include "unit.h"
+
+#define MEMBERS 10
+#define ENGINES 1000
+
+static void
+on_changed (void *arg)
+{
+  (void)arg;
+}
+
+static void
+on_member (void *arg, const struct mem_member *member)
+{
+  (void)arg;
+  (void)member;
+}
+
+static const struct mem_callbacks callbacks
+    = { on_changed, on_member, on_member };
+
+static struct mem_member
+member_of (char *name, const char *zone, uint32_t number)
+{
+  struct mem_member member = { .instance = name,
+                               .zone = (char *)zone,
+                               .rpc_address = name,
+                               .http_address = name,
+                               .number = number,
+                               .incarnation = number };
+
+  return member;
+}
+
+static struct mem_table *
+table_of (struct tm_service *tm, uint32_t count)
+{
+  struct mem_member self = member_of ((char *)"n1", "z", 1);
+  struct mem_table *table = mem_new (tm, &self, &callbacks, NULL);
+
+  for (uint32_t i = 2; i <= count; i++)
+    {
+      char name[8];
+      struct mem_member other = member_of (name, "z", i);
+
+      g_snprintf (name, sizeof name, "n%u", i);
+      CU_ASSERT_TRUE (mem_heard (table, &other));
+    }
+  return table;
+}
+
+/* Guards against engines that nobody reads, against an uneven share of them,
+   and against more than the leaver's engines moving when one member goes.  */
+static void
+test_readers (void)
+{
+  struct tm_service *tm = tm_new (1);
+  struct mem_table *all = table_of (tm, MEMBERS);
+  struct mem_table *fewer = table_of (tm, MEMBERS - 1);
+  uint32_t share[MEMBERS + 1] = { 0 };
+
+  for (uint32_t i = 0; i < ENGINES; i++)
+    {
+      char endpoint[32];
+      const struct mem_member *before;
+      const struct mem_member *after;
+
+      g_snprintf (endpoint, sizeof endpoint, "127.0.0.1:%u", 7000 + i);
+      before = mem_reader_of (all, endpoint);
+      after = mem_reader_of (fewer, endpoint);
+      share[before->number]++;
+      if (before->number != MEMBERS)
+        CU_ASSERT_EQUAL (before->number, after->number);
+    }
+  for (uint32_t i = 1; i <= MEMBERS; i++)
+    CU_ASSERT_TRUE (share[i] > 60 && share[i] < 140);
+  mem_free (all);
+  mem_free (fewer);
+  tm_free (tm);
+}
+
+/* Guards against a draining or silent member that is given duties, and against
+   a zone whose dead contact is asked for ever.  */
+static void
+test_duties (void)
+{
+  struct tm_service *tm = tm_new (1);
+  struct mem_table *table = table_of (tm, 3);
+  struct mem_member far1 = member_of ((char *)"f1", "y", 11);
+  struct mem_member far2 = member_of ((char *)"f2", "y", 12);
+  GPtrArray *records = g_ptr_array_new ();
+
+  CU_ASSERT_TRUE (mem_among_lowest (table, 1));
+  mem_set_self (table, 0, true);
+  CU_ASSERT_STRING_EQUAL (mem_lowest (table)->instance, "n2");
+  CU_ASSERT_STRING_NOT_EQUAL (mem_reader_of (table, "x")->instance, "n1");
+  tm_advance (tm, 4000000);
+  CU_ASSERT_STRING_EQUAL (mem_lowest (table)->instance, "n1");
+  g_ptr_array_add (records, &far1);
+  g_ptr_array_add (records, &far2);
+  mem_recorded (table, "y", records);
+  CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f1");
+  CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f2");
+  CU_ASSERT_TRUE (mem_heard (table, &far2));
+  CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f2");
+  CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f2");
+  g_ptr_array_free (records, TRUE);
+  mem_free (table);
+  tm_free (tm);
+}
+
+/* Guards against a record of another version or from another writer that is
+   half taken in.  */
+static void
+test_records (void)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "7",
+    "{",
+    "{}",
+    "{\"instance\":\"a\"}",
+    "{\"instance\":\"a\",\"zone\":\"z\",\"rpc_address\":\"r\","
+    "\"http_address\":\"h\",\"number\":0,\"incarnation\":\"1\"}",
+    "{\"instance\":\"a\",\"zone\":\"z\",\"rpc_address\":\"r\","
+    "\"http_address\":\"h\",\"number\":1,\"incarnation\":\"x\"}",
+    "{\"instance\":7,\"zone\":\"z\",\"rpc_address\":\"r\","
+    "\"http_address\":\"h\",\"number\":1,\"incarnation\":\"1\"}",
+  };
+  struct mem_member member = member_of ((char *)"n1", "z", 9);
+  char *text = mem_record_format (&member);
+  struct mem_member *copy = mem_record_parse (text, strlen (text));
+
+  g_free (text);
+  CU_ASSERT_PTR_NOT_NULL (copy);
+  if (copy == NULL)
+    return;
+  CU_ASSERT_STRING_EQUAL (copy->instance, "n1");
+  CU_ASSERT_EQUAL (copy->number, 9);
+  CU_ASSERT_EQUAL (copy->incarnation, 9);
+  mem_member_free (copy);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    CU_ASSERT_PTR_NULL (mem_record_parse (bad[i], strlen (bad[i])));
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = { { "readers", test_readers },
+                                            { "duties", test_duties },
+                                            { "records", test_records },
+                                            { NULL, NULL } };
+
+  return unit_main ("mem", tests);
+}
