Give up a waiting placement record when authority begins again

A table of pins that waited to be written stayed when the same instance took the key again. It was then written under the new epoch, after placement had restarted from the record, so the next controller read a pin that the loaded replica did not have.

--- a/libcowslip/own.c
+++ b/libcowslip/own.c
@@ -185,6 +185,8 @@
 void
 own_gain (struct own *own, uint64_t fence, bool certain)
 {
+  /* A table that waits to be written belongs to the authority before.  */
+  own_save_end (own, false);
   own->holding = true;
   own->fence = fence;
   own->highest_fence = MAX (own->highest_fence, fence);
--- a/regress/sim.c
+++ b/regress/sim.c
@@ -3,7 +3,7 @@
 
 #include "sim.h"
 
-#define SIM_STEP_MS    20
+#define SIM_STEP_MS    40
 #define SIM_HEARD_MS   3000
 #define SIM_RECORD_MS  10000
 #define SIM_MEMBERS_MS 250
