Serve the OpenAI API over the dispatcher

Callers could not reach the dispatcher. The daemon's requests part checks bodies, starts and cancels calls to engines, splits their streams into events, bounds what waits for a slow caller, and passes views, documents, loads, suspicions and demand between the dispatcher and the other parts. Nothing calls it with real processes yet.

--- /dev/null
+++ b/cowslipcoved/body.h
@@ -0,0 +1,26 @@
+#ifndef COWSLIPCOVED_BODY_H
+#define COWSLIPCOVED_BODY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+/* The checked body of a request to a model.  */
+struct cd_body
+{
+  struct json_object *object;
+  const char *model; /* model or adapter */
+  bool stream;
+  uint64_t fingerprint; /* of path, model and body; never 0 */
+  uint64_t prefix;      /* of the prompt's beginning; 0: none */
+};
+
+const char *cd_body_parse (struct cd_body *body, bool chat, const char *text,
+                           size_t bytes);
+void cd_body_clear (struct cd_body *body);
+char *cd_body_write (const struct cd_body *body, int32_t priority,
+                     const char *resume_id, uint32_t resume_from);
+
+#endif
--- a/cowslipcoved/requests.h
+++ b/cowslipcoved/requests.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPCOVED_REQUESTS_H
 #define COWSLIPCOVED_REQUESTS_H
 
+#include <json-c/json.h>
+
 #include "daemon.h"
 
 /* Requests to models: /v1/completions, /v1/chat/completions, /v1/models.  */
@@ -14,5 +16,9 @@
 /* Stop using ENDPOINT for MODEL; return the requests in flight there.  */
 uint32_t cd_requests_quiesce (struct cd_daemon *daemon, const char *model,
                               const char *endpoint);
+/* Add to OUT what waits per model, what is in flight per endpoint, ejected
+   endpoints and suspected fingerprints.  */
+void cd_requests_status (const struct cd_daemon *daemon,
+                         struct json_object *out);
 
 #endif
--- /dev/null
+++ b/cowslipcoved/requests_answer.c
@@ -0,0 +1,192 @@
+#include <string.h>
+
+#include "lg.h"
+#include "refuse.h"
+#include "requests_impl.h"
+
+#define CD_POLL_US 1000000
+/* The usual status for a caller that closed its connection; nobody reads it.
+ */
+#define CD_STATUS_CALLER_GONE 499
+
+static void
+cd_request_free (struct cd_request *request)
+{
+  tm_cancel (request->requests->daemon->tm, &request->poll);
+  cd_request_detach (request);
+  cd_body_clear (&request->body);
+  env_unref (request->document);
+  g_free (request->path);
+  g_free (request);
+}
+
+static void
+cd_request_gone (void *arg)
+{
+  struct cd_request *request = arg;
+
+  request->exchange = NULL;
+  if (request->request != NULL)
+    dsp_gone (request->request);
+}
+
+/* h2o reads nothing while a request is being answered, so a caller that leaves
+   before the first byte is only noticed by asking.  */
+static void
+cd_request_poll (void *arg)
+{
+  struct cd_request *request = arg;
+
+  if (request->streaming || request->exchange == NULL)
+    return;
+  if (http_peer_closed (request->exchange))
+    {
+      dsp_gone (request->request);
+      return;
+    }
+  tm_after (request->requests->daemon->tm, &request->poll, CD_POLL_US,
+            cd_request_poll, request);
+}
+
+/* Return a request that answers EXCHANGE.  It takes over BODY and a reference
+   to DOCUMENT.  */
+struct cd_request *
+cd_request_new (struct cd_requests *requests, struct http_exchange *exchange,
+                struct cd_body *body, struct env_document *document)
+{
+  struct cd_request *request = g_new0 (struct cd_request, 1);
+
+  request->requests = requests;
+  request->exchange = exchange;
+  request->document = document;
+  request->body = *body;
+  request->path = g_strdup (http_path (exchange));
+  g_snprintf (request->id, sizeof request->id, "%s-%08x-%llu",
+              requests->daemon->settings->instance,
+              (unsigned)requests->daemon->incarnation,
+              (unsigned long long)++requests->next_id);
+  return request;
+}
+
+/* Set REQUEST going with SPEC.  It may be over and freed afterwards.  */
+void
+cd_request_start (struct cd_request *request, const struct dsp_spec *spec)
+{
+  http_on_gone (request->exchange, cd_request_gone, request);
+  tm_after (request->requests->daemon->tm, &request->poll, CD_POLL_US,
+            cd_request_poll, request);
+  request->request = dsp_request_new (request->requests->dsp, spec, request);
+  dsp_request_start (request->request);
+}
+
+/* Pass one event of the stream on to the caller.  */
+void
+cd_request_send (void *owner, const char *data, size_t bytes)
+{
+  struct cd_request *request = owner;
+
+  if (request->exchange == NULL || request->slow)
+    return;
+  if (!request->streaming)
+    {
+      http_add_header (request->exchange, "cache-control", "no-cache");
+      http_add_header (request->exchange, "x-request-id", request->id);
+      http_stream_start (request->exchange, 200, "text/event-stream");
+      request->streaming = true;
+    }
+  http_stream_write (request->exchange, data, bytes);
+  if (http_stream_pending_bytes (request->exchange) <= CD_PENDING_MAX_BYTES)
+    return;
+  request->slow = true;
+  ctr_add (request->requests->daemon->counters, "slow_callers_total", 1);
+  lg_write (LG_CALLER_SLOW, "%s: more than %u bytes wait", request->id,
+            CD_PENDING_MAX_BYTES);
+}
+
+/* Give the caller a whole ANSWER.  */
+void
+cd_request_answer (void *owner, const struct rq_answer *answer)
+{
+  struct cd_request *request = owner;
+  struct http_exchange *exchange = request->exchange;
+
+  if (exchange == NULL)
+    return;
+  request->exchange = NULL;
+  http_add_header (exchange, "x-request-id", request->id);
+  http_respond (exchange, answer->status, answer->content_type, answer->body,
+                answer->body_bytes);
+}
+
+static const char *
+cd_refusal_message (enum rsn_refusal reason)
+{
+  switch (reason)
+    {
+    case RSN_QUEUE_FULL:
+      return "too many requests wait";
+    case RSN_QUEUE_DEADLINE:
+      return "no endpoint became free in time";
+    case RSN_DEADLINE:
+      return "the answer was not complete in time";
+    case RSN_COLD_TOO_LATE:
+      return "the model cannot be loaded in time";
+    case RSN_CONTROL_UNAVAILABLE:
+      return "no load can be ordered at present";
+    case RSN_NO_ENDPOINT:
+      return "the model has no replica in this availability zone";
+    case RSN_RETRY_BUDGET:
+      return "an attempt failed and too many were repeated already";
+    case RSN_POISON:
+      return "endpoints crashed while they ran this request";
+    case RSN_ANSWER_CUT:
+      return "the endpoint's answer was cut off";
+    default:
+      return "the endpoint failed";
+    }
+}
+
+/* Refuse the request; STARTED: within its stream.  */
+void
+cd_request_refuse (void *owner, enum rsn_refusal reason, bool not_run,
+                   bool started)
+{
+  struct cd_request *request = owner;
+  struct cd_daemon *daemon = request->requests->daemon;
+  struct http_exchange *exchange = request->exchange;
+  const char *message = cd_refusal_message (reason);
+  char *error;
+  char *event;
+
+  if (exchange == NULL)
+    return;
+  if (!started)
+    {
+      request->exchange = NULL;
+      cd_refuse (daemon, exchange, reason, not_run, message);
+      return;
+    }
+  cd_refusal_note (daemon, reason, not_run, message);
+  lg_write (LG_ANSWER_CUT, "%s: %s", request->id, rsn_refusal_text (reason));
+  error = cd_refusal_text (reason, not_run, message);
+  event = g_strdup_printf ("data: %s\n\n", error);
+  http_stream_write (exchange, event, strlen (event));
+  g_free (event);
+  g_free (error);
+}
+
+/* The request is over with OUTCOME.  */
+void
+cd_request_done (void *owner, enum rq_outcome outcome)
+{
+  struct cd_request *request = owner;
+  struct http_exchange *exchange = request->exchange;
+
+  request->request = NULL;
+  request->exchange = NULL;
+  if (exchange != NULL && request->streaming)
+    http_stream_end (exchange, outcome == RQ_DELIVERED && !request->slow);
+  else if (exchange != NULL)
+    http_respond (exchange, CD_STATUS_CALLER_GONE, "text/plain", "", 0);
+  cd_request_free (request);
+}
--- /dev/null
+++ b/cowslipcoved/requests_attempt.c
@@ -0,0 +1,256 @@
+#include <string.h>
+
+#include "lg.h"
+#include "requests_impl.h"
+
+#define CD_ANSWER_MAX_BYTES (8U << 20)
+/* A finished stream may take this much longer to end its connection.  */
+#define CD_END_GRACE_MS  1000
+#define CD_STATUS_OK     200
+#define CD_STATUS_ERROR  500
+#define CD_STATUS_NOT_UP 503
+
+/* One call to an engine.  It outlives its request while the connection ends.
+ */
+struct cd_attempt
+{
+  struct cd_request *request; /* NULL: abandoned or over */
+  uint64_t id;
+  struct http_call *call;
+  char address[128];
+  uint16_t status;
+  char content_type[128];
+  bool stream;
+  bool busy; /* within a callback of its call */
+  bool dead; /* to be freed when the callback returns */
+  struct sse_parser parser;
+  GString *answer;
+};
+
+static void
+cd_attempt_free (struct cd_attempt *attempt)
+{
+  sse_clear (&attempt->parser);
+  g_string_free (attempt->answer, TRUE);
+  g_free (attempt);
+}
+
+/* Part ATTEMPT from its request.  */
+static void
+cd_attempt_leave (struct cd_attempt *attempt)
+{
+  struct cd_request *request = attempt->request;
+
+  attempt->request = NULL;
+  for (int i = 0; request != NULL && i < RQ_LIVE_MAX; i++)
+    if (request->attempts[i] == attempt)
+      request->attempts[i] = NULL;
+}
+
+static void
+cd_attempt_cancel (struct cd_attempt *attempt)
+{
+  cd_attempt_leave (attempt);
+  http_cancel (attempt->call);
+  if (attempt->busy)
+    attempt->dead = true;
+  else
+    cd_attempt_free (attempt);
+}
+
+/* The answer of ATTEMPT cannot be used, for the reason WHAT.  */
+static void
+cd_attempt_give_up (struct cd_attempt *attempt, const char *what)
+{
+  struct cd_request *request = attempt->request;
+
+  lg_write (LG_ATTEMPT_FAILED, "%s: %s at %s", request->id, what,
+            attempt->address);
+  cd_attempt_cancel (attempt);
+  dsp_failed (request->request, attempt->id, RQ_INCOMPLETE, true);
+}
+
+static void
+cd_attempt_head (void *arg, uint16_t status, const char *content_type)
+{
+  struct cd_attempt *attempt = arg;
+
+  attempt->status = status;
+  g_strlcpy (attempt->content_type, content_type,
+             sizeof attempt->content_type);
+  attempt->stream = status == CD_STATUS_OK
+                    && g_str_has_prefix (content_type, "text/event-stream");
+  if (attempt->request == NULL || attempt->stream || status >= CD_STATUS_ERROR)
+    return;
+  dsp_head (attempt->request->request, attempt->id);
+}
+
+static bool
+cd_attempt_event (void *arg, enum rq_event_kind kind, const char *data,
+                  size_t bytes)
+{
+  struct cd_attempt *attempt = arg;
+  struct cd_request *request = attempt->request;
+
+  /* A whole stream's connection goes back to the pool by itself.  */
+  if (kind == RQ_EVENT_END)
+    cd_attempt_leave (attempt);
+  dsp_event (request->request, attempt->id, kind, data, bytes);
+  if (attempt->request != NULL && attempt->request->slow)
+    dsp_slow (attempt->request->request);
+  return attempt->request != NULL;
+}
+
+static void
+cd_attempt_plain (struct cd_attempt *attempt, const char *data, size_t bytes)
+{
+  g_string_append_len (attempt->answer, data, (gssize)bytes);
+  if (attempt->answer->len <= CD_ANSWER_MAX_BYTES)
+    return;
+  cd_attempt_give_up (attempt, "answer too large");
+}
+
+static void
+cd_attempt_body (void *arg, const char *data, size_t bytes)
+{
+  struct cd_attempt *attempt = arg;
+
+  if (attempt->request == NULL)
+    return;
+  attempt->busy = true;
+  if (!attempt->stream)
+    cd_attempt_plain (attempt, data, bytes);
+  else if (!sse_feed (&attempt->parser, data, bytes, cd_attempt_event, attempt)
+           && attempt->request != NULL)
+    cd_attempt_give_up (attempt, "event too large");
+  attempt->busy = false;
+  if (attempt->dead)
+    cd_attempt_free (attempt);
+}
+
+static bool
+cd_attempt_not_started (const struct cd_attempt *attempt)
+{
+  struct json_object *body;
+  struct json_object *error;
+  struct json_object *value;
+  bool not_started;
+
+  if (attempt->status != CD_STATUS_NOT_UP)
+    return false;
+  body = json_tokener_parse (attempt->answer->str);
+  not_started = json_object_object_get_ex (body, "error", &error)
+                && json_object_object_get_ex (error, "not_started", &value)
+                && json_object_get_boolean (value);
+  json_object_put (body);
+  return not_started;
+}
+
+static void
+cd_attempt_answered (struct cd_attempt *attempt)
+{
+  struct rq_answer answer
+      = { .status = attempt->status,
+          .content_type = attempt->content_type,
+          .body = attempt->answer->str,
+          .body_bytes = attempt->answer->len,
+          .not_started = cd_attempt_not_started (attempt) };
+  struct cd_request *request = attempt->request;
+
+  if (attempt->status >= CD_STATUS_ERROR)
+    lg_write (LG_ATTEMPT_FAILED, "%s: status %u from %s", request->id,
+              attempt->status, attempt->address);
+  cd_attempt_leave (attempt);
+  dsp_answer (request->request, attempt->id, &answer);
+}
+
+static void
+cd_attempt_done (void *arg, enum http_outcome outcome, bool sent)
+{
+  struct cd_attempt *attempt = arg;
+  struct cd_request *request = attempt->request;
+
+  if (request == NULL)
+    ;
+  else if (outcome == HTTP_COMPLETE && !attempt->stream)
+    cd_attempt_answered (attempt);
+  else
+    {
+      enum rq_failure failure = outcome == HTTP_CONNECT_FAILED
+                                    ? RQ_CONNECT_FAILED
+                                : outcome == HTTP_CUT ? RQ_BROKEN
+                                                      : RQ_INCOMPLETE;
+
+      cd_attempt_leave (attempt);
+      lg_write (LG_ATTEMPT_FAILED, "%s: %s at %s", request->id,
+                http_outcome_text (outcome), attempt->address);
+      dsp_failed (request->request, attempt->id, failure, sent);
+    }
+  cd_attempt_free (attempt);
+}
+
+static void
+cd_attempt_send (struct cd_attempt *attempt, const struct dsp_launch *launch)
+{
+  static const struct http_handlers handlers
+      = { cd_attempt_head, cd_attempt_body, cd_attempt_done };
+  const struct cd_request *request = attempt->request;
+  struct http_header headers[] = { { "content-type", "application/json" },
+                                   { "x-request-id", request->id },
+                                   { NULL, NULL } };
+  char *body = cd_body_write (&request->body, request->priority, request->id,
+                              launch->resume_from);
+  struct http_request call
+      = { .method = "POST",
+          .address = launch->address,
+          .path = request->path,
+          .headers = headers,
+          .body = body,
+          .body_bytes = strlen (body),
+          .timeout_ms = request->deadline_ms + CD_END_GRACE_MS,
+          .fresh = launch->fresh };
+
+  attempt->call = http_start (request->requests->daemon->client, &call,
+                              &handlers, attempt);
+  g_free (body);
+}
+
+/* Send the request to an engine as LAUNCH says.  */
+void
+cd_request_launch (void *owner, const struct dsp_launch *launch)
+{
+  struct cd_request *request = owner;
+  struct cd_attempt *attempt = g_new0 (struct cd_attempt, 1);
+  int slot = request->attempts[0] == NULL ? 0 : 1;
+
+  request->attempts[slot] = attempt;
+  attempt->request = request;
+  attempt->id = launch->attempt;
+  attempt->answer = g_string_new (NULL);
+  sse_init (&attempt->parser);
+  g_strlcpy (attempt->address, launch->address, sizeof attempt->address);
+  cd_attempt_send (attempt, launch);
+}
+
+/* Abandon ATTEMPT: its connection closes, which cancels the engine's work.  */
+void
+cd_request_cancel (void *owner, uint64_t attempt)
+{
+  const struct cd_request *request = owner;
+
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    if (request->attempts[i] != NULL && request->attempts[i]->id == attempt)
+      {
+        cd_attempt_cancel (request->attempts[i]);
+        return;
+      }
+}
+
+/* REQUEST is about to be freed: no attempt may refer to it.  */
+void
+cd_request_detach (struct cd_request *request)
+{
+  for (int i = 0; i < RQ_LIVE_MAX; i++)
+    if (request->attempts[i] != NULL)
+      cd_attempt_cancel (request->attempts[i]);
+}
--- a/libcowslip/adm.c
+++ b/libcowslip/adm.c
@@ -303,6 +303,26 @@
   return waiting;
 }
 
+/* Call EACH with ARG for each model for which requests wait.  */
+void
+adm_each_waiting (const struct adm_queues *queues,
+                  void (*each) (void *arg, const char *model,
+                                uint32_t waiting),
+                  void *arg)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, queues->by_model);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      uint32_t waiting = adm_waiting_for (queues, key);
+
+      if (waiting > 0)
+        each (arg, key, waiting);
+    }
+}
+
 static void
 adm_demand_add (struct adm_demand *demand, GSequence *sequence)
 {
--- a/libcowslip/rq.c
+++ b/libcowslip/rq.c
@@ -268,9 +268,9 @@
       rq_attempt_over (request, found, RTY_CONNECT_FAILED, sent);
       return;
     }
-  if (failure == RQ_TIMED_OUT)
+  if (failure == RQ_INCOMPLETE)
     {
-      rq_attempt_over (request, found, RTY_SERVER_ERROR, true);
+      rq_attempt_over (request, found, RTY_CUT_BEFORE_FIRST_BYTE, true);
       return;
     }
   rq_forget (request, found);
--- a/libcowslip/rq.h
+++ b/libcowslip/rq.h
@@ -36,8 +36,8 @@
 enum rq_failure
 {
   RQ_CONNECT_FAILED,
-  RQ_BROKEN,
-  RQ_TIMED_OUT
+  RQ_BROKEN,    /* the connection broke */
+  RQ_INCOMPLETE /* the answer ended in order, but is not whole or usable */
 };
 
 /* One event of a stream.  */
--- /dev/null
+++ b/libcowslip/sse.h
@@ -0,0 +1,28 @@
+#ifndef COWSLIP_SSE_H
+#define COWSLIP_SSE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <glib.h>
+
+#include "rq.h"
+
+/* Splits a stream of server-sent events, as engines send it, into whole
+   events.  */
+struct sse_parser
+{
+  GString *pending;
+  size_t scanned;
+};
+
+/* DATA is the event with its closing blank line.  Return whether to go on.  */
+typedef bool (*sse_event) (void *arg, enum rq_event_kind kind,
+                           const char *data, size_t bytes);
+
+void sse_init (struct sse_parser *parser);
+void sse_clear (struct sse_parser *parser);
+bool sse_feed (struct sse_parser *parser, const char *data, size_t bytes,
+               sse_event event, void *arg);
+
+#endif
