Test the request path with scripts and per module

A hedge is now at least 10 ms after its attempt: with very fast answers the pool's p95 gave delays below the timers' resolution.

--- a/cowslipcoved/requests_attempt.c
+++ b/cowslipcoved/requests_attempt.c
@@ -58,7 +58,8 @@
     cd_attempt_free (attempt);
 }
 
-/* The answer of ATTEMPT cannot be used, for the reason WHAT.  */
+/* The answer of ATTEMPT cannot be used, for the reason WHAT.  Only within a
+   callback of its call.  */
 static void
 cd_attempt_give_up (struct cd_attempt *attempt, const char *what)
 {
@@ -66,7 +67,9 @@
 
   lg_write (LG_ATTEMPT_FAILED, "%s: %s at %s", request->id, what,
             attempt->address);
-  cd_attempt_cancel (attempt);
+  cd_attempt_leave (attempt);
+  http_cancel (attempt->call);
+  attempt->dead = true;
   dsp_failed (request->request, attempt->id, RQ_INCOMPLETE, true);
 }
 
--- a/libcowslip/dsp_actions.c
+++ b/libcowslip/dsp_actions.c
@@ -164,6 +164,15 @@
   dsp_land (request, attempt, false);
 }
 
+static bool
+dsp_lists (const GArray *told, uint64_t fingerprint)
+{
+  for (guint i = 0; i < told->len; i++)
+    if (g_array_index (told, struct dsp_suspect, i).fingerprint == fingerprint)
+      return true;
+  return false;
+}
+
 static void
 dsp_do_report (void *arg, uint64_t attempt)
 {
@@ -179,10 +188,10 @@
   /* The crash may have been told already for another request; the peers must
      still have answered before this one goes on.  */
   own.crashes = psn_crashes (dsp->suspicions, own.fingerprint);
-  if (own.crashes > 0)
+  if (own.crashes > 0 && !dsp_lists (told, own.fingerprint))
     g_array_append_val (told, own);
   dsp->actions.suspects (dsp->arg, (const struct dsp_suspect *)told->data,
-                         told->len, request->ticket);
+                         told->len, attempt);
   g_array_free (told, TRUE);
 }
 
--- a/libcowslip/dsp_request.c
+++ b/libcowslip/dsp_request.c
@@ -5,6 +5,8 @@
    repeated elsewhere.  */
 #define DSP_HEDGE_FACTOR 3
 #define DSP_MODELS_MAX   64
+/* Differences below this are noise of timers and scheduling.  */
+#define DSP_HEDGE_MIN_US 10000
 
 /* Return the flight of ATTEMPT, or NULL.  */
 struct dsp_flight *
@@ -67,7 +69,9 @@
   /* The first byte of an answer that is not a stream comes with its end.  */
   if (!spec->stream && promised_us > 0)
     promised_us = MAX (promised_us, spec->expected_ms * DSP_US_PER_MS);
-  return promised_us * DSP_HEDGE_FACTOR;
+  return promised_us == 0
+             ? 0
+             : MAX (promised_us * DSP_HEDGE_FACTOR, DSP_HEDGE_MIN_US);
 }
 
 /* Return a new request with SPEC; dsp_request_start sets it going.  */
--- /dev/null
+++ b/regress/psn_test.c
@@ -0,0 +1,121 @@
+#include "psn.h"
+#include "unit.h"
+
+#define SECOND_US 1000000ULL
+
+static struct tm_service *tm;
+static struct psn_table *table;
+static uint32_t told;
+
+static void
+on_changed (void *arg, uint64_t fingerprint, uint32_t crashes)
+{
+  (void)arg;
+  (void)fingerprint;
+  (void)crashes;
+  told++;
+}
+
+static void
+begin (void)
+{
+  tm = tm_new (1000 * SECOND_US);
+  table = psn_new (tm, on_changed, NULL);
+  told = 0;
+}
+
+static void
+finish (void)
+{
+  psn_free (table);
+  tm_free (tm);
+}
+
+static void
+wait_us (uint64_t us)
+{
+  tm_advance (tm, tm_now_us (tm) + us);
+}
+
+/* Guards against one crash that is counted for each broken connection.  */
+static void
+test_one_crash (void)
+{
+  struct psn_run runs[3] = { 0 };
+
+  begin ();
+  for (int i = 0; i < 3; i++)
+    psn_begin (table, &runs[i], i < 2 ? 7 : 8, "e1");
+  for (int i = 0; i < 3; i++)
+    {
+      wait_us (1000);
+      psn_broken (table, &runs[i]);
+      psn_end (table, &runs[i], false);
+    }
+  CU_ASSERT_EQUAL (psn_crashes (table, 7), 1);
+  CU_ASSERT_EQUAL (psn_crashes (table, 8), 1);
+  CU_ASSERT_EQUAL (told, 2);
+  finish ();
+}
+
+/* Guards against the same crash counted once by a peer and once here, and
+   against a second crash that is taken for the first.  */
+static void
+test_peer (void)
+{
+  struct psn_run run = { 0 };
+
+  begin ();
+  psn_begin (table, &run, 7, "e1");
+  wait_us (1000);
+  psn_merge (table, 7, 1, 0);
+  wait_us (1000);
+  psn_broken (table, &run);
+  psn_end (table, &run, false);
+  CU_ASSERT_EQUAL (psn_crashes (table, 7), 1);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_SUSPECT);
+  psn_begin (table, &run, 7, "e1");
+  wait_us (1000);
+  psn_broken (table, &run);
+  psn_end (table, &run, false);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_POISON);
+  psn_merge (table, 7, 1, 0);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_POISON);
+  finish ();
+}
+
+/* Guards against a suspicion that outlives a whole answer, a peer's word or
+   ten minutes.  */
+static void
+test_end (void)
+{
+  struct psn_run run = { 0 };
+
+  begin ();
+  psn_merge (table, 7, 1, 0);
+  psn_begin (table, &run, 7, "e1");
+  CU_ASSERT_EQUAL (psn_suspects_at (table, "e1"), 1);
+  psn_end (table, &run, true);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+  CU_ASSERT_EQUAL (psn_suspects_at (table, "e1"), 0);
+  psn_merge (table, 7, 2, 0);
+  psn_merge (table, 7, 0, 0);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+  psn_merge (table, 7, 2, 1000);
+  wait_us (598 * SECOND_US);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_POISON);
+  wait_us (SECOND_US);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+  finish ();
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = { { "one crash", test_one_crash },
+                                            { "peer", test_peer },
+                                            { "end", test_end },
+                                            { NULL, NULL } };
+
+  return unit_main ("psn", tests);
+}
