Add calls to plain services and their claims to the daemon

A call that may not be repeated is claimed through the zone's claim keeper before its first byte is sent, on a connection of its own: a pooled connection that the service has just closed would leave it unknown whether the call ran.

A released claim is now marked as released instead of deleted.

An attempt asks the retry budget only when there is an endpoint to go to, so that nothing is taken from it in vain.

--- a/cowslipcoved/claims.h
+++ b/cowslipcoved/claims.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPCOVED_CLAIMS_H
 #define COWSLIPCOVED_CLAIMS_H
 
+#include <json-c/json.h>
+
 #include "cowslip.h"
 #include "daemon.h"
 
@@ -15,5 +17,8 @@
                        cd_claim_done done, void *arg);
 /* Claims whose completion has not been written yet.  */
 uint32_t cd_claims_pending (const struct cd_daemon *daemon);
+/* Add the batches of this instance to OUT.  */
+void cd_claims_status (const struct cd_daemon *daemon,
+                       struct json_object *out);
 
 #endif
--- /dev/null
+++ b/cowslipcoved/services_attempt.c
@@ -0,0 +1,160 @@
+#include <string.h>
+
+#include "lg.h"
+#include "services_impl.h"
+
+#define CD_US_PER_MS       UINT64_C (1000)
+#define CD_LIMIT_MARGIN_US (250 * CD_US_PER_MS)
+#define CD_RETRIES_MAX     2
+
+const char *const cd_passed_headers[CD_PASSED_HEADERS]
+    = { "content-type", "accept", "idempotency-key", "x-request-id" };
+
+static void
+cd_attempt_over (struct cd_call *call)
+{
+  call->attempt = NULL;
+  call->endpoint->in_flight--;
+}
+
+static void
+cd_attempt_head (void *arg, uint16_t status, const char *content_type)
+{
+  struct cd_call *call = arg;
+
+  clm_endpoint_connected (call->endpoint);
+  clm_call_head (call->machine, status, content_type);
+  if (strcmp (call->method, "HEAD") != 0)
+    return;
+  /* The answer to HEAD has no body, whatever length it declares.  */
+  http_cancel (call->attempt);
+  cd_attempt_over (call);
+  clm_call_ended (call->machine, CLM_ATTEMPT_WHOLE);
+}
+
+static void
+cd_attempt_body (void *arg, const char *data, size_t bytes)
+{
+  clm_call_body (((struct cd_call *)arg)->machine, data, bytes);
+}
+
+static enum clm_attempt_end
+cd_attempt_end (enum http_outcome outcome, bool sent)
+{
+  if (outcome == HTTP_COMPLETE)
+    return CLM_ATTEMPT_WHOLE;
+  if (!sent)
+    return CLM_ATTEMPT_NOT_SENT;
+  return outcome == HTTP_TIMEOUT ? CLM_ATTEMPT_TIMEOUT : CLM_ATTEMPT_CUT;
+}
+
+static void
+cd_attempt_done (void *arg, enum http_outcome outcome, bool sent)
+{
+  struct cd_call *call = arg;
+  const struct cd_daemon *daemon = call->config.daemon;
+
+  cd_attempt_over (call);
+  if (outcome != HTTP_COMPLETE)
+    lg_write (LG_ATTEMPT_FAILED, "service %s, endpoint %s: %s", call->service,
+              call->endpoint->address, http_outcome_text (outcome));
+  if (!sent)
+    clm_endpoint_refused (call->endpoint, tm_now_us (daemon->tm));
+  clm_call_ended (call->machine, cd_attempt_end (outcome, sent));
+}
+
+static void
+cd_attempt_headers (const struct cd_call *call,
+                    struct http_header headers[CD_PASSED_HEADERS + 1])
+{
+  size_t count = 0;
+
+  for (size_t i = 0; i < CD_PASSED_HEADERS; i++)
+    if (call->values[i] != NULL)
+      headers[count++]
+          = (struct http_header){ cd_passed_headers[i], call->values[i] };
+  headers[count] = (struct http_header){ NULL, NULL };
+}
+
+/* The call itself decides on the deadline; this limit lets a connection that
+   is never made end as "not sent" before the call gives up on it.  */
+static uint32_t
+cd_attempt_limit_ms (const struct cd_call *call)
+{
+  uint64_t now_us = tm_now_us (call->config.daemon->tm);
+  uint64_t until_us = call->deadline_us;
+
+  if (!call->config.is_repeatable)
+    until_us += CLM_LINGER_US - CD_LIMIT_MARGIN_US;
+  return until_us > now_us ? (uint32_t)((until_us - now_us) / CD_US_PER_MS) + 1
+                           : 1;
+}
+
+/* Return whether an endpoint is left for the call CONTEXT.  What is picked
+   here is what the next attempt uses.  */
+bool
+cd_act_has_endpoint (void *context)
+{
+  struct cd_call *call = context;
+  struct cd_daemon *daemon = call->config.daemon;
+
+  if (call->next == NULL && call->config.choice != NULL)
+    call->next = clm_pick (call->config.choice, call->tried,
+                           tm_now_us (daemon->tm), daemon->random);
+  return call->next != NULL;
+}
+
+/* Start an attempt of the call CONTEXT; return false if no endpoint is
+   left.  */
+bool
+cd_act_attempt (void *context)
+{
+  static const struct http_handlers handlers
+      = { cd_attempt_head, cd_attempt_body, cd_attempt_done };
+  struct cd_call *call = context;
+  struct cd_daemon *daemon = call->config.daemon;
+  struct http_header headers[CD_PASSED_HEADERS + 1];
+  struct http_request request = { .method = call->method,
+                                  .path = call->target,
+                                  .headers = headers,
+                                  .body = call->body,
+                                  .body_bytes = call->body_bytes,
+                                  .timeout_ms = cd_attempt_limit_ms (call),
+                                  .fresh = !call->config.is_repeatable };
+
+  if (!cd_act_has_endpoint (call))
+    return false;
+  call->endpoint = call->next;
+  call->next = NULL;
+  g_ptr_array_add (call->tried, call->endpoint);
+  call->endpoint->in_flight++;
+  request.address = call->endpoint->address;
+  cd_attempt_headers (call, headers);
+  call->attempt = http_start (daemon->client, &request, &handlers, call);
+  return true;
+}
+
+/* Cancel the attempt of the call CONTEXT, if there is one.  */
+void
+cd_act_abandon (void *context)
+{
+  struct cd_call *call = context;
+
+  if (call->attempt == NULL)
+    return;
+  http_cancel (call->attempt);
+  cd_attempt_over (call);
+}
+
+/* Return whether the call CONTEXT may try again because of REASON.  */
+bool
+cd_act_may_retry (void *context, enum rty_reason reason)
+{
+  struct cd_call *call = context;
+
+  if (call->retries == CD_RETRIES_MAX)
+    return false;
+  call->retries++;
+  ctr_retry (call->config.daemon->counters, reason);
+  return true;
+}
--- /dev/null
+++ b/cowslipcoved/services_call.c
@@ -0,0 +1,192 @@
+#include "claims.h"
+#include "peers.h"
+#include "services_impl.h"
+
+#define CD_US_PER_MS UINT64_C (1000)
+
+static void
+cd_act_claimed (void *arg, const cs_claim_reply *reply)
+{
+  clm_call_claimed (((struct cd_call *)arg)->machine, reply);
+}
+
+static void
+cd_act_claim (void *context, const cs_claim *claim)
+{
+  struct cd_call *call = context;
+
+  cd_claims_submit (call->config.daemon, claim, cd_act_claimed, call);
+}
+
+static void
+cd_settled (void *arg, const cs_claim_reply *reply)
+{
+  struct cd_daemon *daemon = arg;
+
+  if (reply->outcome != CS_CLAIM_GRANTED)
+    ctr_add (daemon->counters, "claims_not_settled_total", 1);
+}
+
+static void
+cd_act_settle (void *context, const cs_claim *claim)
+{
+  struct cd_call *call = context;
+
+  cd_claims_submit (call->config.daemon, claim, cd_settled,
+                    call->config.daemon);
+}
+
+static bool
+cd_act_is_owner_alive (void *context, const char *owner, uint64_t incarnation)
+{
+  const struct cd_call *call = context;
+  const struct mem_table *members = cd_members (call->config.daemon);
+  const struct mem_member *member
+      = members == NULL ? NULL : mem_find (members, owner);
+
+  return member != NULL && member->incarnation == incarnation
+         && (member == mem_self (members) || member->recorded
+             || member->reachable);
+}
+
+static void
+cd_act_finished (void *context)
+{
+  struct cd_call *call = context;
+
+  call->config.finished (call->config.arg, call);
+}
+
+static void
+cd_call_machine (struct cd_call *call, const cs_claim *claim)
+{
+  static const struct clm_call_actions actions = {
+    .claim = cd_act_claim,
+    .settle = cd_act_settle,
+    .attempt = cd_act_attempt,
+    .has_endpoint = cd_act_has_endpoint,
+    .abandon = cd_act_abandon,
+    .may_retry = cd_act_may_retry,
+    .is_owner_alive = cd_act_is_owner_alive,
+    .answer = cd_act_answer,
+    .refuse = cd_act_refuse,
+    .stream_start = cd_act_stream_start,
+    .stream_data = cd_act_stream_data,
+    .stream_end = cd_act_stream_end,
+    .finished = cd_act_finished,
+  };
+  struct clm_call_config config
+      = { .actions = &actions,
+          .context = call,
+          .tm = call->config.daemon->tm,
+          .is_repeatable = call->config.is_repeatable,
+          .deduplicates = call->config.service->deduplicates,
+          .deadline_us = call->deadline_us,
+          .claim = claim };
+
+  call->machine = clm_call_new (&config);
+}
+
+static void
+cd_call_claim (struct cd_call *call, const char *key)
+{
+  const struct cd_daemon *daemon = call->config.daemon;
+  char none[] = "";
+  char *claim_key = clm_key (call->service, key);
+  cs_claim claim
+      = { .kind = CS_CLAIM_OPEN,
+          .key = claim_key,
+          .claim_id = clm_new_id (daemon->random, daemon->incarnation),
+          .request_digest = clm_digest (call->method, call->target, "",
+                                        call->body, call->body_bytes),
+          .owner = daemon->settings->instance,
+          .owner_incarnation = daemon->incarnation,
+          .content_type = none };
+
+  cd_call_machine (call, &claim);
+  g_free (claim_key);
+}
+
+/* Return a new call as CONFIG says.  It keeps what it needs of the exchange,
+   which its caller may end at any time.  */
+struct cd_call *
+cd_call_new (const struct cd_call_config *config)
+{
+  struct cd_call *call = g_new0 (struct cd_call, 1);
+  struct http_exchange *exchange = config->exchange;
+
+  call->config = *config;
+  call->exchange = exchange;
+  call->service = g_strdup (config->service->name);
+  call->method = g_strdup (http_method (exchange));
+  call->target = g_strdup (config->target);
+  call->body_bytes = http_body_bytes (exchange);
+  call->body = g_memdup2 (http_body (exchange), call->body_bytes);
+  for (size_t i = 0; i < CD_PASSED_HEADERS; i++)
+    call->values[i]
+        = g_strdup (http_header_value (exchange, cd_passed_headers[i]));
+  call->tried = g_ptr_array_new ();
+  call->deadline_us = tm_now_us (config->daemon->tm)
+                      + config->klass->deadline_ms * CD_US_PER_MS;
+  if (config->is_repeatable)
+    cd_call_machine (call, NULL);
+  else
+    cd_call_claim (call, config->key);
+  call->config.exchange = NULL;
+  call->config.service = NULL;
+  call->config.klass = NULL;
+  call->config.target = NULL;
+  call->config.key = NULL;
+  return call;
+}
+
+/* Start CALL, which may finish at once.  */
+void
+cd_call_start (struct cd_call *call)
+{
+  cd_caller_watch (call);
+  clm_call_start (call->machine);
+}
+
+/* Free CALL without an answer to its caller.  */
+void
+cd_call_free (void *arg)
+{
+  struct cd_call *call = arg;
+
+  cd_act_abandon (call);
+  tm_cancel (call->config.daemon->tm, &call->gone);
+  if (call->exchange != NULL)
+    http_on_gone (call->exchange, NULL, NULL);
+  clm_call_free (call->machine);
+  for (size_t i = 0; i < CD_PASSED_HEADERS; i++)
+    g_free (call->values[i]);
+  g_ptr_array_free (call->tried, TRUE);
+  g_free (call->service);
+  g_free (call->method);
+  g_free (call->target);
+  g_free (call->body);
+  g_free (call);
+}
+
+/* Use CHOICE from now on; NULL: the service is no longer in the document.  */
+void
+cd_call_endpoints_changed (struct cd_call *call,
+                           const struct clm_choice *choice)
+{
+  call->config.choice = choice;
+}
+
+/* Return the name of the service that CALL goes to.  */
+const char *
+cd_call_service (const struct cd_call *call)
+{
+  return call->service;
+}
+
+/* Return whether CALL holds a claim that is not settled.  */
+bool
+cd_call_holds_claim (const struct cd_call *call)
+{
+  return clm_call_holds_claim (call->machine);
+}
--- /dev/null
+++ b/cowslipcoved/services_caller.c
@@ -0,0 +1,182 @@
+#include "lg.h"
+#include "services_impl.h"
+
+#define CD_US_PER_MS UINT64_C (1000)
+/* h2o does not report a caller that leaves before its answer has begun.  */
+#define CD_GONE_POLL_US      (250 * CD_US_PER_MS)
+#define CD_GONE_STATUS       499
+#define CD_PENDING_MAX_BYTES (8U << 20)
+
+static void
+cd_count (const struct cd_call *call, const char *outcome)
+{
+  char name[64];
+
+  g_snprintf (name, sizeof name, "service_calls_total{outcome=\"%s\"}",
+              outcome);
+  ctr_add (call->config.daemon->counters, name, 1);
+}
+
+static void
+cd_tell_gone (void *arg)
+{
+  struct cd_call *call = arg;
+
+  cd_count (call, "gone");
+  clm_call_gone (call->machine);
+}
+
+/* The exchange must not be touched any more.  The machine is told from the
+   loop, because it may be in the middle of an action.  */
+static void
+cd_caller_gone (void *arg)
+{
+  struct cd_call *call = arg;
+
+  call->exchange = NULL;
+  tm_after (call->config.daemon->tm, &call->gone, 0, cd_tell_gone, call);
+}
+
+/* Only an answer ends the exchange; its status reaches nobody.  */
+static void
+cd_caller_poll (void *arg)
+{
+  struct cd_call *call = arg;
+  struct http_exchange *exchange = call->exchange;
+
+  if (!http_peer_closed (exchange))
+    {
+      tm_after (call->config.daemon->tm, &call->gone, CD_GONE_POLL_US,
+                cd_caller_poll, call);
+      return;
+    }
+  call->exchange = NULL;
+  http_respond (exchange, CD_GONE_STATUS, NULL, "", 0);
+  cd_tell_gone (call);
+}
+
+/* Notice when the caller of CALL leaves.  A call that may not be repeated goes
+   on without its caller, so nobody asks for it.  */
+void
+cd_caller_watch (struct cd_call *call)
+{
+  http_on_gone (call->exchange, cd_caller_gone, call);
+  if (call->config.is_repeatable)
+    tm_after (call->config.daemon->tm, &call->gone, CD_GONE_POLL_US,
+              cd_caller_poll, call);
+}
+
+static struct http_exchange *
+cd_take_exchange (struct cd_call *call)
+{
+  struct http_exchange *exchange = call->exchange;
+
+  if (exchange == NULL)
+    return NULL;
+  call->exchange = NULL;
+  tm_cancel (call->config.daemon->tm, &call->gone);
+  http_on_gone (exchange, NULL, NULL);
+  return exchange;
+}
+
+/* Give ANSWER to the caller of the call CONTEXT.  */
+void
+cd_act_answer (void *context, const struct clm_answer *answer)
+{
+  struct cd_call *call = context;
+  struct http_exchange *exchange = cd_take_exchange (call);
+
+  if (exchange == NULL)
+    return;
+  cd_count (call, answer->is_repeat ? "repeated" : "answered");
+  http_respond (exchange, (uint16_t)answer->status, answer->content_type,
+                answer->body == NULL ? "" : answer->body, answer->body_bytes);
+}
+
+static const char *
+cd_refusal_message (enum rsn_refusal reason)
+{
+  switch (reason)
+    {
+    case RSN_NO_ENDPOINT:
+      return "no endpoint of the service takes connections";
+    case RSN_ENDPOINT_FAILED:
+    case RSN_ANSWER_CUT:
+      return "the service did not answer completely";
+    case RSN_RETRY_BUDGET:
+      return "the call failed and too many calls are being repeated";
+    case RSN_DEADLINE:
+      return "the deadline of the request's class has passed";
+    case RSN_IN_PROGRESS:
+      return "an earlier call with this Idempotency-Key is being answered";
+    case RSN_OUTCOME_UNKNOWN:
+      return "the call may have run, but its outcome is not known";
+    case RSN_KEY_REUSED:
+      return "this Idempotency-Key belongs to another request";
+    case RSN_ANSWER_NOT_KEPT:
+      return "the call has run; its answer was too large to be kept";
+    case RSN_CLAIM_UNAVAILABLE:
+      return "the call could not be protected from running twice";
+    default:
+      return rsn_refusal_text (reason);
+    }
+}
+
+/* Refuse the call CONTEXT because of REASON.  */
+void
+cd_act_refuse (void *context, enum rsn_refusal reason, bool not_run)
+{
+  struct cd_call *call = context;
+  struct http_exchange *exchange = cd_take_exchange (call);
+
+  if (reason == RSN_OUTCOME_UNKNOWN)
+    lg_write (LG_CLAIM_UNKNOWN, "service %s, %s %s", call->service,
+              call->method, call->target);
+  if (exchange == NULL)
+    return;
+  cd_count (call, "refused");
+  cd_refuse (call->config.daemon, exchange, reason, not_run,
+             cd_refusal_message (reason));
+}
+
+/* Start an answer that is passed on piece by piece.  */
+void
+cd_act_stream_start (void *context, uint32_t status, const char *content_type)
+{
+  struct cd_call *call = context;
+
+  if (call->exchange == NULL)
+    return;
+  tm_cancel (call->config.daemon->tm, &call->gone);
+  http_stream_start (call->exchange, (uint16_t)status, content_type);
+}
+
+/* Pass on BYTES at DATA.  A caller that reads too slowly is dropped, so that
+   it cannot hold memory without bound.  */
+void
+cd_act_stream_data (void *context, const char *data, size_t bytes)
+{
+  struct cd_call *call = context;
+
+  if (call->exchange == NULL)
+    return;
+  http_stream_write (call->exchange, data, bytes);
+  if (call->exchange == NULL
+      || http_stream_pending_bytes (call->exchange) <= CD_PENDING_MAX_BYTES)
+    return;
+  http_stream_end (cd_take_exchange (call), false);
+  cd_caller_gone (call);
+}
+
+/* End an answer that was passed on, as cut unless WHOLE.  */
+void
+cd_act_stream_end (void *context, bool whole)
+{
+  struct cd_call *call = context;
+  struct http_exchange *exchange = cd_take_exchange (call);
+
+  if (exchange == NULL)
+    return;
+  cd_count (call, whole ? "answered" : "cut");
+  http_stream_end (exchange, whole);
+}
--- /dev/null
+++ b/cowslipcoved/services_impl.h
@@ -0,0 +1,44 @@
+#ifndef COWSLIPCOVED_SERVICES_IMPL_H
+#define COWSLIPCOVED_SERVICES_IMPL_H
+
+#include "clm_call.h"
+#include "services_call.h"
+
+#define CD_PASSED_HEADERS 4
+
+struct cd_call
+{
+  struct cd_call_config config;
+  struct http_exchange *exchange; /* NULL: answered or gone */
+  struct clm_call *machine;
+  char *service;
+  char *method;
+  char *target;
+  char *body;
+  size_t body_bytes;
+  char *values[CD_PASSED_HEADERS]; /* NULL: not given */
+  GPtrArray *tried;                /* struct clm_endpoint */
+  struct clm_endpoint *endpoint;   /* of the attempt under way */
+  struct clm_endpoint *next;       /* picked already; NULL: none */
+  struct http_call *attempt;
+  struct tm_timer gone;
+  uint64_t deadline_us;
+  uint32_t retries;
+};
+
+extern const char *const cd_passed_headers[CD_PASSED_HEADERS];
+
+bool cd_act_attempt (void *context);
+bool cd_act_has_endpoint (void *context);
+void cd_act_abandon (void *context);
+bool cd_act_may_retry (void *context, enum rty_reason reason);
+
+void cd_caller_watch (struct cd_call *call);
+void cd_act_answer (void *context, const struct clm_answer *answer);
+void cd_act_refuse (void *context, enum rsn_refusal reason, bool not_run);
+void cd_act_stream_start (void *context, uint32_t status,
+                          const char *content_type);
+void cd_act_stream_data (void *context, const char *data, size_t bytes);
+void cd_act_stream_end (void *context, bool whole);
+
+#endif
--- a/libcowslip/clm_batch.h
+++ b/libcowslip/clm_batch.h
@@ -33,6 +33,8 @@
 void clm_batch_free (struct clm_batch *batch);
 void clm_batch_submit (struct clm_batch *batch, const cs_claim *claim,
                        uint64_t limit_us, clm_done done, void *arg);
+void clm_batch_serve (struct clm_batch *batch, const cs_claim *claim,
+                      clm_done done, void *arg);
 struct clm_batch_stats clm_batch_stats (const struct clm_batch *batch);
 
 #endif
--- a/libcowslip/clm_call.h
+++ b/libcowslip/clm_call.h
@@ -15,6 +15,7 @@
   const char *content_type;
   const char *body;
   size_t body_bytes;
+  bool is_repeat; /* kept from an earlier call */
 };
 
 /* How an attempt ended.  */
@@ -37,6 +38,8 @@
   /* Start an attempt at an endpoint that was not tried; false: there is
      none.  Its end comes back through clm_call_ended.  */
   bool (*attempt) (void *context);
+  /* Whether attempt would find one.  */
+  bool (*has_endpoint) (void *context);
   /* Cancel the attempt under way; nothing comes back.  */
   void (*abandon) (void *context);
   bool (*may_retry) (void *context, enum rty_reason reason);
@@ -48,7 +51,7 @@
                         const char *content_type);
   void (*stream_data) (void *context, const char *data, size_t bytes);
   void (*stream_end) (void *context, bool whole);
-  /* The last action: the call may be freed after the event.  */
+  /* The last action; the call may be freed in it.  */
   void (*finished) (void *context);
 };
 
--- /dev/null
+++ b/libcowslip/clm_call_answer.c
@@ -0,0 +1,74 @@
+#include "clm_call_impl.h"
+
+/* Nothing is left to do for CALL, which is freed.  */
+void
+clm_call_finish (struct clm_call *call)
+{
+  call->state = CLM_FINISHED;
+  tm_cancel (call->config.tm, &call->timer);
+  call->config.actions->finished (call->config.context);
+}
+
+/* Refuse CALL because of REASON, unless its caller has its answer.  */
+void
+clm_call_refuse (struct clm_call *call, enum rsn_refusal reason, bool not_run)
+{
+  if (call->answered)
+    return;
+  call->answered = true;
+  call->config.actions->refuse (call->config.context, reason, not_run);
+}
+
+/* Answer CALL with ANSWER, unless its caller has one.  */
+void
+clm_call_give_answer (struct clm_call *call, const struct clm_answer *answer)
+{
+  if (call->answered)
+    return;
+  call->answered = true;
+  call->config.actions->answer (call->config.context, answer);
+}
+
+/* End the answer that is passed on piece by piece, if there is one.  */
+void
+clm_call_end_stream (struct clm_call *call, bool whole)
+{
+  if (!call->streaming)
+    return;
+  call->streaming = false;
+  call->config.actions->stream_end (call->config.context, whole);
+}
+
+/* Give the claim back; only if no byte was written under it.  */
+void
+clm_call_release (struct clm_call *call)
+{
+  if (!call->holds_claim)
+    return;
+  call->holds_claim = false;
+  call->claim->kind = CS_CLAIM_RELEASE;
+  call->config.actions->settle (call->config.context, call->claim);
+}
+
+/* Store STATUS, and the body if WITH_BODY, under the claim of CALL.  */
+void
+clm_call_complete (struct clm_call *call, uint32_t status, bool with_body)
+{
+  cs_claim *claim = call->claim;
+
+  if (!call->holds_claim)
+    return;
+  call->holds_claim = false;
+  claim->kind = CS_CLAIM_COMPLETE;
+  claim->status = status;
+  if (with_body)
+    {
+      g_free (claim->content_type);
+      claim->content_type = g_strdup (call->content_type);
+      claim->body.body_len = (uint32_t)call->body->len;
+      claim->body.body_val = call->body->str;
+    }
+  call->config.actions->settle (call->config.context, claim);
+  claim->body.body_len = 0;
+  claim->body.body_val = NULL;
+}
--- /dev/null
+++ b/libcowslip/clm_call_impl.h
@@ -0,0 +1,41 @@
+#ifndef COWSLIP_CLM_CALL_IMPL_H
+#define COWSLIP_CLM_CALL_IMPL_H
+
+#include "clm_call.h"
+
+enum clm_state
+{
+  CLM_CLAIMING,
+  CLM_RUNNING,
+  CLM_FINISHED
+};
+
+struct clm_call
+{
+  struct clm_call_config config;
+  cs_claim *claim;
+  struct tm_timer timer;
+  enum clm_state state;
+  bool holds_claim;
+  bool was_sent;  /* a byte may have been written by an earlier attempt */
+  bool answered;  /* the caller has its answer or has gone */
+  bool streaming; /* an answer that is too large to be kept is passed on */
+  bool head_seen;
+  bool too_large;
+  uint32_t status;
+  char *content_type;
+  GString *body;
+};
+
+void clm_call_finish (struct clm_call *call);
+void clm_call_refuse (struct clm_call *call, enum rsn_refusal reason,
+                      bool not_run);
+void clm_call_give_answer (struct clm_call *call,
+                           const struct clm_answer *answer);
+void clm_call_end_stream (struct clm_call *call, bool whole);
+void clm_call_release (struct clm_call *call);
+void clm_call_complete (struct clm_call *call, uint32_t status,
+                        bool with_body);
+void clm_call_broken (struct clm_call *call, bool timeout);
+
+#endif
--- a/libcowslip/clm_item.c
+++ b/libcowslip/clm_item.c
@@ -84,34 +84,60 @@
          && item->found->owner_incarnation == item->claim->owner_incarnation;
 }
 
+/* The outcome of a new claim that found its own claim id.  A released claim is
+   not opened again, since its caller was told that the call does not run.  */
+static cs_claim_outcome
+clm_item_own_outcome (const struct clm_item *item)
+{
+  switch (item->found->kind)
+    {
+    case CS_CLAIM_OPEN:
+      return CS_CLAIM_GRANTED;
+    case CS_CLAIM_COMPLETE:
+      return CS_CLAIM_DONE;
+    default:
+      return CS_CLAIM_UNAVAILABLE;
+    }
+}
+
+/* The stored claim is that of another call.  A released one is written over,
+   but not by a new claim that came from another instance: that may be a late
+   copy of a claim that was released before this one.  */
+static bool
+clm_item_settle_other (const struct clm_item *item, cs_claim_reply *reply)
+{
+  if (item->found->kind != CS_CLAIM_RELEASE
+      || item->claim->kind == CS_CLAIM_COMPLETE)
+    return true;
+  if (item->claim->kind == CS_CLAIM_RELEASE || !item->is_foreign)
+    return false;
+  reply->outcome = CS_CLAIM_UNAVAILABLE;
+  return true;
+}
+
 /* Return whether what was read answers ITEM, and if so with what REPLY.
    Otherwise ITEM is to be written over the revision that was read.  A
    completion whose claim is gone is written all the same, as it requires that
    there is no other; a repeated call then gets the answer instead of a second
-   run.  */
+   run.  A release is written even if there is no claim, because a write whose
+   answer was lost may still be under way and requires that there is none.  */
 bool
 clm_item_settle (const struct clm_item *item, cs_claim_reply *reply)
 {
   memset (reply, 0, sizeof *reply);
-  if (!item->known || item->found == NULL)
-    {
-      reply->outcome = CS_CLAIM_GRANTED;
-      reply->owner = item->claim->owner;
-      reply->content_type = item->claim->content_type;
-      return item->known && item->claim->kind == CS_CLAIM_RELEASE;
-    }
+  if (item->found == NULL)
+    return false;
   clm_reply_from (reply, item->found);
   if (!clm_item_is_own (item))
-    return true;
+    return clm_item_settle_other (item, reply);
   if (item->claim->kind == CS_CLAIM_OPEN)
     {
-      if (item->found->kind == CS_CLAIM_OPEN)
-        reply->outcome = CS_CLAIM_GRANTED;
+      reply->outcome = clm_item_own_outcome (item);
       return true;
     }
   if (item->found->kind == CS_CLAIM_OPEN)
     return false;
-  if (item->claim->kind == CS_CLAIM_COMPLETE)
+  if (item->claim->kind == item->found->kind)
     reply->outcome = CS_CLAIM_GRANTED;
   return true;
 }
--- a/libcowslip/clm_item.h
+++ b/libcowslip/clm_item.h
@@ -16,6 +16,7 @@
   uint64_t give_up_us;
   uint64_t not_before_us;
   uint32_t failures;
+  bool is_foreign;  /* sent by another instance */
   bool in_doubt;    /* a write may have taken effect unseen */
   bool known;       /* FOUND and REVISION are what was read last */
   cs_claim *found;  /* NULL: there is none */
--- a/libcowslip/clm_record.c
+++ b/libcowslip/clm_record.c
@@ -7,6 +7,10 @@
 
 #include "clm.h"
 
+static const char *const clm_states[] = { [CS_CLAIM_OPEN] = "open",
+                                          [CS_CLAIM_COMPLETE] = "done",
+                                          [CS_CLAIM_RELEASE] = "released" };
+
 /* Return a deep copy of CLAIM, to be freed with clm_free.  */
 cs_claim *
 clm_copy (const cs_claim *claim)
@@ -57,14 +61,13 @@
   g_free (body);
 }
 
-/* Return the value under which CLAIM is stored: open for CS_CLAIM_OPEN, else
-   completed with its answer.  The body is in base64, because it may hold any
-   bytes.  Free the value with g_free.  */
+/* Return the value under which CLAIM is stored: open, completed with its
+   answer or released, by its kind.  The body is in base64, because it may hold
+   any bytes.  Free the value with g_free.  */
 char *
 clm_write (const cs_claim *claim)
 {
   struct json_object *object = json_object_new_object ();
-  bool open = claim->kind == CS_CLAIM_OPEN;
   char *text;
 
   clm_add_hex (object, "claim_id", claim->claim_id);
@@ -73,8 +76,8 @@
   clm_add_hex (object, "incarnation", claim->owner_incarnation);
   clm_add_hex (object, "request_digest", claim->request_digest);
   json_object_object_add (object, "state",
-                          json_object_new_string (open ? "open" : "done"));
-  if (!open)
+                          json_object_new_string (clm_states[claim->kind]));
+  if (claim->kind == CS_CLAIM_COMPLETE)
     clm_add_answer (object, claim);
   text = g_strdup (
       json_object_to_json_string_ext (object, JSON_C_TO_STRING_PLAIN));
@@ -115,9 +118,9 @@
 
   if (type == NULL || body == NULL
       || !json_object_object_get_ex (object, "status", &status)
-      || !json_object_is_type (status, json_type_int))
+      || !json_object_is_type (status, json_type_int)
+      || strlen (type) > COWSLIP_NAME_MAX)
     return false;
-  claim->kind = CS_CLAIM_COMPLETE;
   claim->status = (uint32_t)json_object_get_int64 (status);
   g_free (claim->content_type);
   claim->content_type = g_strdup (type);
@@ -135,7 +138,8 @@
   uint64_t incarnation;
   uint64_t digest;
 
-  if (owner == NULL || state == NULL || !clm_hex (object, "claim_id", &id)
+  if (owner == NULL || strlen (owner) > COWSLIP_NAME_MAX || state == NULL
+      || !clm_hex (object, "claim_id", &id)
       || !clm_hex (object, "incarnation", &incarnation)
       || !clm_hex (object, "request_digest", &digest))
     return false;
@@ -144,14 +148,18 @@
   claim->request_digest = digest;
   g_free (claim->owner);
   claim->owner = g_strdup (owner);
-  if (strcmp (state, "done") == 0)
-    return clm_parse_answer (object, claim);
-  return strcmp (state, "open") == 0;
+  for (size_t i = 0; i < G_N_ELEMENTS (clm_states); i++)
+    if (strcmp (state, clm_states[i]) == 0)
+      {
+        claim->kind = (cs_claim_kind)i;
+        return claim->kind != CS_CLAIM_COMPLETE
+               || clm_parse_answer (object, claim);
+      }
+  return false;
 }
 
-/* Return the claim stored as VALUE, with the kind CS_CLAIM_OPEN or
-   CS_CLAIM_COMPLETE and an empty key, or NULL if VALUE is malformed.  Free it
-   with clm_free.  */
+/* Return the claim stored as VALUE, with an empty key and the kind that was
+   written last, or NULL if VALUE is malformed.  Free it with clm_free.  */
 cs_claim *
 clm_parse (const char *value)
 {
--- a/regress/clm_sim.c
+++ b/regress/clm_sim.c
@@ -246,8 +246,8 @@
   (void)sim;
   if (message->keeper_incarnation != 0
       && message->keeper->incarnation == message->keeper_incarnation)
-    clm_batch_submit (message->keeper->batch, message->claim, 2 * SIM_S,
-                      sim_keeper_wrote, message);
+    clm_batch_serve (message->keeper->batch, message->claim, sim_keeper_wrote,
+                     message);
   clm_free (message->claim);
 }
 
@@ -400,6 +400,12 @@
   call->attempt = NULL;
 }
 
+static bool
+sim_has_endpoint (void *context)
+{
+  return ((const struct sim_call *)context)->endpoints_tried < 3;
+}
+
 static bool
 sim_may_retry (void *context, enum rty_reason reason)
 {
@@ -526,6 +532,7 @@
     .claim = sim_claim,
     .settle = sim_settle,
     .attempt = sim_start_attempt,
+    .has_endpoint = sim_has_endpoint,
     .abandon = sim_abandon,
     .may_retry = sim_may_retry,
     .is_owner_alive = sim_is_owner_alive,
@@ -765,6 +772,27 @@
                    instance->calls->len);
 }
 
+/* An open claim of a live owner that has no such call would block its key
+   although nothing runs.  */
+static void
+sim_check_open (struct sim *sim, uint32_t key)
+{
+  char name[32];
+  const char *value;
+  cs_claim *claim;
+
+  g_snprintf (name, sizeof name, "claims/svc/%u", key);
+  value = fake_kv_value (sim->kv, name);
+  if (value == NULL)
+    return;
+  claim = clm_parse (value);
+  if (claim->kind == CS_CLAIM_OPEN
+      && sim->instances[atoi (claim->owner)].incarnation
+             == claim->owner_incarnation)
+    sim_violation (sim, "key %u: claim left open", key);
+  clm_free (claim);
+}
+
 static void
 sim_free (struct sim *sim)
 {
@@ -807,7 +835,10 @@
   sim_plan (&sim);
   tm_advance (sim.tm, SIM_END_US);
   for (uint32_t key = 0; key < SIM_KEYS; key++)
-    sim_check_key (&sim, key);
+    {
+      sim_check_key (&sim, key);
+      sim_check_open (&sim, key);
+    }
   for (guint i = 0; i < sim.records->len; i++)
     sim_check_not_run (&sim,
                        &g_array_index (sim.records, struct sim_record, i));
--- a/regress/clm_test.c
+++ b/regress/clm_test.c
@@ -4,7 +4,7 @@
 #include "clm_sim.h"
 #include "unit.h"
 
-#define SEEDS 400
+#define SEEDS 1000
 
 /* Guards against second runs, false "not run" answers, differing answers to
    one key and calls without an end, under crashes of owners and keepers, lost
