--- /dev/null
+++ b/regress/services_test.c
@@ -0,0 +1,362 @@
+#include <string.h>
+
+#include "claims.h"
+#include "fake_kv.h"
+#include "peers.h"
+#include "services.h"
+#include "unit.h"
+
+/* Calls over real connections: callers, one instance and a service.  */
+
+struct world
+{
+  uv_loop_t loop;
+  struct cd_daemon daemon;
+  struct set_settings settings;
+  struct fake_kv *kv;
+  struct http_server *service;
+  char front_address[32];
+  char service_address[32];
+  struct env_endpoint endpoints[2];
+  struct env_service booking;
+  uint32_t runs;
+  bool answered;
+  enum http_outcome outcome;
+  uint16_t status;
+  GString *body;
+};
+
+static struct world world;
+static const struct env_class counter = { .deadline_ms = 4000 };
+
+/* Parts of the daemon that these calls need.  */
+
+const struct mem_table *
+cd_members (const struct cd_daemon *daemon)
+{
+  (void)daemon;
+  return NULL;
+}
+
+struct env_document *
+cd_document (const struct cd_daemon *daemon)
+{
+  return (struct env_document *)daemon;
+}
+
+const struct env_service *
+env_service (const struct env_document *document, const char *name)
+{
+  (void)document;
+  return strcmp (name, "booking") == 0 ? &world.booking : NULL;
+}
+
+const struct env_class *
+env_class (const struct env_document *document, const char *name)
+{
+  (void)document;
+  (void)name;
+  return NULL;
+}
+
+const GPtrArray *
+env_services (const struct env_document *document)
+{
+  static gpointer list[] = { &world.booking };
+  static GPtrArray services = { list, 1 };
+
+  (void)document;
+  return &services;
+}
+
+void
+cd_refuse (struct cd_daemon *daemon, struct http_exchange *exchange,
+           enum rsn_refusal reason, bool not_run, const char *message)
+{
+  char *text = g_strdup_printf ("%s%s", rsn_refusal_text (reason),
+                                not_run ? ", not run" : "");
+
+  (void)daemon;
+  (void)message;
+  http_respond (exchange, rsn_refusal_status (reason), "text/plain", text,
+                strlen (text));
+  g_free (text);
+}
+
+const struct mem_member *
+mem_self (const struct mem_table *table)
+{
+  (void)table;
+  return NULL;
+}
+
+const struct mem_member *
+mem_lowest (const struct mem_table *table)
+{
+  return mem_self (table);
+}
+
+const struct mem_member *
+mem_find (const struct mem_table *table, const char *instance)
+{
+  (void)instance;
+  return mem_self (table);
+}
+
+void
+rpc_serve (struct rpc_node *node, const struct rpc_procedure *procedure,
+           void *arg)
+{
+  (void)node;
+  (void)procedure;
+  (void)arg;
+}
+
+void
+rpc_answer (struct rpc_request *request, void *result)
+{
+  (void)request;
+  (void)result;
+}
+
+void
+rpc_send (struct rpc_node *node, const struct rpc_call *call, rpc_done done,
+          void *arg)
+{
+  (void)node;
+  (void)call;
+  done (arg, RPC_CONNECT_FAILED, NULL);
+}
+
+/* The service: it counts its runs and answers as the path says.  */
+
+static void
+service_answer (void *arg, struct http_exchange *exchange)
+{
+  const char *path = http_path (exchange);
+  bool is_large = strcmp (path, "/large") == 0;
+  char *text = is_large ? g_strnfill (100000, '.')
+                        : g_strdup_printf ("run %u", ++world.runs);
+
+  (void)arg;
+  if (strcmp (path, "/cut") == 0)
+    {
+      http_stream_start (exchange, 200, "text/plain");
+      http_stream_write (exchange, text, strlen (text));
+      http_stream_end (exchange, false);
+    }
+  else
+    http_respond (exchange, 200, "text/plain", text, strlen (text));
+  g_free (text);
+}
+
+static void
+front_request (void *arg, struct http_exchange *exchange)
+{
+  cd_services_handle (arg, exchange);
+}
+
+static void
+on_head (void *arg, uint16_t status, const char *content_type)
+{
+  (void)arg;
+  (void)content_type;
+  world.status = status;
+}
+
+static void
+on_body (void *arg, const char *data, size_t bytes)
+{
+  (void)arg;
+  g_string_append_len (world.body, data, (gssize)bytes);
+}
+
+static void
+on_done (void *arg, enum http_outcome outcome, bool sent)
+{
+  (void)arg;
+  (void)sent;
+  world.outcome = outcome;
+  world.answered = true;
+}
+
+/* Make a call; LIMIT_MS > 0: the caller leaves after it.  */
+static void
+call (const char *method, const char *path, const char *key, const char *body,
+      uint32_t limit_ms)
+{
+  static const struct http_handlers handlers = { on_head, on_body, on_done };
+  struct http_header headers[]
+      = { { key == NULL ? NULL : "idempotency-key", key }, { NULL, NULL } };
+  struct http_request request = { .method = method,
+                                  .address = world.front_address,
+                                  .path = path,
+                                  .headers = headers,
+                                  .body = body,
+                                  .body_bytes = strlen (body),
+                                  .timeout_ms = limit_ms };
+
+  world.answered = false;
+  world.status = 0;
+  g_string_truncate (world.body, 0);
+  http_start (world.daemon.client, &request, &handlers, NULL);
+  while (!world.answered)
+    uv_run (&world.loop, UV_RUN_ONCE);
+}
+
+static void
+wait_idle (void)
+{
+  while (cd_services_active (&world.daemon) > 0
+         || cd_claims_pending (&world.daemon) > 0)
+    uv_run (&world.loop, UV_RUN_ONCE);
+}
+
+static void
+set_up (void)
+{
+  struct cd_daemon *d = &world.daemon;
+
+  uv_loop_init (&world.loop);
+  tm_uv_start (&d->clock, &world.loop);
+  d->loop = &world.loop;
+  d->tm = d->clock.service;
+  d->counters = ctr_new ();
+  d->settings = &world.settings;
+  d->random = gsl_rng_alloc (gsl_rng_mt19937);
+  d->incarnation = 7;
+  d->client = http_client_new (&world.loop, d->tm);
+  world.kv = fake_kv_new (d->tm, 1000);
+  d->kv = fake_kv_store (world.kv);
+  world.settings.instance = world.settings.zone = world.settings.environment
+      = "a";
+  world.body = g_string_new (NULL);
+  world.service = http_server_new (&world.loop, "127.0.0.1:0", 1 << 20,
+                                   service_answer, NULL, NULL);
+  d->server = http_server_new (&world.loop, "127.0.0.1:0", 1 << 20,
+                               front_request, d, NULL);
+  g_snprintf (world.service_address, sizeof world.service_address,
+              "127.0.0.1:%u", http_server_port (world.service));
+  g_snprintf (world.front_address, sizeof world.front_address, "127.0.0.1:%u",
+              http_server_port (d->server));
+  world.endpoints[0] = (struct env_endpoint){ world.service_address, "a" };
+  /* Nothing listens on this port of the discard service.  */
+  world.endpoints[1] = (struct env_endpoint){ "127.0.0.1:9", "a" };
+  world.booking = (struct env_service){ .name = "booking",
+                                        .default_class = &counter,
+                                        .endpoints = g_ptr_array_new () };
+  g_ptr_array_add (world.booking.endpoints, &world.endpoints[0]);
+  g_ptr_array_add (world.booking.endpoints, &world.endpoints[1]);
+  d->claims = cd_claims_new (d);
+  d->services = cd_services_new (d);
+  cd_publish (d, CD_DOCUMENT, d);
+}
+
+/* Guards against second runs, lost answers and wrong refusals between callers
+   and a real service, with a dead endpoint beside it.  */
+static void
+test_calls (void)
+{
+  static const struct
+  {
+    const char *method, *path, *key, *body;
+    uint16_t status;
+    const char *answer;
+    uint32_t runs;
+  } cases[] = {
+    { "POST", "/svc/booking/ok", NULL, "x", 400, "key_missing, not run", 0 },
+    { "POST", "/svc/other/ok", "k1", "x", 404, "not_found, not run", 0 },
+    { "POST", "/svc/booking/ok", "k1", "x", 200, "run 1", 1 },
+    { "POST", "/svc/booking/ok", "k1", "x", 200, "run 1", 1 },
+    { "POST", "/svc/booking/ok", "k1", "y", 422, "key_reused", 1 },
+    { "POST", "/svc/booking/ok?a=1", "k1", "x", 422, "key_reused", 1 },
+    { "POST", "/svc/booking/cut", "k2", "x", 502, "outcome_unknown", 2 },
+    { "POST", "/svc/booking/cut", "k2", "x", 502, "outcome_unknown", 2 },
+    { "POST", "/svc/booking/large", "k3", "x", 200, NULL, 2 },
+    { "POST", "/svc/booking/large", "k3", "x", 410, "answer_not_kept", 2 },
+    { "GET", "/svc/booking/ok", NULL, "", 200, "run 3", 3 },
+    { "PUT", "/svc/booking", "k4", "", 200, "run 4", 4 },
+    { "GET", "/svc/booking/cut", NULL, "", 502, "answer_cut", 5 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      call (cases[i].method, cases[i].path, cases[i].key, cases[i].body, 0);
+      CU_ASSERT_EQUAL (world.status, cases[i].status);
+      CU_ASSERT_EQUAL (world.runs, cases[i].runs);
+      if (cases[i].answer != NULL)
+        CU_ASSERT_STRING_EQUAL (world.body->str, cases[i].answer);
+    }
+  call ("POST", "/svc/booking/large", "k5", "x", 0);
+  CU_ASSERT_EQUAL (world.outcome, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (world.body->len, 100000);
+  wait_idle ();
+}
+
+/* Guards against work for a leaving endpoint, and against a key that stays
+   blocked after a refusal that said "not run".  */
+static void
+test_leaving (void)
+{
+  struct cd_leaving leaving = { world.service_address, true };
+  uint32_t runs = world.runs;
+
+  cd_publish (&world.daemon, CD_LEAVING, &leaving);
+  call ("POST", "/svc/booking/ok", "leaving", "x", 0);
+  CU_ASSERT_STRING_EQUAL (world.body->str, "no_endpoint, not run");
+  CU_ASSERT_EQUAL (world.runs, runs);
+  leaving.leaving = false;
+  cd_publish (&world.daemon, CD_LEAVING, &leaving);
+  call ("POST", "/svc/booking/ok", "leaving", "x", 0);
+  CU_ASSERT_EQUAL (world.status, 200);
+  CU_ASSERT_EQUAL (world.runs, runs + 1);
+}
+
+/* Guards against a call that ends with its caller: the answer is kept.  */
+static void
+test_gone (void)
+{
+  uint32_t runs = world.runs;
+
+  call ("POST", "/svc/booking/ok", "gone", "x", 20);
+  CU_ASSERT_EQUAL (world.outcome, HTTP_TIMEOUT);
+  wait_idle ();
+  CU_ASSERT_EQUAL (world.runs, runs + 1);
+  call ("POST", "/svc/booking/ok", "gone", "x", 0);
+  CU_ASSERT_EQUAL (world.status, 200);
+  CU_ASSERT_EQUAL (world.runs, runs + 1);
+}
+
+/* Guards against a run without a claim, and against a call to HEAD that waits
+   for a body.  */
+static void
+test_outage (void)
+{
+  uint32_t runs = world.runs;
+
+  fake_kv_set_fault (world.kv, FAKE_KV_UNAVAILABLE);
+  call ("POST", "/svc/booking/ok", "outage", "x", 0);
+  CU_ASSERT_STRING_EQUAL (world.body->str, "claim_unavailable, not run");
+  CU_ASSERT_EQUAL (world.runs, runs);
+  world.booking.deduplicates = true;
+  call ("POST", "/svc/booking/ok", "outage", "x", 0);
+  CU_ASSERT_EQUAL (world.status, 200);
+  CU_ASSERT_EQUAL (world.runs, runs + 1);
+  fake_kv_set_fault (world.kv, FAKE_KV_NONE);
+  call ("HEAD", "/svc/booking/ok", NULL, "", 2000);
+  CU_ASSERT_EQUAL (world.status, 200);
+  wait_idle ();
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[] = { { "calls", test_calls },
+                                            { "leaving", test_leaving },
+                                            { "gone", test_gone },
+                                            { "outage", test_outage },
+                                            { NULL, NULL } };
+
+  set_up ();
+  return unit_main ("services", tests);
+}
