Add the load tool and a check of the stand-ins' records

cowslipload sends the requests of an experiment file as an open loop (Poisson, bursts, a swing or a replayed file), checks every answer against the text that the stand-ins are to give, and counts per class what was delivered whole and in time, refused by reason, lost, doubled and wrong. Its exit status is 0 only if nothing was lost, doubled or wrong.

cowslipload check reads the records of the stand-ins and reports more replicas than a zone's budget, overcommitted memory, orders with an old fencing number that were carried out, keys that ran twice and refusals that were not true.

Stand-ins print their port once they listen, so that whoever starts them need not wait for a fixed time.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 
 CFLAGS = -O2 -g
 STRICT = -Wall -Wextra -Werror
-CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin
+CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin -Iregress
 MODFLAGS = $(shell pkg-config --cflags $(MODULES))
 LIBS = $(shell pkg-config --libs $(MODULES)) -lm -lpthread
 COMPILE = @$(CC) -std=gnu11 $(CFLAGS) $(SANFLAGS) $(STRICT) $(CPPFLAGS) \
@@ -30,6 +30,8 @@
 DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipcoved/*.c))
 CTL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipctl/*.c))
 LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipload/*.c))
+# The load tool knows what the stand-ins answer and how to read their records.
+LOAD_SHARED = $(BUILD)/standin/answer.o $(BUILD)/regress/invariants.o
 # Each standin/NAME/ is one program; standin/*.c is shared by all of them.
 STANDIN_DIRS = $(wildcard standin/*/)
 STANDINS = $(patsubst standin/%/,$(BUILD)/standin-%,$(STANDIN_DIRS))
@@ -77,7 +79,7 @@
 $(BUILD)/cowslipctl/cowslipctl: $(CTL_OBJ) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/cowslipload/cowslipload: $(LOAD_OBJ) $(LIB)
+$(BUILD)/cowslipload/cowslipload: $(LOAD_OBJ) $(LOAD_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
 .SECONDEXPANSION:
--- /dev/null
+++ b/cowslipload/arrivals.h
@@ -0,0 +1,17 @@
+#ifndef COWSLIPLOAD_ARRIVALS_H
+#define COWSLIPLOAD_ARRIVALS_H
+
+#include <gsl/gsl_rng.h>
+
+#include "experiment.h"
+
+/* The times at which requests are sent, whatever the answers do.  */
+struct ld_arrivals;
+
+struct ld_arrivals *ld_arrivals_new (const struct ld_experiment *experiment,
+                                     gsl_rng *random, GError **error);
+void ld_arrivals_free (struct ld_arrivals *arrivals);
+bool ld_arrivals_next (struct ld_arrivals *arrivals, uint64_t *at_us,
+                       const struct ld_mix **mix);
+
+#endif
--- /dev/null
+++ b/cowslipload/experiment.h
@@ -0,0 +1,86 @@
+#ifndef COWSLIPLOAD_EXPERIMENT_H
+#define COWSLIPLOAD_EXPERIMENT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <gsl/gsl_randist.h>
+
+#define LD_ERROR (ld_error_quark ())
+
+enum ld_kind
+{
+  LD_COMPLETION,
+  LD_CHAT,
+  LD_SERVICE
+};
+
+enum ld_arrival_kind
+{
+  LD_POISSON,
+  LD_BURST,
+  LD_SWING,
+  LD_REPLAY
+};
+
+/* When requests arrive.  Rates are in requests per second.  */
+struct ld_arrival
+{
+  enum ld_arrival_kind kind;
+  double rate;
+  uint32_t burst; /* requests of one burst */
+  uint32_t every_ms;
+  double factor; /* of a swing */
+  double at_s;
+  double rise_s;
+  double hold_s;
+  char *file; /* of a replay */
+};
+
+/* One kind of request in the mix.  */
+struct ld_mix
+{
+  char *name;
+  char *class_name; /* NULL: the model's own */
+  char *tally;      /* name in the report */
+  enum ld_kind kind;
+  double weight;
+  GPtrArray *names; /* models, adapters or services */
+  double skew;      /* exponent of the names' popularity, 0: equal */
+  gsl_ran_discrete_t *popularity;
+  uint32_t tokens_min;
+  uint32_t tokens_max;
+  double long_percent; /* requests that run long_factor times longer */
+  uint32_t long_factor;
+  uint32_t prompt_bytes;
+  uint32_t prefixes; /* different prompt beginnings, 0: none shared */
+  bool stream;
+  char *method;
+  char *path;
+  bool key;              /* send an Idempotency-Key */
+  double repeat_percent; /* calls sent twice with the same key */
+  char *marker;          /* text put into marker_percent of the prompts */
+  double marker_percent;
+  uint32_t deadline_ms;
+};
+
+/* One experiment, read from a file.  */
+struct ld_experiment
+{
+  uint64_t seed;
+  double duration_s;
+  uint32_t requests_max;
+  uint32_t in_flight_max;
+  bool resend;
+  GPtrArray *targets; /* "IP:PORT" */
+  struct ld_arrival arrival;
+  GPtrArray *mix; /* struct ld_mix */
+};
+
+GQuark ld_error_quark (void);
+struct ld_experiment *ld_experiment_load (const char *file, GError **error);
+struct ld_experiment *ld_experiment_parse (const char *text, GError **error);
+void ld_experiment_free (struct ld_experiment *experiment);
+
+#endif
--- /dev/null
+++ b/cowslipload/main.c
@@ -0,0 +1,239 @@
+#include <argp.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "check.h"
+#include "run.h"
+
+#define LD_TABLE_TITLE "seed %" PRIu64 "\n"
+
+enum option_key
+{
+  OPTION_RESEND = 256,
+  OPTION_KEYS
+};
+
+/* What the command line says.  */
+struct ld_arguments
+{
+  const char *experiment;
+  const char *csv;
+  const char *png;
+  const char *keys;
+  GPtrArray *targets;
+  const char *seed;
+  const char *duration;
+  const char *rate;
+  bool resend;
+};
+
+static const struct argp_option options[]
+    = { { "target", 't', "ADDRESS", 0,
+          "send to ADDRESS (IP:PORT); may be given several times", 0 },
+        { "seed", 's', "NUMBER", 0, "seed of all random choices", 0 },
+        { "duration", 'd', "SECONDS", 0, "send for SECONDS", 0 },
+        { "rate", 'r', "NUMBER", 0, "requests per second", 0 },
+        { "resend", OPTION_RESEND, NULL, 0,
+          "send again after a broken connection", 0 },
+        { "csv", 'c', "FILE", 0, "write the counts and times to FILE", 0 },
+        { "plot", 'p', "FILE.png", 0,
+          "write gnuplot commands for FILE.png to FILE.gp", 0 },
+        { "keys", OPTION_KEYS, "FILE", 0,
+          "write what is known about each idempotency key to FILE", 0 },
+        { 0 } };
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct ld_arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 't':
+      g_ptr_array_add (arguments->targets, g_strdup (arg));
+      return 0;
+    case 's':
+      arguments->seed = arg;
+      return 0;
+    case 'd':
+      arguments->duration = arg;
+      return 0;
+    case 'r':
+      arguments->rate = arg;
+      return 0;
+    case OPTION_RESEND:
+      arguments->resend = true;
+      return 0;
+    case 'c':
+      arguments->csv = arg;
+      return 0;
+    case 'p':
+      arguments->png = arg;
+      return 0;
+    case OPTION_KEYS:
+      arguments->keys = arg;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (arguments->experiment != NULL)
+        argp_usage (state);
+      arguments->experiment = arg;
+      return 0;
+    case ARGP_KEY_NO_ARGS:
+      argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static bool
+apply_arguments (struct ld_experiment *experiment,
+                 struct ld_arguments *arguments)
+{
+  if (arguments->seed != NULL)
+    experiment->seed = strtoull (arguments->seed, NULL, 10);
+  if (arguments->duration != NULL)
+    experiment->duration_s = strtod (arguments->duration, NULL);
+  if (arguments->rate != NULL)
+    experiment->arrival.rate = strtod (arguments->rate, NULL);
+  if (arguments->resend)
+    experiment->resend = true;
+  if (arguments->targets->len > 0)
+    {
+      g_ptr_array_free (experiment->targets, TRUE);
+      experiment->targets = arguments->targets;
+    }
+  return experiment->targets->len > 0 && experiment->duration_s > 0
+         && (experiment->arrival.rate > 0
+             || experiment->arrival.kind == LD_REPLAY
+             || experiment->arrival.kind == LD_BURST);
+}
+
+static FILE *
+open_output (const char *file)
+{
+  FILE *out = fopen (file, "w");
+
+  if (out == NULL)
+    fprintf (stderr, "cowslipload: %s: cannot write\n", file);
+  return out;
+}
+
+static bool
+write_csv (const GPtrArray *tallies, const char *file)
+{
+  FILE *out = open_output (file);
+
+  if (out == NULL)
+    return false;
+  ld_report_csv (tallies, out);
+  return fclose (out) == 0;
+}
+
+static bool
+write_plot (const GPtrArray *tallies, const char *png)
+{
+  size_t bytes
+      = strlen (png) - (g_str_has_suffix (png, ".png") ? strlen (".png") : 0);
+  char *file = g_strdup_printf ("%.*s.gp", (int)bytes, png);
+  FILE *out = open_output (file);
+  bool written = false;
+
+  if (out != NULL)
+    {
+      ld_report_plot (tallies, png, out);
+      written = fclose (out) == 0;
+      printf ("run \"gnuplot %s\" to draw %s\n", file, png);
+    }
+  g_free (file);
+  return written;
+}
+
+/* Nothing lost, doubled or wrong, and at least one request was sent.  */
+static bool
+passed (const GPtrArray *tallies)
+{
+  uint64_t sent = 0;
+  uint64_t bad = 0;
+
+  for (guint i = 0; i < tallies->len; i++)
+    {
+      const struct ld_tally *tally = tallies->pdata[i];
+
+      sent += tally->sent;
+      bad += tally->lost + tally->doubled + tally->wrong;
+    }
+  return sent > 0 && bad == 0;
+}
+
+static bool
+run (const struct ld_arguments *arguments,
+     const struct ld_experiment *experiment)
+{
+  GPtrArray *tallies = g_ptr_array_new_with_free_func (ld_tally_free);
+  FILE *keys = NULL;
+  GError *error = NULL;
+  bool good;
+
+  if (arguments->keys != NULL
+      && (keys = open_output (arguments->keys)) == NULL)
+    return false;
+  printf (LD_TABLE_TITLE, experiment->seed);
+  good = ld_run (experiment, tallies, keys, &error);
+  if (keys != NULL && fclose (keys) != 0)
+    good = false;
+  if (error != NULL)
+    {
+      fprintf (stderr, "cowslipload: %s\n", error->message);
+      g_error_free (error);
+    }
+  else
+    {
+      ld_report_table (tallies, stdout);
+      good = good && passed (tallies);
+      if (arguments->csv != NULL)
+        good = write_csv (tallies, arguments->csv) && good;
+      if (arguments->png != NULL)
+        good = write_plot (tallies, arguments->png) && good;
+    }
+  g_ptr_array_free (tallies, TRUE);
+  return good;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { options,
+          parse_option,
+          "EXPERIMENT",
+          "Send the requests of an experiment and report what became of them."
+          "\vSee also: cowslipload check --help",
+          NULL,
+          NULL,
+          NULL };
+  struct ld_arguments arguments = { 0 };
+  struct ld_experiment *experiment;
+  GError *error = NULL;
+  bool good;
+
+  if (argc > 1 && strcmp (argv[1], "check") == 0)
+    return ld_check (argc - 1, argv + 1);
+  arguments.targets = g_ptr_array_new_with_free_func (g_free);
+  argp_parse (&parser, argc, argv, 0, NULL, &arguments);
+  experiment = ld_experiment_load (arguments.experiment, &error);
+  if (experiment == NULL)
+    {
+      fprintf (stderr, "cowslipload: %s\n", error->message);
+      return EXIT_FAILURE;
+    }
+  if (!apply_arguments (experiment, &arguments))
+    {
+      fprintf (stderr, "cowslipload: no target, duration or rate\n");
+      return EXIT_FAILURE;
+    }
+  good = run (&arguments, experiment);
+  ld_experiment_free (experiment);
+  return good ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/cowslipload/run.h
@@ -0,0 +1,83 @@
+#ifndef COWSLIPLOAD_RUN_H
+#define COWSLIPLOAD_RUN_H
+
+#include <stdio.h>
+
+#include <uv.h>
+
+#include "arrivals.h"
+#include "http_client.h"
+#include "reply.h"
+#include "tally.h"
+#include "tm_uv.h"
+
+#define LD_KEY_BYTES 48
+
+/* What is known about one idempotency key.  */
+struct ld_key
+{
+  char text[LD_KEY_BYTES];
+  uint64_t run;   /* number given by the first answer, 0: none */
+  uint32_t sends; /* logical calls with this key */
+  uint32_t not_run;
+};
+
+/* One experiment under way.  */
+struct ld_run
+{
+  const struct ld_experiment *experiment;
+  uv_loop_t loop;
+  struct tm_uv driver;
+  struct tm_service *tm;
+  struct http_client *client;
+  uv_signal_t interrupt;
+  gsl_rng *random;
+  struct ld_arrivals *arrivals;
+  GPtrArray *tallies;
+  GHashTable *keys; /* struct ld_key by text */
+  uint64_t start_us;
+  uint64_t next_us;
+  const struct ld_mix *next_mix;
+  struct tm_timer arrival;
+  struct tm_timer progress;
+  uint64_t serial;
+  uint64_t sent;
+  uint64_t in_flight;
+  uint64_t not_sent; /* more in flight than allowed */
+  bool arrived_all;
+};
+
+/* One request with all its attempts.  */
+struct ld_request
+{
+  struct ld_run *run;
+  const struct ld_mix *mix;
+  struct ld_tally *tally;
+  const char *name; /* of the model or service */
+  char *path;
+  char *body;
+  uint64_t seed; /* of the expected text */
+  uint32_t tokens;
+  struct ld_key *key; /* NULL: none */
+  uint64_t due_us;    /* when it arrived */
+  uint64_t last_token_us;
+  double first_token_ms;
+  uint32_t tokens_seen;
+  guint target;
+  uint32_t attempts;
+  struct ld_reply reply;
+  struct tm_timer resend;
+};
+
+bool ld_run (const struct ld_experiment *experiment, GPtrArray *tallies,
+             FILE *keys, GError **error);
+void ld_run_done (struct ld_run *run);
+
+struct ld_request *ld_request_new (struct ld_run *run,
+                                   const struct ld_mix *mix, uint64_t due_us);
+struct ld_request *ld_request_repeat (const struct ld_request *first);
+void ld_request_send (struct ld_request *request);
+
+const char *ld_verify (struct ld_request *request);
+
+#endif
--- /dev/null
+++ b/cowslipload/verify.c
@@ -0,0 +1,90 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include <json-c/json.h>
+
+#include "answer.h"
+#include "run.h"
+
+static const char *
+ld_verify_text (const struct ld_request *request)
+{
+  GString *expected = g_string_new (NULL);
+  char token[ANSWER_TOKEN_BYTES];
+  bool same;
+
+  for (uint32_t i = 0; i < request->tokens; i++)
+    {
+      answer_token (request->seed, i, token);
+      g_string_append (expected, token);
+    }
+  same = g_string_equal (expected, request->reply.text);
+  g_string_free (expected, TRUE);
+  return same ? NULL : "wrong";
+}
+
+static bool
+ld_same (struct json_object *answer, const char *key, const char *expected)
+{
+  struct json_object *value = json_object_object_get (answer, key);
+
+  return value != NULL
+         && strcmp (json_object_get_string (value), expected) == 0;
+}
+
+/* All answers for one key must name the same run.  */
+static const char *
+ld_verify_run (struct ld_key *key, struct json_object *answer)
+{
+  struct json_object *value = json_object_object_get (answer, "run");
+  uint64_t run = value == NULL ? 0 : json_object_get_uint64 (value);
+
+  if (run == 0)
+    return "wrong";
+  if (key == NULL)
+    return NULL;
+  if (key->run == 0)
+    key->run = run;
+  return key->run == run ? NULL : "doubled";
+}
+
+/* A service that is called directly sees the whole path.  */
+static bool
+ld_same_path (struct json_object *answer, const char *path)
+{
+  struct json_object *value = json_object_object_get (answer, "path");
+
+  return value != NULL
+         && g_str_has_suffix (json_object_get_string (value), path);
+}
+
+static const char *
+ld_verify_service (const struct ld_request *request)
+{
+  struct json_object *answer
+      = json_tokener_parse (request->reply.buffered->str);
+  const char *body = request->body == NULL ? "" : request->body;
+  const char *verdict = "wrong";
+  char digest[17];
+
+  (void)g_snprintf (digest, sizeof digest, "%016" PRIx64,
+                    answer_digest (body, strlen (body)));
+  if (json_object_is_type (answer, json_type_object)
+      && ld_same (answer, "request_digest", digest)
+      && ld_same_path (answer, request->mix->path)
+      && ld_same (answer, "key",
+                  request->key == NULL ? "" : request->key->text))
+    verdict = ld_verify_run (request->key, answer);
+  json_object_put (answer);
+  return verdict;
+}
+
+/* Check the whole answer of REQUEST.  Return NULL if it is the one answer to
+   this request, "wrong" if it is not its answer, or "doubled" if it is that of
+   a second run.  */
+const char *
+ld_verify (struct ld_request *request)
+{
+  return request->mix->kind == LD_SERVICE ? ld_verify_service (request)
+                                          : ld_verify_text (request);
+}
--- /dev/null
+++ b/regress/invariants.c
@@ -0,0 +1,384 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "invariants.h"
+
+/* A leaving endpoint may receive new work for this long.  */
+#define INV_LEAVING_MAX_MS 3000
+
+/* A replica that appeared (+1) or went (-1).  */
+struct inv_change
+{
+  uint64_t time_us;
+  int32_t step;
+};
+
+/* The replicas of one model in one zone.  */
+struct inv_slots
+{
+  char *model;
+  char *zone;
+  uint32_t budget;
+  GArray *changes;
+};
+
+struct inv_finding_entry
+{
+  bool violation;
+  char *text;
+};
+
+struct inv
+{
+  GHashTable *slots; /* by "ZONE MODEL" */
+  GHashTable *runs;  /* number of runs by idempotency key */
+  GHashTable *keys;  /* struct inv_key by key */
+  GPtrArray *findings;
+  bool services_read;
+};
+
+static void
+inv_slots_free (gpointer memory)
+{
+  struct inv_slots *slots = memory;
+
+  g_free (slots->model);
+  g_free (slots->zone);
+  g_array_free (slots->changes, TRUE);
+  g_free (slots);
+}
+
+static void
+inv_entry_free (gpointer memory)
+{
+  struct inv_finding_entry *entry = memory;
+
+  g_free (entry->text);
+  g_free (entry);
+}
+
+/* Return a checker that knows nothing yet.  */
+struct inv *
+inv_new (void)
+{
+  struct inv *inv = g_new0 (struct inv, 1);
+
+  inv->slots = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                      inv_slots_free);
+  inv->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  inv->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  inv->findings = g_ptr_array_new_with_free_func (inv_entry_free);
+  return inv;
+}
+
+/* Free INV.  */
+void
+inv_free (struct inv *inv)
+{
+  g_hash_table_destroy (inv->slots);
+  g_hash_table_destroy (inv->runs);
+  g_hash_table_destroy (inv->keys);
+  g_ptr_array_free (inv->findings, TRUE);
+  g_free (inv);
+}
+
+static void inv_add (struct inv *inv, bool violation, const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+static void
+inv_add (struct inv *inv, bool violation, const char *format, ...)
+{
+  struct inv_finding_entry *entry = g_new0 (struct inv_finding_entry, 1);
+  va_list ap;
+
+  va_start (ap, format);
+  entry->text = g_strdup_vprintf (format, ap);
+  va_end (ap);
+  entry->violation = violation;
+  g_ptr_array_add (inv->findings, entry);
+}
+
+static int64_t
+inv_int (struct json_object *object, const char *key)
+{
+  return json_object_get_int64 (json_object_object_get (object, key));
+}
+
+static const char *
+inv_string (struct json_object *object, const char *key)
+{
+  struct json_object *value = json_object_object_get (object, key);
+
+  return value == NULL ? "" : json_object_get_string (value);
+}
+
+static size_t
+inv_length (struct json_object *list)
+{
+  return json_object_is_type (list, json_type_array)
+             ? json_object_array_length (list)
+             : 0;
+}
+
+static struct inv_slots *
+inv_slots (struct inv *inv, const char *model, const char *zone)
+{
+  char *name = g_strdup_printf ("%s %s", zone, model);
+  struct inv_slots *slots = g_hash_table_lookup (inv->slots, name);
+
+  if (slots != NULL)
+    {
+      g_free (name);
+      return slots;
+    }
+  slots = g_new0 (struct inv_slots, 1);
+  slots->model = g_strdup (model);
+  slots->zone = g_strdup (zone);
+  slots->changes = g_array_new (FALSE, FALSE, sizeof (struct inv_change));
+  g_hash_table_insert (inv->slots, name, slots);
+  return slots;
+}
+
+/* Allow REPLICAS of MODEL in ZONE.  Of several budgets the highest counts,
+   because a document may have changed during the run.  */
+void
+inv_budget (struct inv *inv, const char *model, const char *zone,
+            uint32_t replicas)
+{
+  struct inv_slots *slots = inv_slots (inv, model, zone);
+
+  slots->budget = MAX (slots->budget, replicas);
+}
+
+static void
+inv_engine_change (struct inv *inv, const char *zone, GHashTable *held,
+                   struct json_object *entry)
+{
+  const char *model = inv_string (entry, "model");
+  const char *state = inv_string (entry, "state");
+  struct inv_change change = { (uint64_t)inv_int (entry, "time_us"), 0 };
+
+  if (strcmp (state, "loading") == 0 || strcmp (state, "loaded") == 0)
+    change.step = g_hash_table_add (held, (gpointer)model) ? 1 : 0;
+  else
+    change.step = g_hash_table_remove (held, model) ? -1 : 0;
+  if (change.step != 0)
+    g_array_append_val (inv_slots (inv, model, zone)->changes, change);
+}
+
+static void
+inv_engine_changes (struct inv *inv, const char *address, const char *zone,
+                    struct json_object *records)
+{
+  struct json_object *changes = json_object_object_get (records, "changes");
+  GHashTable *held = g_hash_table_new (g_str_hash, g_str_equal);
+  int64_t memory_bytes = inv_int (records, "memory_bytes");
+
+  for (size_t i = 0; i < inv_length (changes); i++)
+    {
+      struct json_object *entry = json_object_array_get_idx (changes, i);
+      int64_t used_bytes = inv_int (entry, "used_bytes");
+
+      inv_engine_change (inv, zone, held, entry);
+      if (used_bytes > memory_bytes)
+        inv_add (inv, true,
+                 "engine %s: %" PRId64 " of %" PRId64 " bytes used at %" PRId64
+                 " us",
+                 address, used_bytes, memory_bytes,
+                 inv_int (entry, "time_us"));
+    }
+  g_hash_table_destroy (held);
+}
+
+/* An engine that does not check fencing numbers obeys old orders too, so that
+   an order of a former controller shows here.  */
+static void
+inv_engine_orders (struct inv *inv, const char *address,
+                   struct json_object *records)
+{
+  struct json_object *orders = json_object_object_get (records, "orders");
+  uint64_t highest = 0;
+
+  for (size_t i = 0; i < inv_length (orders); i++)
+    {
+      struct json_object *order = json_object_array_get_idx (orders, i);
+      uint64_t fence
+          = g_ascii_strtoull (inv_string (order, "fence"), NULL, 10);
+
+      if (fence < highest && inv_int (order, "status") < 300)
+        inv_add (inv, true,
+                 "engine %s: order %s %s with fence %" PRIu64
+                 " carried out after fence %" PRIu64,
+                 address, inv_string (order, "order"),
+                 inv_string (order, "model"), fence, highest);
+      highest = MAX (highest, fence);
+    }
+}
+
+/* Take the RECORDS of the engine at ADDRESS in ZONE.  */
+void
+inv_engine (struct inv *inv, const char *address, const char *zone,
+            struct json_object *records)
+{
+  struct json_object *overcommits
+      = json_object_object_get (records, "overcommits");
+
+  inv_engine_changes (inv, address, zone, records);
+  inv_engine_orders (inv, address, records);
+  if (inv_length (overcommits) > 0)
+    inv_add (inv, true, "engine %s: memory overcommitted %zu times", address,
+             inv_length (overcommits));
+  if (inv_int (records, "dropped") > 0)
+    inv_add (inv, true, "engine %s: records are not complete", address);
+  if (inv_int (records, "last_after_leaving_ms") > INV_LEAVING_MAX_MS)
+    inv_add (inv, true,
+             "engine %s: new work %" PRId64 " ms after it began to leave",
+             address, inv_int (records, "last_after_leaving_ms"));
+  if (inv_int (records, "refused_memory") > 0)
+    inv_add (inv, false,
+             "engine %s: refused %" PRId64 " orders for lack of memory",
+             address, inv_int (records, "refused_memory"));
+  if (inv_int (records, "unloads_while_busy") > 0)
+    inv_add (inv, false, "engine %s: %" PRId64 " unloads while in use",
+             address, inv_int (records, "unloads_while_busy"));
+}
+
+/* Take the RECORDS of the service at ADDRESS.  */
+void
+inv_service (struct inv *inv, const char *address, struct json_object *records)
+{
+  struct json_object *runs = json_object_object_get (records, "runs");
+
+  inv->services_read = true;
+  for (size_t i = 0; i < inv_length (runs); i++)
+    {
+      const char *key
+          = inv_string (json_object_array_get_idx (runs, i), "key");
+      uint64_t *count = g_hash_table_lookup (inv->runs, key);
+
+      if (key[0] == '\0')
+        continue;
+      if (count == NULL)
+        {
+          count = g_new0 (uint64_t, 1);
+          g_hash_table_insert (inv->runs, g_strdup (key), count);
+        }
+      ++*count;
+    }
+  if (inv_int (records, "dropped") > 0)
+    inv_add (inv, true, "service %s: records are not complete", address);
+}
+
+/* Take the RECORDS of the key-value service at ADDRESS.  */
+void
+inv_kv (struct inv *inv, const char *address, struct json_object *records)
+{
+  int64_t refused
+      = inv_int (json_object_object_get (records, "calls"), "refused_by_rate");
+
+  if (refused > 0)
+    inv_add (inv, false,
+             "key-value service %s: %" PRId64 " calls over the rate limit",
+             address, refused);
+}
+
+/* Take what callers know about KEY.  */
+void
+inv_key (struct inv *inv, const struct inv_key *key)
+{
+  struct inv_key *held = g_new (struct inv_key, 1);
+
+  *held = *key;
+  held->text = NULL;
+  g_hash_table_replace (inv->keys, g_strdup (key->text), held);
+}
+
+static gint
+inv_change_compare (gconstpointer a, gconstpointer b)
+{
+  const struct inv_change *x = a;
+  const struct inv_change *y = b;
+
+  if (x->time_us != y->time_us)
+    return x->time_us < y->time_us ? -1 : 1;
+  return x->step - y->step;
+}
+
+static void
+inv_check_slots (struct inv *inv, struct inv_slots *slots)
+{
+  int64_t count = 0;
+  int64_t highest = 0;
+  uint64_t when_us = 0;
+
+  g_array_sort (slots->changes, inv_change_compare);
+  for (guint i = 0; i < slots->changes->len; i++)
+    {
+      const struct inv_change *change
+          = &g_array_index (slots->changes, struct inv_change, i);
+
+      count += change->step;
+      if (count > highest)
+        {
+          highest = count;
+          when_us = change->time_us;
+        }
+    }
+  if (highest > slots->budget)
+    inv_add (inv, true,
+             "model %s in %s: %" PRId64 " replicas of %u allowed at %" PRIu64
+             " us",
+             slots->model, slots->zone, highest, slots->budget, when_us);
+}
+
+static void
+inv_check_keys (struct inv *inv)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, inv->runs);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (*(const uint64_t *)value > 1)
+      inv_add (inv, true, "key %s ran %" PRIu64 " times", (const char *)key,
+               *(const uint64_t *)value);
+  g_hash_table_iter_init (&iter, inv->keys);
+  while (inv->services_read && g_hash_table_iter_next (&iter, &key, &value))
+    {
+      const struct inv_key *known = value;
+      const uint64_t *runs = g_hash_table_lookup (inv->runs, key);
+
+      if (runs == NULL && known->run > 0)
+        inv_add (inv, true, "key %s was answered but never ran",
+                 (const char *)key);
+      if (runs != NULL && known->not_run == known->sends)
+        inv_add (inv, true, "key %s was refused as not run, but ran",
+                 (const char *)key);
+    }
+}
+
+/* Report all findings to FINDING with ARG and return the number of
+   violations.  */
+uint32_t
+inv_report (struct inv *inv, inv_finding finding, void *arg)
+{
+  GHashTableIter iter;
+  gpointer slots;
+  uint32_t violations = 0;
+
+  g_hash_table_iter_init (&iter, inv->slots);
+  while (g_hash_table_iter_next (&iter, NULL, &slots))
+    inv_check_slots (inv, slots);
+  inv_check_keys (inv);
+  for (guint i = 0; i < inv->findings->len; i++)
+    {
+      const struct inv_finding_entry *entry = inv->findings->pdata[i];
+
+      finding (arg, entry->violation, entry->text);
+      violations += entry->violation;
+    }
+  return violations;
+}
--- /dev/null
+++ b/regress/invariants.h
@@ -0,0 +1,36 @@
+#ifndef REGRESS_INVARIANTS_H
+#define REGRESS_INVARIANTS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <json-c/json.h>
+
+/* Checks the records of the stand-ins for violated guarantees.  */
+struct inv;
+
+/* What the callers know about one idempotency key.  */
+struct inv_key
+{
+  const char *text;
+  uint64_t run;     /* whose answer was received, 0: none */
+  uint64_t sends;   /* calls with this key */
+  uint64_t not_run; /* of them refused as not run */
+};
+
+typedef void (*inv_finding) (void *arg, bool violation, const char *text);
+
+struct inv *inv_new (void);
+void inv_free (struct inv *inv);
+void inv_budget (struct inv *inv, const char *model, const char *zone,
+                 uint32_t replicas);
+void inv_engine (struct inv *inv, const char *address, const char *zone,
+                 struct json_object *records);
+void inv_service (struct inv *inv, const char *address,
+                  struct json_object *records);
+void inv_kv (struct inv *inv, const char *address,
+             struct json_object *records);
+void inv_key (struct inv *inv, const struct inv_key *key);
+uint32_t inv_report (struct inv *inv, inv_finding finding, void *arg);
+
+#endif
--- a/standin/host.c
+++ b/standin/host.c
@@ -1,5 +1,5 @@
-#include <stdlib.h>
-#include <time.h>
+#include <signal.h>
+#include <stdio.h>
 
 #include "lg.h"
 #include "standin.h"
@@ -28,18 +28,23 @@
   uv_signal_start (&host->interrupt, stand_on_signal, SIGINT);
 }
 
-/* Answer requests to ADDRESS ("IP:PORT") by HANDLER with ARG.  Log the cause
-   and return false if the address cannot be used.  */
+/* Answer requests to ADDRESS ("IP:PORT", port 0 takes a free one) by HANDLER
+   with ARG and print the port to standard output, so that whoever started the
+   program knows when it listens.  Log the cause and return false if the
+   address cannot be used.  */
 bool
 stand_listen (struct stand_host *host, const char *address,
               http_handler handler, void *arg)
 {
   GError *error = NULL;
+  struct http_server *server = http_server_new (
+      &host->loop, address, STAND_BODY_MAX_BYTES, handler, arg, &error);
 
-  if (http_server_new (&host->loop, address, STAND_BODY_MAX_BYTES, handler,
-                       arg, &error)
-      != NULL)
-    return true;
+  if (server != NULL)
+    {
+      printf ("%u\n", http_server_port (server));
+      return fflush (stdout) == 0;
+    }
   lg_write (LG_LISTEN_FAILED, "%s", error->message);
   g_error_free (error);
   return false;
