--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "call.h"
 #include "check.h"
 #include "run.h"
 
@@ -209,7 +210,7 @@
           parse_option,
           "EXPERIMENT",
           "Send the requests of an experiment and report what became of them."
-          "\vSee also: cowslipload check --help",
+          "\vSee also: cowslipload check --help, cowslipload call --help",
           NULL,
           NULL,
           NULL };
@@ -220,6 +221,8 @@
 
   if (argc > 1 && strcmp (argv[1], "check") == 0)
     return ld_check (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "call") == 0)
+    return ld_call (argc - 1, argv + 1);
   arguments.targets = g_ptr_array_new_with_free_func (g_free);
   argp_parse (&parser, argc, argv, 0, NULL, &arguments);
   experiment = ld_experiment_load (arguments.experiment, &error);
