--- a/libcowslip/mem.c
+++ b/libcowslip/mem.c
@@ -60,7 +60,7 @@
 
 /* Free TABLE.  */
 void
-mem_free (struct mem_table *table)
+mem_table_free (struct mem_table *table)
 {
   if (table == NULL)
     return;
--- a/regress/mem_script.c
+++ b/regress/mem_script.c
@@ -306,7 +306,7 @@
   fake_kv_fault_next (kv, FAKE_KV_UNAVAILABLE, 1);
   mem_register_free (node->reg);
   fake_kv_fault_next (kv, FAKE_KV_NONE, 0);
-  mem_free (node->table);
+  mem_table_free (node->table);
   gsl_rng_free (node->random);
   g_free (node->self.instance);
   g_free (node->self.zone);
--- a/regress/services_test.c
+++ b/regress/services_test.c
@@ -239,9 +239,10 @@
               "127.0.0.1:%u", http_server_port (world.service));
   g_snprintf (world.front_address, sizeof world.front_address, "127.0.0.1:%u",
               http_server_port (d->server));
-  world.endpoints[0] = (struct env_endpoint){ world.service_address, "a" };
+  world.endpoints[0]
+      = (struct env_endpoint){ world.service_address, "a", NULL };
   /* Nothing listens on this port of the discard service.  */
-  world.endpoints[1] = (struct env_endpoint){ "127.0.0.1:9", "a" };
+  world.endpoints[1] = (struct env_endpoint){ "127.0.0.1:9", "a", NULL };
   world.booking = (struct env_service){ .name = "booking",
                                         .default_class = &counter,
                                         .endpoints = g_ptr_array_new () };
