Carry zone control in the daemon

Election and placement were not connected to engines and members.

cd_control sends orders over HTTP with order_max_ms as the time limit, pushes views to members until each has confirmed the newest one, serves and sends DEMAND, QUIESCE and PROMISE, reads the instance list while it holds control, and hands over on a graceful shutdown after the last order is answered. A question to quiesce is accepted only when the newest view no longer shows the replica as ready, so a late view cannot put it back.

--- /dev/null
+++ b/cowslipcoved/control.c
@@ -0,0 +1,260 @@
+#include "control_impl.h"
+#include "lg.h"
+#include "peers.h"
+
+#define CONTROL_QUIET_MS 50
+
+static void
+control_gained (void *arg, uint64_t fence, const GPtrArray *pins, bool certain)
+{
+  struct cd_control *control = arg;
+
+  lg_write (LG_CONTROL_GAINED, "fence %" G_GUINT64_FORMAT ", %u slots%s",
+            fence, pins->len, certain ? "" : ", during an outage");
+  ctr_add (control->daemon->counters, "control_gained", 1);
+  plc_start (control->plc, fence, pins, certain);
+}
+
+static void
+control_lost (void *arg)
+{
+  struct cd_control *control = arg;
+
+  lg_write (LG_CONTROL_LOST, "highest fence %" G_GUINT64_FORMAT,
+            own_fence (control->own));
+  ctr_add (control->daemon->counters, "control_lost", 1);
+  plc_stop (control->plc);
+}
+
+static bool
+control_may_order (void *arg, bool checks_fencing, uint64_t *fence)
+{
+  const struct cd_control *control = arg;
+
+  return own_may_order (control->own, checks_fencing, fence);
+}
+
+static void
+control_saved (void *arg, bool saved)
+{
+  const struct cd_control *control = arg;
+
+  plc_saved (control->plc, saved);
+}
+
+static void
+control_save (void *arg, const GPtrArray *pins)
+{
+  struct cd_control *control = arg;
+
+  own_save_pins (control->own, pins, control_saved, control);
+}
+
+static void
+control_note (void *arg, enum plc_note note, const char *endpoint,
+              const char *model)
+{
+  static const struct
+  {
+    enum lg_event event;
+    const char *counter;
+  } notes[]
+      = { [PLC_NOTE_SEALED] = { LG_ENGINE_SEALED, "engines_sealed" },
+          [PLC_NOTE_DOUBTFUL] = { LG_ENGINE_DOUBTFUL, "engines_doubtful" },
+          [PLC_NOTE_LOAD] = { LG_LOAD_ORDERED, "loads_ordered" },
+          [PLC_NOTE_LOAD_FAILED] = { LG_LOAD_FAILED, "loads_failed" },
+          [PLC_NOTE_UNLOAD] = { LG_UNLOAD_ORDERED, "unloads_ordered" },
+          [PLC_NOTE_UNPINNED] = { LG_REPLICA_UNPINNED, "replicas_unpinned" } };
+  struct cd_control *control = arg;
+
+  lg_write (notes[note].event, "engine %s%s%s", endpoint,
+            model == NULL ? "" : ", model ", model == NULL ? "" : model);
+  ctr_add (control->daemon->counters, notes[note].counter, 1);
+}
+
+static void
+control_on_leaving (void *arg, const void *what)
+{
+  struct cd_control *control = arg;
+  const struct cd_leaving *leaving = what;
+
+  plc_set_leaving (control->plc, leaving->endpoint, leaving->leaving);
+}
+
+/* Return what a call under way needs, which is freed with CONTROL or by
+   control_call_free.  */
+struct control_call *
+control_call_new (struct cd_control *control)
+{
+  struct control_call *call = g_new0 (struct control_call, 1);
+
+  call->control = control;
+  g_hash_table_add (control->calls, call);
+  return call;
+}
+
+/* Free CALL, which has ended.  */
+void
+control_call_free (struct control_call *call)
+{
+  if (call->control != NULL)
+    {
+      g_hash_table_remove (call->control->calls, call);
+      tm_cancel (call->control->daemon->tm, &call->timer);
+    }
+  g_free (call->instance);
+  g_free (call->model);
+  g_free (call->endpoint);
+  g_free (call);
+}
+
+static struct own *
+control_own_new (struct cd_control *control)
+{
+  static const struct own_callbacks callbacks
+      = { control_gained, control_lost, control_ask_promise };
+  const struct set_settings *settings = control->daemon->settings;
+  struct own_config config = { .kv = control->daemon->kv,
+                               .tm = control->daemon->tm,
+                               .environment = settings->environment,
+                               .zone = settings->zone,
+                               .instance = settings->instance,
+                               .incarnation = control->daemon->incarnation,
+                               .number = settings->member_number };
+
+  return own_new (&config, &callbacks, control);
+}
+
+/* Take part in the control of the zone, and serve the messages for it.  The
+   timer service, the key-value service, the RPC node and the HTTP client of
+   DAEMON must be there.  */
+struct cd_control *
+cd_control_new (struct cd_daemon *daemon)
+{
+  static const struct plc_callbacks callbacks
+      = { control_may_order,   control_order, control_save,
+          control_ask_quiesce, control_view,  control_note };
+  struct cd_control *control = g_new0 (struct cd_control, 1);
+
+  control->daemon = daemon;
+  control->pushed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  control->calls = g_hash_table_new (NULL, NULL);
+  control->listed
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  control->plc
+      = plc_new (daemon->tm, daemon->settings->zone, &callbacks, control);
+  control->own = control_own_new (control);
+  control_serve (control);
+  cd_subscribe (daemon, CD_DOCUMENT, control_on_document, control);
+  cd_subscribe (daemon, CD_MEMBERS, control_on_members, control);
+  cd_subscribe (daemon, CD_LEAVING, control_on_leaving, control);
+  if (cd_document (daemon) != NULL)
+    control_on_document (control, cd_document (daemon));
+  if (cd_members (daemon) != NULL)
+    control_on_members (control, cd_members (daemon));
+  control_list_start (control);
+  return control;
+}
+
+/* End CONTROL without a hand-over.  Calls under way are forgotten when they
+   end.  */
+void
+cd_control_free (struct cd_control *control)
+{
+  GHashTableIter iter;
+  gpointer call;
+
+  if (control == NULL)
+    return;
+  tm_cancel (control->daemon->tm, &control->retry);
+  tm_cancel (control->daemon->tm, &control->list_timer);
+  tm_cancel (control->daemon->tm, &control->quiet_timer);
+  g_hash_table_iter_init (&iter, control->calls);
+  while (g_hash_table_iter_next (&iter, &call, NULL))
+    {
+      tm_cancel (control->daemon->tm, &((struct control_call *)call)->timer);
+      ((struct control_call *)call)->control = NULL;
+    }
+  own_free (control->own);
+  plc_free (control->plc);
+  vw_free (control->view);
+  g_hash_table_destroy (control->pushed);
+  g_hash_table_destroy (control->calls);
+  g_hash_table_destroy (control->listed);
+  g_free (control);
+}
+
+/* Report waiting demand to the zone's controller.  Without a known controller
+   the report is dropped; the next heartbeat brings another one.  */
+void
+cd_control_demand (struct cd_daemon *daemon, const cs_demand *demands,
+                   uint32_t count)
+{
+  struct cd_control *control = daemon->control;
+  const char *holder = own_holder (control->own);
+
+  if (own_is_holder (control->own))
+    control_take_demand (control, daemon->settings->instance, demands, count);
+  else if (holder != NULL)
+    control_send_demand (control, holder, demands, count);
+}
+
+/* Return the newest view of the own zone, or NULL.  */
+const struct vw_view *
+cd_control_view (const struct cd_daemon *daemon)
+{
+  return daemon->control->view;
+}
+
+/* Return the instance that controls the zone, or NULL if it is not known.  */
+const char *
+cd_control_holder (const struct cd_daemon *daemon)
+{
+  return own_holder (daemon->control->own);
+}
+
+/* Return the highest fencing number seen in the zone.  */
+uint64_t
+cd_control_fence (const struct cd_daemon *daemon)
+{
+  return own_fence (daemon->control->own);
+}
+
+static void
+control_released (void *arg, bool done)
+{
+  struct cd_control *control = arg;
+
+  lg_write (LG_CONTROL_HANDED_OVER, "%s",
+            done ? "key released" : "nothing to release");
+  control->handed_over (control->handed_over_arg);
+}
+
+static void
+control_when_quiet (void *arg)
+{
+  struct cd_control *control = arg;
+
+  if (plc_is_quiet (control->plc))
+    own_hand_over (control->own, control_released, control);
+  else
+    tm_after (control->daemon->tm, &control->quiet_timer,
+              CONTROL_QUIET_MS * CONTROL_US_PER_MS, control_when_quiet,
+              control);
+}
+
+/* Give up control for good: send no more orders, wait for the answers to those
+   under way (at most order_max_ms), release the key, so that a successor need
+   not wait, and call DONE with ARG.  */
+void
+cd_control_hand_over (struct cd_daemon *daemon, void (*done) (void *arg),
+                      void *arg)
+{
+  struct cd_control *control = daemon->control;
+
+  control->handed_over = done;
+  control->handed_over_arg = arg;
+  plc_pause (control->plc);
+  control_when_quiet (control);
+}
--- a/cowslipcoved/control.h
+++ b/cowslipcoved/control.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIPCOVED_CONTROL_H
 #define COWSLIPCOVED_CONTROL_H
 
+#include <json-c/json.h>
+
 #include "cowslip.h"
 #include "daemon.h"
 #include "vw.h"
@@ -22,5 +24,8 @@
 /* Give up control; DONE is called when no order is under way any more.  */
 void cd_control_hand_over (struct cd_daemon *daemon, void (*done) (void *arg),
                            void *arg);
+/* Append the zone's control for the operators' status call.  */
+void cd_control_status (const struct cd_daemon *daemon,
+                        struct json_object *out);
 
 #endif
--- /dev/null
+++ b/cowslipcoved/control_impl.h
@@ -0,0 +1,72 @@
+#ifndef COWSLIPCOVED_CONTROL_IMPL_H
+#define COWSLIPCOVED_CONTROL_IMPL_H
+
+#include "control.h"
+#include "mem.h"
+#include "own.h"
+#include "plc.h"
+
+#define CONTROL_US_PER_MS UINT64_C (1000)
+#define CONTROL_RPC_MS    2000
+
+struct cd_control
+{
+  struct cd_daemon *daemon;
+  struct own *own;
+  struct plc *plc;
+  struct vw_view *view;  /* newest of the own zone */
+  GHashTable *pushed;    /* instance -> struct control_push */
+  GHashTable *calls;     /* struct control_call: under way */
+  GHashTable *listed;    /* endpoints that the instance list named */
+  struct tm_timer retry; /* views that did not arrive */
+  struct tm_timer list_timer;
+  struct tm_timer quiet_timer;
+  bool reading_list;
+  void (*handed_over) (void *arg);
+  void *handed_over_arg;
+};
+
+/* What one call under way needs when it ends.  CONTROL is NULL once control
+   has been freed.  */
+struct control_call
+{
+  struct cd_control *control;
+  struct tm_timer timer;
+  uint64_t id;
+  enum plc_outcome outcome;
+  char *instance;
+  char *model;
+  char *endpoint;
+  uint64_t fence;
+  uint64_t sequence;
+  uint64_t asked_us;
+};
+
+struct control_call *control_call_new (struct cd_control *control);
+void control_call_free (struct control_call *call);
+
+void control_order (void *arg, const struct plc_order *order);
+
+bool_t control_xdr_nothing (XDR *xdr, ...);
+const struct mem_member *control_member (const struct cd_control *control,
+                                         const char *instance);
+void control_serve (struct cd_control *control);
+void control_ask_promise (void *arg, const char *instance, uint64_t fence,
+                          uint32_t duration_ms, uint64_t asked_us);
+void control_ask_quiesce (void *arg, const char *instance, const char *model,
+                          const char *endpoint);
+void control_send_demand (struct cd_control *control, const char *holder,
+                          const cs_demand *demands, uint32_t count);
+void control_take_demand (struct cd_control *control, const char *instance,
+                          const cs_demand *demands, uint32_t count);
+
+void control_view (void *arg, const struct vw_view *view);
+void control_push_views (struct cd_control *control);
+void control_take_view (struct cd_control *control, struct vw_view *view,
+                        const char *holder);
+
+void control_on_document (void *arg, const void *what);
+void control_on_members (void *arg, const void *what);
+void control_list_start (struct cd_control *control);
+
+#endif
--- /dev/null
+++ b/cowslipcoved/control_plan.c
@@ -0,0 +1,111 @@
+#include "control_impl.h"
+#include "env.h"
+#include "peers.h"
+
+static GArray *
+control_models (const struct env_document *document, const char *zone)
+{
+  const GPtrArray *models = env_models (document);
+  GArray *specs = g_array_new (FALSE, FALSE, sizeof (struct plc_model_spec));
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct env_model *model = g_ptr_array_index (models, i);
+      struct plc_model_spec spec
+          = { .name = model->name,
+              .version = model->version,
+              .pool = model->pool->name,
+              .bytes = model->bytes,
+              .adapter_bytes = model->adapter_bytes,
+              .budget = env_budget (model, zone),
+              .batch = model->pool->batch,
+              .keep_alive_min_ms = model->keep_alive_min_ms,
+              .keep_alive_max_ms = model->keep_alive_max_ms };
+
+      g_array_append_val (specs, spec);
+    }
+  return specs;
+}
+
+static GArray *
+control_engines (const struct env_document *document, const char *zone)
+{
+  const GPtrArray *pools = env_pools (document);
+  GArray *specs = g_array_new (FALSE, FALSE, sizeof (struct plc_engine_spec));
+
+  for (guint i = 0; i < pools->len; i++)
+    {
+      const struct env_pool *pool = g_ptr_array_index (pools, i);
+
+      for (guint j = 0; j < pool->endpoints->len; j++)
+        {
+          const struct env_endpoint *endpoint
+              = g_ptr_array_index (pool->endpoints, j);
+          struct plc_engine_spec spec
+              = { .address = endpoint->address,
+                  .pool = pool->name,
+                  .memory_bytes = pool->memory_bytes,
+                  .checks_fencing = pool->checks_fencing };
+
+          if (g_str_equal (endpoint->zone, zone))
+            g_array_append_val (specs, spec);
+        }
+    }
+  return specs;
+}
+
+/* Put the part of the document WHAT that concerns the own zone in force.  */
+void
+control_on_document (void *arg, const void *what)
+{
+  struct cd_control *control = arg;
+  const struct env_document *document = what;
+  const char *zone = control->daemon->settings->zone;
+  GArray *models = control_models (document, zone);
+  GArray *engines = control_engines (document, zone);
+  guint zones = MAX (env_zones (document)->len, 1);
+  struct plc_plan plan
+      = { .models = (const struct plc_model_spec *)(void *)models->data,
+          .model_count = models->len,
+          .engines = (const struct plc_engine_spec *)(void *)engines->data,
+          .engine_count = engines->len,
+          .weight_loads = env_limits (document)->weight_loads_max / zones };
+
+  plc_set_plan (control->plc, &plan);
+  g_array_free (models, TRUE);
+  g_array_free (engines, TRUE);
+}
+
+/* Note the members of the own zone in the table WHAT.  */
+void
+control_on_members (void *arg, const void *what)
+{
+  struct cd_control *control = arg;
+  const struct set_settings *settings = control->daemon->settings;
+  const GPtrArray *all = mem_members (what);
+  GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct plc_member));
+  GArray *others = g_array_new (FALSE, FALSE, sizeof (struct own_member));
+  struct plc_member self = { settings->instance, true, true };
+
+  g_array_append_val (peers, self);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const struct mem_member *m = g_ptr_array_index (all, i);
+      struct plc_member peer = { m->instance, m->recorded, m->reachable };
+      struct own_member other
+          = { m->instance, m->number, m->recorded, m->reachable, m->draining };
+
+      if (!g_str_equal (m->zone, settings->zone)
+          || g_str_equal (m->instance, settings->instance))
+        continue;
+      g_array_append_val (peers, peer);
+      g_array_append_val (others, other);
+    }
+  plc_set_members (control->plc, (struct plc_member *)(void *)peers->data,
+                   peers->len);
+  own_set_members (control->own, (struct own_member *)(void *)others->data,
+                   others->len);
+  g_array_free (peers, TRUE);
+  g_array_free (others, TRUE);
+  control_push_views (control);
+}
--- /dev/null
+++ b/cowslipcoved/control_rpc.c
@@ -0,0 +1,278 @@
+#include "control_impl.h"
+#include "peers.h"
+#include "requests.h"
+
+/* Encode or decode no arguments or no result.  */
+bool_t
+control_xdr_nothing (XDR *xdr, ...)
+{
+  (void)xdr;
+  return TRUE;
+}
+
+/* Return what is known of INSTANCE, or NULL.  */
+const struct mem_member *
+control_member (const struct cd_control *control, const char *instance)
+{
+  const struct mem_table *table = cd_members (control->daemon);
+
+  return table == NULL ? NULL : mem_find (table, instance);
+}
+
+static void
+control_serve_view (void *arg, const struct rpc_origin *origin, void *args,
+                    struct rpc_request *request)
+{
+  struct cd_control *control = arg;
+  const cs_view *in = args;
+  uint64_t now_us = tm_now_us (control->daemon->tm);
+  struct vw_view *view = vw_new (in->zone, in->fence, in->sequence);
+
+  for (u_int i = 0; i < in->replicas.replicas_len; i++)
+    {
+      const cs_replica *r = &in->replicas.replicas_val[i];
+
+      if (r->state <= VW_BLOCKED)
+        (void)vw_add (
+            view, r->model, r->endpoint, (enum vw_state)r->state,
+            r->ready_ms == 0 ? 0 : now_us + r->ready_ms * CONTROL_US_PER_MS);
+    }
+  control_take_view (control, view, origin->instance);
+  rpc_answer (request, NULL);
+}
+
+static void
+control_serve_demand (void *arg, const struct rpc_origin *origin, void *args,
+                      struct rpc_request *request)
+{
+  const cs_demand_report *report = args;
+
+  control_take_demand (arg, origin->instance, report->demands.demands_val,
+                       report->demands.demands_len);
+  rpc_answer (request, NULL);
+}
+
+static bool
+control_is_ready (const struct vw_view *view, const char *model,
+                  const char *endpoint)
+{
+  for (guint i = 0; i < view->replicas->len; i++)
+    {
+      const struct vw_replica *r = g_ptr_array_index (view->replicas, i);
+
+      if (r->state == VW_READY && g_str_equal (r->model, model)
+          && g_str_equal (r->endpoint, endpoint))
+        return true;
+    }
+  return false;
+}
+
+/* Stop using a replica.  A view in which it is still ready could be put in
+   force again, so the question is accepted only when the newest view, by the
+   same controller, shows that it is not.  */
+static cs_quiesce_reply
+control_quiesce (struct cd_control *control, uint64_t fence, const char *model,
+                 const char *endpoint)
+{
+  const struct vw_view *view = control->view;
+  cs_quiesce_reply reply = { 0 };
+
+  if (view == NULL || view->fence != fence
+      || control_is_ready (view, model, endpoint))
+    return reply;
+  reply.accepted = TRUE;
+  reply.in_flight = cd_requests_quiesce (control->daemon, model, endpoint);
+  return reply;
+}
+
+static void
+control_serve_quiesce (void *arg, const struct rpc_origin *origin, void *args,
+                       struct rpc_request *request)
+{
+  const cs_quiesce *in = args;
+  cs_quiesce_reply reply
+      = control_quiesce (arg, in->fence, in->model, in->endpoint);
+
+  (void)origin;
+  rpc_answer (request, &reply);
+}
+
+static void
+control_serve_promise (void *arg, const struct rpc_origin *origin, void *args,
+                       struct rpc_request *request)
+{
+  struct cd_control *control = arg;
+  const cs_promise *in = args;
+  cs_promise_reply reply = { FALSE };
+
+  if (g_str_equal (in->holder, origin->instance))
+    reply.promised = own_promise (control->own, origin->instance, in->fence,
+                                  MIN (in->duration_ms, OWN_PROMISE_MS));
+  rpc_answer (request, &reply);
+}
+
+/* Serve the messages between instances that concern control.  */
+void
+control_serve (struct cd_control *control)
+{
+  static const struct rpc_procedure procedures[]
+      = { { COWSLIP_VIEW, (xdrproc_t)xdr_cs_view, sizeof (cs_view),
+            control_xdr_nothing, control_serve_view },
+          { COWSLIP_DEMAND, (xdrproc_t)xdr_cs_demand_report,
+            sizeof (cs_demand_report), control_xdr_nothing,
+            control_serve_demand },
+          { COWSLIP_QUIESCE, (xdrproc_t)xdr_cs_quiesce, sizeof (cs_quiesce),
+            (xdrproc_t)xdr_cs_quiesce_reply, control_serve_quiesce },
+          { COWSLIP_PROMISE, (xdrproc_t)xdr_cs_promise, sizeof (cs_promise),
+            (xdrproc_t)xdr_cs_promise_reply, control_serve_promise } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (procedures); i++)
+    rpc_serve (control->daemon->rpc, &procedures[i], control);
+}
+
+/* Note the DEMANDS of INSTANCE, if this instance controls the zone.  */
+void
+control_take_demand (struct cd_control *control, const char *instance,
+                     const cs_demand *demands, uint32_t count)
+{
+  uint64_t now_us = tm_now_us (control->daemon->tm);
+
+  for (uint32_t i = 0; own_is_holder (control->own) && i < count; i++)
+    {
+      struct plc_demand demand
+          = { .model = demands[i].model,
+              .waiting = demands[i].waiting,
+              .earliest_us
+              = now_us + demands[i].earliest_ms * CONTROL_US_PER_MS,
+              .priority = demands[i].priority,
+              .arrivals = demands[i].arrivals };
+
+      plc_demanded (control->plc, instance, &demand);
+    }
+}
+
+static void
+control_demand_sent (void *arg, enum rpc_outcome outcome, void *result)
+{
+  (void)outcome;
+  (void)result;
+  control_call_free (arg);
+}
+
+/* Send DEMANDS to HOLDER.  A lost report is replaced by the next one.  */
+void
+control_send_demand (struct cd_control *control, const char *holder,
+                     const cs_demand *demands, uint32_t count)
+{
+  struct cd_daemon *daemon = control->daemon;
+  const struct mem_member *member = control_member (control, holder);
+  cs_demand_report report
+      = { .instance = daemon->settings->instance,
+          .incarnation = daemon->incarnation,
+          .demands = { MIN (count, COWSLIP_LIST_MAX), (cs_demand *)demands } };
+  struct rpc_call call = { .procedure = COWSLIP_DEMAND,
+                           .encode_args = (xdrproc_t)xdr_cs_demand_report,
+                           .args = &report,
+                           .decode_result = control_xdr_nothing,
+                           .timeout_ms = CONTROL_RPC_MS };
+
+  if (member == NULL)
+    return;
+  call.address = member->rpc_address;
+  rpc_send (daemon->rpc, &call, control_demand_sent,
+            control_call_new (control));
+}
+
+static void
+control_promise_answer (void *arg, enum rpc_outcome outcome, void *result)
+{
+  struct control_call *call = arg;
+  const cs_promise_reply *reply = result;
+
+  if (call->control != NULL && outcome == RPC_OK)
+    own_promise_answered (call->control->own, call->instance, call->fence,
+                          call->asked_us, reply->promised);
+  control_call_free (call);
+}
+
+/* Ask INSTANCE to promise not to take over.  */
+void
+control_ask_promise (void *arg, const char *instance, uint64_t fence,
+                     uint32_t duration_ms, uint64_t asked_us)
+{
+  struct cd_control *control = arg;
+  struct cd_daemon *daemon = control->daemon;
+  const struct mem_member *member = control_member (control, instance);
+  cs_promise promise = { .holder = daemon->settings->instance,
+                         .fence = fence,
+                         .duration_ms = duration_ms };
+  struct rpc_call send = { .procedure = COWSLIP_PROMISE,
+                           .encode_args = (xdrproc_t)xdr_cs_promise,
+                           .args = &promise,
+                           .decode_result = (xdrproc_t)xdr_cs_promise_reply,
+                           .result_bytes = sizeof (cs_promise_reply),
+                           .timeout_ms = CONTROL_RPC_MS };
+  struct control_call *call;
+
+  if (member == NULL)
+    return;
+  send.address = member->rpc_address;
+  call = control_call_new (control);
+  call->instance = g_strdup (instance);
+  call->fence = fence;
+  call->asked_us = asked_us;
+  rpc_send (daemon->rpc, &send, control_promise_answer, call);
+}
+
+static void
+control_quiesce_answer (void *arg, enum rpc_outcome outcome, void *result)
+{
+  struct control_call *call = arg;
+  const cs_quiesce_reply *reply = result;
+
+  if (call->control != NULL && outcome == RPC_OK
+      && call->fence == own_fence (call->control->own))
+    plc_quiesced (call->control->plc, call->instance, call->model,
+                  call->endpoint, reply->accepted, reply->in_flight);
+  control_call_free (call);
+}
+
+/* Ask INSTANCE, which may be this one, to stop using MODEL on ENDPOINT.  */
+void
+control_ask_quiesce (void *arg, const char *instance, const char *model,
+                     const char *endpoint)
+{
+  struct cd_control *control = arg;
+  struct cd_daemon *daemon = control->daemon;
+  const struct mem_member *member;
+  cs_quiesce quiesce = { .fence = own_fence (control->own),
+                         .model = (char *)model,
+                         .endpoint = (char *)endpoint };
+  struct rpc_call send = { .procedure = COWSLIP_QUIESCE,
+                           .encode_args = (xdrproc_t)xdr_cs_quiesce,
+                           .args = &quiesce,
+                           .decode_result = (xdrproc_t)xdr_cs_quiesce_reply,
+                           .result_bytes = sizeof (cs_quiesce_reply),
+                           .timeout_ms = CONTROL_RPC_MS };
+  struct control_call *call;
+
+  if (g_str_equal (instance, daemon->settings->instance))
+    {
+      cs_quiesce_reply reply
+          = control_quiesce (control, quiesce.fence, model, endpoint);
+
+      plc_quiesced (control->plc, instance, model, endpoint, reply.accepted,
+                    reply.in_flight);
+      return;
+    }
+  member = control_member (control, instance);
+  if (member == NULL)
+    return;
+  send.address = member->rpc_address;
+  call = control_call_new (control);
+  call->instance = g_strdup (instance);
+  call->model = g_strdup (model);
+  call->endpoint = g_strdup (endpoint);
+  call->fence = quiesce.fence;
+  rpc_send (daemon->rpc, &send, control_quiesce_answer, call);
+}
--- /dev/null
+++ b/cowslipcoved/control_state.c
@@ -0,0 +1,162 @@
+#include <json-c/json.h>
+
+#include "control_state.h"
+
+static const char *const control_tiers[] = { "memory", "disk", "remote" };
+/* In the order of enum plc_slot_state.  */
+static const char *const control_states[]
+    = { "", "loading", "loaded", "", "unloading" };
+
+static const char *
+control_text (struct json_object *json, const char *key)
+{
+  struct json_object *value;
+
+  if (!json_object_object_get_ex (json, key, &value)
+      || !json_object_is_type (value, json_type_string))
+    return NULL;
+  return json_object_get_string (value);
+}
+
+static uint64_t
+control_number (struct json_object *json, const char *key)
+{
+  struct json_object *value;
+
+  return json_object_object_get_ex (json, key, &value)
+             ? json_object_get_uint64 (value)
+             : 0;
+}
+
+/* Return the position of TEXT in NAMES, or COUNT.  */
+static uint32_t
+control_position (const char *text, const char *const *names, uint32_t count)
+{
+  uint32_t i = 0;
+
+  while (i < count && g_strcmp0 (names[i], text) != 0)
+    i++;
+  return i;
+}
+
+/* A model whose entry cannot be read would not be counted, so the whole state
+   is refused then.  */
+static bool
+control_read_model (struct json_object *json, GArray *models)
+{
+  uint32_t state
+      = control_position (control_text (json, "state"), control_states,
+                          G_N_ELEMENTS (control_states));
+  uint32_t tier = control_position (control_text (json, "tier"), control_tiers,
+                                    PLC_TIER_COUNT);
+  struct plc_reported model
+      = { .name = control_text (json, "name"),
+          .version = control_text (json, "version"),
+          .bytes = control_number (json, "bytes"),
+          .state = (enum plc_slot_state)state,
+          .tier = (enum plc_tier)MIN (tier, PLC_REMOTE),
+          .ready_in_ms
+          = (uint32_t)MIN (control_number (json, "ready_in_ms"), UINT32_MAX) };
+
+  if (model.name == NULL || model.version == NULL
+      || state == G_N_ELEMENTS (control_states))
+    return false;
+  g_array_append_val (models, model);
+  return true;
+}
+
+static bool
+control_read_cached (struct json_object *json, GArray *list)
+{
+  uint32_t tier = control_position (control_text (json, "tier"), control_tiers,
+                                    PLC_TIER_COUNT);
+  struct plc_cached cached = { .name = control_text (json, "name"),
+                               .version = control_text (json, "version"),
+                               .tier = (enum plc_tier)tier };
+
+  if (cached.name != NULL && cached.version != NULL && tier < PLC_TIER_COUNT)
+    g_array_append_val (list, cached);
+  return true;
+}
+
+static bool
+control_read_list (struct json_object *json, const char *key, GArray *out,
+                   bool (*read) (struct json_object *json, GArray *out))
+{
+  struct json_object *list;
+
+  if (!json_object_object_get_ex (json, key, &list)
+      || !json_object_is_type (list, json_type_array))
+    return false;
+  for (size_t i = 0; i < json_object_array_length (list); i++)
+    if (!read (json_object_array_get_idx (list, i), out))
+      return false;
+  return true;
+}
+
+static bool
+control_read_state (struct control_state *state)
+{
+  const char *incarnation = control_text (state->json, "incarnation");
+  struct json_object *leaving;
+
+  if (incarnation == NULL
+      || !control_read_list (state->json, "models", state->models,
+                             control_read_model))
+    return false;
+  (void)control_read_list (state->json, "cached", state->cached,
+                           control_read_cached);
+  state->state.incarnation = g_ascii_strtoull (incarnation, NULL, 16);
+  state->state.memory_bytes = control_number (state->json, "memory_bytes");
+  state->state.leaving
+      = json_object_object_get_ex (state->json, "leaving", &leaving)
+        && json_object_get_boolean (leaving);
+  state->state.models
+      = (const struct plc_reported *)(void *)state->models->data;
+  state->state.model_count = state->models->len;
+  state->state.cached = (const struct plc_cached *)(void *)state->cached->data;
+  state->state.cached_count = state->cached->len;
+  return true;
+}
+
+/* Read ANSWER into STATE, which the caller clears in any case, and return what
+   it means.  What cannot be read says nothing about the effect of the
+   order.  */
+enum plc_outcome
+control_state_read (struct control_state *state,
+                    const struct http_answer *answer)
+{
+  const char *fence;
+
+  *state = (struct control_state){ 0 };
+  state->models = g_array_new (FALSE, FALSE, sizeof (struct plc_reported));
+  state->cached = g_array_new (FALSE, FALSE, sizeof (struct plc_cached));
+  if (answer->outcome == HTTP_CONNECT_FAILED || !answer->sent)
+    return PLC_NOT_SENT;
+  if (answer->outcome != HTTP_COMPLETE)
+    return PLC_NO_ANSWER;
+  if (answer->status >= 400 && answer->status < 500 && answer->status != 409)
+    return PLC_REFUSED;
+  if (answer->status == 507)
+    return PLC_REFUSED;
+
+  state->json = json_tokener_parse (answer->body);
+  if (answer->status == 409)
+    {
+      fence = control_text (state->json, "fence");
+      state->fence = fence == NULL ? 0 : g_ascii_strtoull (fence, NULL, 10);
+      return fence == NULL ? PLC_REFUSED : PLC_STALE;
+    }
+  if (answer->status >= 300 || !control_read_state (state))
+    return PLC_NO_ANSWER;
+  return PLC_ANSWERED;
+}
+
+/* Free what STATE holds.  */
+void
+control_state_clear (struct control_state *state)
+{
+  g_array_free (state->models, TRUE);
+  g_array_free (state->cached, TRUE);
+  json_object_put (state->json);
+}
--- /dev/null
+++ b/cowslipcoved/control_state.h
@@ -0,0 +1,23 @@
+#ifndef COWSLIPCOVED_CONTROL_STATE_H
+#define COWSLIPCOVED_CONTROL_STATE_H
+
+#include <stdbool.h>
+
+#include "http_client.h"
+#include "plc.h"
+
+/* An engine's answer to an order or a read of its state.  */
+struct control_state
+{
+  struct json_object *json; /* owns the strings */
+  struct plc_state state;
+  GArray *models; /* struct plc_reported */
+  GArray *cached; /* struct plc_cached */
+  uint64_t fence;
+};
+
+enum plc_outcome control_state_read (struct control_state *state,
+                                     const struct http_answer *answer);
+void control_state_clear (struct control_state *state);
+
+#endif
--- a/libcowslip/plc.c
+++ b/libcowslip/plc.c
@@ -56,7 +56,7 @@
   struct plc *plc = arg;
 
   tm_after (plc->tm, &plc->timer, PLC_TICK_MS * PLC_US_PER_MS, plc_run, plc);
-  if (plc->running)
+  if (plc->running && !plc->paused)
     plc_run_engines (plc);
   if (plc->running && !plc->paused)
     plc_run_pins (plc);
@@ -169,7 +169,7 @@
       if (engine->order_id != 0 || plc_now (plc) < engine->clear_us)
         return false;
     }
-  return !plc->saving;
+  return true;
 }
 
 /* Replace the members of the zone.  One that is not named any more is
--- a/libcowslip/plc_view.c
+++ b/libcowslip/plc_view.c
@@ -3,6 +3,7 @@
 #define PLC_FIRST_VIEW_MS 2000
 /* A smaller change of an expected time is not worth a message.  */
 #define PLC_READY_SLACK_US 200000
+#define PLC_COLD_SLACK_US  1000000
 
 static enum vw_state
 plc_view_state (const struct plc *plc, const struct plc_slot *slot)
@@ -35,6 +36,9 @@
 {
   if (slot->state == PLC_LOADING)
     return slot->ready_us;
+  /* Without demand the time would be out of date when it is needed.  */
+  if (slot->state != PLC_COLD || slot->model->waiting == 0)
+    return 0;
   return plc_now (plc)
          + plc_estimate_us (&plc->estimate, plc_slot_tier (slot),
                             slot->model->bytes, plc_now (plc));
@@ -73,7 +77,8 @@
 
   return x->state == y->state && g_str_equal (x->model, y->model)
          && g_str_equal (x->endpoint, y->endpoint)
-         && (x->state != VW_LOADING || apart_us < PLC_READY_SLACK_US);
+         && apart_us < (x->state == VW_COLD ? PLC_COLD_SLACK_US
+                                            : PLC_READY_SLACK_US);
 }
 
 static bool
--- a/regress/sim.c
+++ b/regress/sim.c
@@ -11,10 +11,10 @@
 static const struct plc_model_spec sim_models[SIM_MODELS] = {
   { "a", "1", "text", 40, 5, 1, 4, 500, 3000 },
   { "b", "1", "text", 40, 5, 2, 4, 500, 3000 },
-  { "c", "1", "text", 40, 5, 1, 4, 500, 3000 },
+  { "c", "1", "text", 40, 5, 2, 4, 500, 3000 },
   { "d", "1", "plain", 40, 5, 1, 4, 500, 3000 },
   { "e", "1", "plain", 40, 5, 2, 4, 500, 3000 },
-  { "f", "1", "plain", 40, 5, 1, 4, 500, 3000 },
+  { "f", "1", "plain", 40, 5, 2, 4, 500, 3000 },
 };
 
 static const struct plc_engine_spec sim_engine_specs[SIM_ENGINES] = {
