--- a/Makefile
+++ b/Makefile
@@ -89,7 +89,16 @@
 		$(STANDIN_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/regress/%: $(BUILD)/regress/%.o $(TEST_SHARED) $(DAEMON_PARTS) $(LIB)
+$(BUILD)/libregress.a: $(filter-out $(BUILD)/regress/clm_sim%,$(TEST_SHARED))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/regress/clm_test: $(BUILD)/regress/clm_test.o \
+		$(filter $(BUILD)/regress/clm_sim%,$(TEST_SHARED)) $(BUILD)/libregress.a $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
+
+$(BUILD)/regress/%: $(BUILD)/regress/%.o $(BUILD)/libregress.a \
+		$(DAEMON_PARTS) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
 
 check: deps
