Carry membership, configuration and leaving signs in the daemon

The instances of a zone exchange heartbeats with the load of the engines that each reads, the endpoints that each has seen leaving and recent suspicions; they serve and fetch the document. An endpoint is leaving at the first sign from the instance list, its report, a refused connection or a peer; each sign is taken back only by its own source, and heartbeats repeat only what an instance has seen itself, because signs that peers repeat to each other would never end.

The test found that results of RPC calls were not freed.

--- a/cowslipcoved/peers.h
+++ b/cowslipcoved/peers.h
@@ -15,6 +15,8 @@
 uint64_t cd_generation (const struct cd_daemon *daemon);
 const struct mem_table *cd_members (const struct cd_daemon *daemon);
 bool cd_kv_reachable (const struct cd_daemon *daemon);
+/* The highest fencing number in the heartbeats of the own zone.  */
+uint64_t cd_peers_fence (const struct cd_daemon *daemon);
 
 /* Add to the next heartbeats, and tell the other parts of this instance.  */
 void cd_peers_leaving (struct cd_daemon *daemon, const char *endpoint,
--- /dev/null
+++ b/cowslipcoved/peers_document.c
@@ -0,0 +1,135 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "lg.h"
+#include "peers_impl.h"
+
+#define CD_FETCH_TIMEOUT_MS 3000
+
+struct cd_document_call
+{
+  struct cd_peers *peers;
+  char address[RPC_ORIGIN_BYTES];
+};
+
+static bool
+cd_document_install (void *arg, const struct cfg_document *offered)
+{
+  struct cd_peers *peers = arg;
+  GError *error = NULL;
+  struct env_document *document
+      = env_parse_for (offered->text, offered->bytes,
+                       peers->daemon->settings->environment, &error);
+
+  if (document == NULL || strcmp (env_digest (document), offered->digest) != 0)
+    {
+      lg_write (LG_CONFIG_REFUSED, "generation=%" PRIu64 " %s",
+                offered->generation,
+                error != NULL ? error->message : "digest differs");
+      g_clear_error (&error);
+      env_unref (document);
+      return false;
+    }
+  env_unref (peers->document);
+  peers->document = document;
+  peers->generation = offered->generation;
+  lg_write (LG_CONFIG_INSTALLED, "generation=%" PRIu64 " digest=%s",
+            offered->generation, offered->digest);
+  mem_set_self (peers->table, offered->generation,
+                mem_self (peers->table)->draining);
+  cd_publish (peers->daemon, CD_DOCUMENT, document);
+  return true;
+}
+
+static void
+cd_document_fetched (void *arg, enum rpc_outcome outcome, void *result)
+{
+  struct cd_document_call *call = arg;
+  const cs_document *reply = result;
+  struct cfg_document document = { 0 };
+
+  if (outcome == RPC_OK && reply->generation > 0)
+    {
+      document.generation = reply->generation;
+      document.digest = reply->digest;
+      document.text = reply->text.text_val;
+      document.bytes = reply->text.text_len;
+    }
+  cfg_fetched (call->peers->cfg, call->address,
+               document.generation > 0 ? &document : NULL);
+  cd_peers_call_free (call->peers, call);
+}
+
+static void
+cd_document_fetch (void *arg, const char *address)
+{
+  struct cd_peers *peers = arg;
+  struct cd_document_call *call = cd_peers_call_new (peers, sizeof *call);
+  cs_name name = peers->daemon->settings->environment;
+  struct rpc_call made = { .address = address,
+                           .procedure = COWSLIP_GET_DOCUMENT,
+                           .encode_args = (xdrproc_t)xdr_cs_name,
+                           .args = &name,
+                           .decode_result = (xdrproc_t)xdr_cs_document,
+                           .result_bytes = sizeof (cs_document),
+                           .timeout_ms = CD_FETCH_TIMEOUT_MS };
+
+  call->peers = peers;
+  g_strlcpy (call->address, address, sizeof call->address);
+  rpc_send (peers->daemon->rpc, &made, cd_document_fetched, call);
+}
+
+static void
+cd_document_ignored (void *arg, const struct cfg_document *document,
+                     bool refused)
+{
+  const struct cd_peers *peers = arg;
+
+  lg_write (refused ? LG_CONFIG_REFUSED : LG_CONFIG_STALE,
+            "generation=%" PRIu64 " digest=%s in_force=%" PRIu64,
+            document->generation, document->digest, peers->generation);
+}
+
+/* Return the configuration state of PEERS.  */
+struct cfg_state *
+cd_document_start (struct cd_peers *peers)
+{
+  static const struct cfg_callbacks callbacks
+      = { cd_document_install, cd_document_fetch, cd_document_ignored };
+  struct cd_daemon *daemon = peers->daemon;
+
+  return cfg_new (daemon->tm, &daemon->kv, daemon->random,
+                  daemon->settings->environment, &callbacks, peers);
+}
+
+static void
+cd_document_asked (void *arg, const struct rpc_origin *origin, void *args,
+                   struct rpc_request *request)
+{
+  const struct cd_peers *peers = arg;
+  const cs_name *name = args;
+  cs_document reply = { .digest = (char *)"" };
+  size_t bytes = 0;
+
+  (void)origin;
+  if (peers->document != NULL
+      && strcmp (*name, peers->daemon->settings->environment) == 0)
+    {
+      reply.generation = peers->generation;
+      reply.digest = (char *)env_digest (peers->document);
+      reply.text.text_val = (char *)env_text (peers->document, &bytes);
+      reply.text.text_len = (u_int)bytes;
+    }
+  rpc_answer (request, &reply);
+}
+
+/* Serve the document in force to others.  */
+void
+cd_document_serve (struct cd_peers *peers)
+{
+  static const struct rpc_procedure procedure
+      = { COWSLIP_GET_DOCUMENT, (xdrproc_t)xdr_cs_name, sizeof (cs_name),
+          (xdrproc_t)xdr_cs_document, cd_document_asked };
+
+  cd_peers_serve (peers, &procedure);
+}
--- /dev/null
+++ b/cowslipcoved/peers_impl.h
@@ -0,0 +1,69 @@
+#ifndef COWSLIPCOVED_PEERS_IMPL_H
+#define COWSLIPCOVED_PEERS_IMPL_H
+
+#include "cfg.h"
+#include "mem_beat.h"
+#include "mem_leaving.h"
+#include "mem_register.h"
+#include "peers.h"
+
+/* Shared by the parts that carry membership and configuration.  */
+
+#define CD_US_PER_MS      1000
+#define CD_RPC_TIMEOUT_MS 1000
+
+/* A load report with the time at which it was true.  */
+struct cd_load_seen
+{
+  uint32_t running;
+  uint32_t waiting;
+  uint64_t true_us;
+};
+
+/* A suspicion of this instance, repeated in heartbeats because a message may
+   have been lost.  */
+struct cd_suspicion
+{
+  uint64_t fingerprint;
+  uint32_t crashes;
+  uint32_t age_ms;
+  uint64_t said_us;
+};
+
+struct cd_peers
+{
+  struct cd_daemon *daemon;
+  struct mem_table *table;
+  struct mem_register *reg;
+  struct mem_beat *beat;
+  struct mem_leaving *leaving;
+  struct cfg_state *cfg;
+  struct env_document *document; /* NULL: none in force */
+  GHashTable *loads;             /* endpoint -> struct cd_load_seen */
+  GHashTable *fetches;           /* address -> struct cd_fetch under way */
+  GArray *suspicions;            /* struct cd_suspicion */
+  GHashTable *calls;             /* set of contexts of calls under way */
+  struct tm_timer poll;
+  uint64_t generation; /* of DOCUMENT */
+  uint64_t fence;      /* highest in the zone's heartbeats */
+  bool kv_reachable;
+  bool list_read; /* this instance has read the instance list */
+};
+
+void cd_heartbeats_serve (struct cd_peers *peers);
+void cd_heartbeat_send (void *arg, const char *address, const char *instance);
+void cd_heartbeat_greet (struct cd_peers *peers,
+                         const struct mem_member *member);
+void cd_document_serve (struct cd_peers *peers);
+struct cfg_state *cd_document_start (struct cd_peers *peers);
+void cd_suspects_serve (struct cd_peers *peers);
+cs_suspect *cd_suspects_said (struct cd_peers *peers, uint64_t within_us,
+                              u_int *count);
+void cd_reports_start (struct cd_peers *peers);
+void cd_reports_free (struct cd_peers *peers);
+void *cd_peers_call_new (struct cd_peers *peers, size_t bytes);
+void cd_peers_call_free (struct cd_peers *peers, void *call);
+void cd_peers_serve (struct cd_peers *peers,
+                     const struct rpc_procedure *procedure);
+
+#endif
--- a/libcowslip/mem.c
+++ b/libcowslip/mem.c
@@ -38,8 +38,8 @@
 /* Return a table that knows only SELF, which is copied.  CALLBACKS must stay
    valid and are called with ARG.  */
 struct mem_table *
-mem_new (struct tm_service *tm, const struct mem_member *self,
-         const struct mem_callbacks *callbacks, void *arg)
+mem_table_new (struct tm_service *tm, const struct mem_member *self,
+               const struct mem_callbacks *callbacks, void *arg)
 {
   struct mem_table *table = g_new0 (struct mem_table, 1);
 
@@ -60,7 +60,7 @@
 
 /* Free TABLE.  */
 void
-mem_free (struct mem_table *table)
+mem_table_free (struct mem_table *table)
 {
   if (table == NULL)
     return;
--- a/libcowslip/mem.h
+++ b/libcowslip/mem.h
@@ -44,10 +44,11 @@
   void (*greet) (void *arg, const struct mem_member *member);
 };
 
-struct mem_table *mem_new (struct tm_service *tm,
-                           const struct mem_member *self,
-                           const struct mem_callbacks *callbacks, void *arg);
-void mem_free (struct mem_table *table);
+struct mem_table *mem_table_new (struct tm_service *tm,
+                                 const struct mem_member *self,
+                                 const struct mem_callbacks *callbacks,
+                                 void *arg);
+void mem_table_free (struct mem_table *table);
 void mem_set_self (struct mem_table *table, uint64_t generation,
                    bool draining);
 bool mem_heard (struct mem_table *table, const struct mem_member *heard);
--- /dev/null
+++ b/libcowslip/mem_leaving.h
@@ -0,0 +1,35 @@
+#ifndef COWSLIP_MEM_LEAVING_H
+#define COWSLIP_MEM_LEAVING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include <glib.h>
+
+#include "tm.h"
+
+/* Decides which endpoints are leaving, from the instance list, engine reports,
+   refused connections and the heartbeats of peers.  The first sign counts;
+   each sign is taken back only by its own source.  */
+struct mem_leaving;
+
+typedef void (*mem_leaving_changed) (void *arg, const char *endpoint,
+                                     bool leaving);
+
+struct mem_leaving *mem_leaving_new (struct tm_service *tm,
+                                     mem_leaving_changed changed, void *arg);
+void mem_leaving_free (struct mem_leaving *leaving);
+void mem_leaving_list_begin (struct mem_leaving *leaving);
+void mem_leaving_list_item (struct mem_leaving *leaving, const char *address,
+                            bool is_leaving);
+void mem_leaving_list_end (struct mem_leaving *leaving);
+void mem_leaving_list_forget (struct mem_leaving *leaving);
+void mem_leaving_report (struct mem_leaving *leaving, const char *address,
+                         bool is_leaving);
+void mem_leaving_refused (struct mem_leaving *leaving, const char *address,
+                          bool refused);
+void mem_leaving_peer (struct mem_leaving *leaving, const char *instance,
+                       const char *const *endpoints, size_t count);
+GPtrArray *mem_leaving_own (const struct mem_leaving *leaving);
+
+#endif
--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -12,6 +12,8 @@
 #include "ctr.h"
 #include "tm.h"
 
+#define RPC_ORIGIN_BYTES 129
+
 /* ONC RPC over TCP between instances, authenticated with an HMAC.  */
 struct rpc_node;
 
@@ -30,7 +32,7 @@
 /* The sender of a call; authenticated.  */
 struct rpc_origin
 {
-  char instance[128];
+  char instance[RPC_ORIGIN_BYTES];
   uint64_t incarnation;
 };
 
--- a/libcowslip/rpc_auth.h
+++ b/libcowslip/rpc_auth.h
@@ -13,7 +13,7 @@
 
 #define RPC_AUTH_FLAVOR        0x20c051
 #define RPC_AUTH_MAC_BYTES     32
-#define RPC_AUTH_NAME_BYTES    128
+#define RPC_AUTH_NAME_BYTES    129
 #define RPC_AUTH_ADDRESS_BYTES 64
 
 /* The receiver's address and incarnation keep a recorded call from being
--- a/libcowslip/rpc_peer.c
+++ b/libcowslip/rpc_peer.c
@@ -166,7 +166,9 @@
 static void
 rpc_pending_answered (struct rpc_pending *call, const struct rpc_reply *reply)
 {
+  xdrproc_t decode = call->decode_result;
   void *result;
+  bool good;
 
   if (!reply->accepted || reply->status != SUCCESS)
     {
@@ -174,12 +176,9 @@
       return;
     }
   result = g_malloc0 (MAX (call->result_bytes, 1));
-  rpc_pending_end (call,
-                   rpc_message_decode (call->decode_result, result,
-                                       reply->body, reply->body_bytes)
-                       ? RPC_OK
-                       : RPC_REFUSED,
-                   result);
+  good = rpc_message_decode (decode, result, reply->body, reply->body_bytes);
+  rpc_pending_end (call, good ? RPC_OK : RPC_REFUSED, good ? result : NULL);
+  xdr_free (decode, result);
   g_free (result);
 }
 
--- a/regress/mem_script.c
+++ b/regress/mem_script.c
@@ -283,7 +283,7 @@
   node->self.number = (uint32_t)strtoul (words[3], NULL, 10);
   node->self.incarnation = incarnations++;
   g_ptr_array_add (nodes, node);
-  node->table = mem_new (tm, &node->self, &mem_calls, node);
+  node->table = mem_table_new (tm, &node->self, &mem_calls, node);
   node->cfg = cfg_new (tm, &node->kv, node->random, "e", &cfg_calls, node);
   node->reg = mem_register_new (tm, &node->kv, node->random, "e", &node->self,
                                 &reg_calls, node);
@@ -306,7 +306,7 @@
   fake_kv_fault_next (kv, FAKE_KV_UNAVAILABLE, 1);
   mem_register_free (node->reg);
   fake_kv_fault_next (kv, FAKE_KV_NONE, 0);
-  mem_free (node->table);
+  mem_table_free (node->table);
   gsl_rng_free (node->random);
   g_free (node->self.instance);
   g_free (node->self.zone);
--- a/regress/mem_test.c
+++ b/regress/mem_test.c
@@ -42,7 +42,7 @@
 table_of (struct tm_service *tm, uint32_t count)
 {
   struct mem_member self = member_of ((char *)"n1", "z", 1);
-  struct mem_table *table = mem_new (tm, &self, &callbacks, NULL);
+  struct mem_table *table = mem_table_new (tm, &self, &callbacks, NULL);
 
   for (uint32_t i = 2; i <= count; i++)
     {
@@ -80,8 +80,8 @@
     }
   for (uint32_t i = 1; i <= MEMBERS; i++)
     CU_ASSERT_TRUE (share[i] > 60 && share[i] < 140);
-  mem_free (all);
-  mem_free (fewer);
+  mem_table_free (all);
+  mem_table_free (fewer);
   tm_free (tm);
 }
 
@@ -111,7 +111,7 @@
   CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f2");
   CU_ASSERT_STRING_EQUAL (mem_contact (table, "y")->instance, "f2");
   g_ptr_array_free (records, TRUE);
-  mem_free (table);
+  mem_table_free (table);
   tm_free (tm);
 }
 
--- /dev/null
+++ b/regress/peers_test.c
@@ -0,0 +1,426 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "control.h"
+#include "fake_kv.h"
+#include "peers_impl.h"
+#include "unit.h"
+
+#define NODES    3
+#define STEP_US  5000
+#define LIMIT_US 120000000
+#define TEXT                                                                  \
+  "{\"name\":\"e\",\"classes\":{\"c\":{\"deadline_ms\":1000,"                 \
+  "\"expected_ms\":100,\"priority\":1}},\"pools\":{\"p\":{\"memory_bytes\":"  \
+  "1000,\"batch\":2,\"checks_fencing\":true,\"can_resume\":true,"             \
+  "\"endpoints\":[{\"address\":\"%s\",\"zone\":\"z\"}]}},\"models\":{},"      \
+  "\"adapters\":{},\"services\":{},\"limits\":{\"waiting_max\":10,"           \
+  "\"retry_percent\":%u,\"adapter_loads_max\":4,\"weight_loads_max\":2}}"
+
+/* What one instance has told its other parts.  */
+struct seen
+{
+  uint32_t documents;
+  uint32_t loads;
+  uint32_t running;
+  uint32_t suspects;
+  uint64_t fingerprint;
+  bool leaving;
+};
+
+/* Three instances in one process on one loop, with real RPC and HTTP and a
+   timer service driven by hand.  Each test has its own for the whole process,
+   because an HTTP server keeps its connections until the process ends.  */
+struct rig
+{
+  uv_loop_t loop;
+  struct tm_service *tm;
+  struct ctr_set *counters;
+  struct http_client *client;
+  struct http_server *engine;
+  struct fake_kv *kv;
+  struct cd_daemon nodes[NODES];
+  struct seen seen[NODES];
+  char engine_address[32];
+  bool engine_leaves;
+  bool listed_leaving;
+  uint32_t done;
+};
+
+/* Replaced by the real one where that is linked; the instances here control
+   nothing.  */
+__attribute__ ((weak)) uint64_t
+cd_control_fence (const struct cd_daemon *daemon)
+{
+  (void)daemon;
+  return 0;
+}
+
+static void
+on_request (void *arg, struct http_exchange *exchange)
+{
+  const struct rig *rig = arg;
+  char *body
+      = strcmp (http_path (exchange), "/instances") == 0
+            ? g_strdup_printf ("{\"instances\":[{\"address\":\"%s\","
+                               "\"zone\":\"z\",\"state\":\"%s\"}]}",
+                               rig->engine_address,
+                               rig->listed_leaving ? "leaving" : "live")
+            : g_strdup_printf ("{\"running\":3,\"waiting\":1,\"used_bytes\":0,"
+                               "\"age_ms\":40,\"leaving\":%s}",
+                               rig->engine_leaves ? "true" : "false");
+
+  http_respond (exchange, 200, "application/json", body, strlen (body));
+  g_free (body);
+}
+
+static void
+on_document (void *arg, const void *what)
+{
+  (void)what;
+  ((struct seen *)arg)->documents++;
+}
+
+static void
+on_load (void *arg, const void *what)
+{
+  struct seen *seen = arg;
+
+  seen->loads++;
+  seen->running = ((const cs_load *)what)->running;
+}
+
+static void
+on_leaving (void *arg, const void *what)
+{
+  ((struct seen *)arg)->leaving = ((const struct cd_leaving *)what)->leaving;
+}
+
+static void
+on_suspects (void *arg, const void *what)
+{
+  const cs_suspects *heard = what;
+  struct seen *seen = arg;
+
+  seen->suspects++;
+  seen->fingerprint = heard->suspects.suspects_val[0].fingerprint;
+}
+
+static void
+node_start (struct rig *rig, uint32_t index, uint64_t incarnation)
+{
+  static const cd_notify notify[CD_EVENT_COUNT]
+      = { [CD_DOCUMENT] = on_document,
+          [CD_LOAD] = on_load,
+          [CD_LEAVING] = on_leaving,
+          [CD_SUSPECTS] = on_suspects };
+  struct cd_daemon *daemon = &rig->nodes[index];
+  struct set_settings *settings = g_new0 (struct set_settings, 1);
+  struct rpc_config config = { .incarnation = incarnation,
+                               .address = "127.0.0.1:0",
+                               .key = "0123456789abcdef0123456789abcdef",
+                               .key_bytes = 32 };
+
+  memset (daemon, 0, sizeof *daemon);
+  settings->instance = g_strdup_printf ("n%u", index);
+  settings->zone = g_strdup ("z");
+  settings->environment = g_strdup ("e");
+  settings->http_address = g_strdup ("127.0.0.1:1");
+  settings->instance_list_address = g_strdup (rig->engine_address);
+  settings->peers = g_ptr_array_new ();
+  settings->member_number = index + 1;
+  config.instance = settings->instance;
+  daemon->settings = settings;
+  daemon->loop = &rig->loop;
+  daemon->tm = rig->tm;
+  daemon->counters = rig->counters;
+  daemon->client = rig->client;
+  daemon->kv = fake_kv_store (rig->kv);
+  daemon->incarnation = incarnation;
+  daemon->random = gsl_rng_alloc (gsl_rng_taus2);
+  gsl_rng_set (daemon->random, incarnation);
+  daemon->rpc
+      = rpc_node_new (&rig->loop, rig->tm, rig->counters, &config, NULL);
+  memset (&rig->seen[index], 0, sizeof rig->seen[index]);
+  for (int event = 0; event < CD_EVENT_COUNT; event++)
+    if (notify[event] != NULL)
+      cd_subscribe (daemon, (enum cd_event)event, notify[event],
+                    &rig->seen[index]);
+  daemon->peers = cd_peers_new (daemon);
+}
+
+static void
+node_stop (struct rig *rig, uint32_t index)
+{
+  struct cd_daemon *daemon = &rig->nodes[index];
+  struct set_settings *settings = daemon->settings;
+
+  fake_kv_forget (rig->kv, daemon->peers->reg);
+  fake_kv_forget (rig->kv, daemon->peers->cfg);
+  cd_peers_free (daemon->peers);
+  rpc_node_free (daemon->rpc);
+  for (int event = 0; event < CD_EVENT_COUNT; event++)
+    if (daemon->subscribers[event] != NULL)
+      g_array_free (daemon->subscribers[event], TRUE);
+  gsl_rng_free (daemon->random);
+  g_ptr_array_free (settings->peers, TRUE);
+  g_free (settings->instance);
+  g_free (settings->zone);
+  g_free (settings->environment);
+  g_free (settings->http_address);
+  g_free (settings->instance_list_address);
+  g_free (settings);
+}
+
+static void
+put_document (struct rig *rig, uint64_t generation, uint32_t percent)
+{
+  char *text = g_strdup_printf (TEXT, rig->engine_address, percent);
+  struct env_document *document = env_parse (text, strlen (text), NULL);
+  char *escaped = g_strescape (text, NULL);
+  char *value;
+
+  CU_ASSERT_PTR_NOT_NULL (document);
+  if (document != NULL)
+    {
+      value = g_strdup_printf ("{\"generation\":%" G_GUINT64_FORMAT
+                               ",\"digest\":\"%s\",\"document\":\"%s\"}",
+                               generation, env_digest (document), escaped);
+      fake_kv_put (rig->kv, "cowslip/e/document", value);
+      g_free (value);
+    }
+  env_unref (document);
+  g_free (escaped);
+  g_free (text);
+}
+
+static void
+step (struct rig *rig)
+{
+  for (int i = 0; i < 4; i++)
+    uv_run (&rig->loop, UV_RUN_NOWAIT);
+  tm_advance (rig->tm, tm_now_us (rig->tm) + STEP_US);
+}
+
+/* Run until HOLDS or, so that a test can fail, the time limit.  Return how
+   long it took.  */
+static uint64_t
+run_until (struct rig *rig, bool (*holds) (const struct rig *rig))
+{
+  uint64_t start_us = tm_now_us (rig->tm);
+
+  while (!holds (rig) && tm_now_us (rig->tm) - start_us < LIMIT_US)
+    step (rig);
+  CU_ASSERT_TRUE (holds (rig));
+  return tm_now_us (rig->tm) - start_us;
+}
+
+static bool
+all_generation (const struct rig *rig, uint64_t generation)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    if (cd_generation (&rig->nodes[i]) != generation)
+      return false;
+  return true;
+}
+
+static bool
+all_at_one (const struct rig *rig)
+{
+  return all_generation (rig, 1);
+}
+
+static bool
+all_at_two (const struct rig *rig)
+{
+  return all_generation (rig, 2);
+}
+
+static bool
+all_at_three (const struct rig *rig)
+{
+  return all_generation (rig, 3);
+}
+
+static bool
+all_connected (const struct rig *rig)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      const GPtrArray *members = mem_members (cd_members (&rig->nodes[i]));
+
+      if (members->len != NODES)
+        return false;
+      for (guint m = 0; m < members->len; m++)
+        if (!((const struct mem_member *)g_ptr_array_index (members, m))
+                 ->reachable)
+          return false;
+    }
+  return true;
+}
+
+static bool
+all_loaded (const struct rig *rig)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    if (rig->seen[i].running != 3)
+      return false;
+  return true;
+}
+
+static bool
+all_leaving (const struct rig *rig)
+{
+  return rig->seen[0].leaving && rig->seen[1].leaving && rig->seen[2].leaving;
+}
+
+static bool
+none_leaving (const struct rig *rig)
+{
+  return !rig->seen[0].leaving && !rig->seen[1].leaving
+         && !rig->seen[2].leaving;
+}
+
+static bool
+round_done (const struct rig *rig)
+{
+  return rig->done > 0;
+}
+
+static bool
+others_see_drain (const struct rig *rig)
+{
+  return mem_find (cd_members (&rig->nodes[1]), "n0")->draining
+         && mem_find (cd_members (&rig->nodes[2]), "n0")->draining;
+}
+
+static void
+rig_start (struct rig *rig)
+{
+  memset (rig, 0, sizeof *rig);
+  uv_loop_init (&rig->loop);
+  rig->tm = tm_new (1);
+  rig->counters = ctr_new ();
+  rig->client = http_client_new (&rig->loop, rig->tm);
+  rig->kv = fake_kv_new (rig->tm, 1000);
+  rig->engine = http_server_new (&rig->loop, "127.0.0.1:0", 1000, on_request,
+                                 rig, NULL);
+  g_snprintf (rig->engine_address, sizeof rig->engine_address, "127.0.0.1:%u",
+              http_server_port (rig->engine));
+  put_document (rig, 1, 1);
+  for (uint32_t i = 0; i < NODES; i++)
+    node_start (rig, i, 100 + i);
+  run_until (rig, all_at_one);
+  run_until (rig, all_connected);
+}
+
+static void
+rig_stop (struct rig *rig)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    node_stop (rig, i);
+  for (int i = 0; i < 1000; i++)
+    step (rig);
+  http_server_free (rig->engine);
+  http_client_free (rig->client);
+  for (int i = 0; i < 100 && uv_run (&rig->loop, UV_RUN_NOWAIT) != 0; i++)
+    ;
+  fake_kv_free (rig->kv);
+  tm_free (rig->tm);
+  ctr_free (rig->counters);
+}
+
+/* Guards against a change that is not in force everywhere within 16 s, and
+   against an instance that falls back when the service offers an older one. */
+static void
+test_configuration (void)
+{
+  static struct rig rig;
+
+  rig_start (&rig);
+  put_document (&rig, 2, 2);
+  CU_ASSERT_TRUE (run_until (&rig, all_at_two) < 16000000);
+  put_document (&rig, 1, 1);
+  fake_kv_set_fault (rig.kv, FAKE_KV_UNAVAILABLE);
+  for (int i = 0; i < 2000; i++)
+    step (&rig);
+  CU_ASSERT_TRUE (all_at_two (&rig));
+  CU_ASSERT_FALSE (cd_kv_reachable (&rig.nodes[0]));
+  fake_kv_set_fault (rig.kv, FAKE_KV_NONE);
+  put_document (&rig, 3, 3);
+  CU_ASSERT_TRUE (run_until (&rig, all_at_three) < 16000000);
+  CU_ASSERT_TRUE (all_connected (&rig));
+  rig_stop (&rig);
+}
+
+/* Guards against loads and leaving signs that do not reach every instance in
+   time: 3 s after the first sign no new work may go to the endpoint.  */
+static void
+test_signals (void)
+{
+  static struct rig rig;
+
+  rig_start (&rig);
+  run_until (&rig, all_loaded);
+  rig.listed_leaving = true;
+  CU_ASSERT_TRUE (run_until (&rig, all_leaving) < 3000000);
+  rig.listed_leaving = false;
+  run_until (&rig, none_leaving);
+  rig.engine_leaves = true;
+  CU_ASSERT_TRUE (run_until (&rig, all_leaving) < 3000000);
+  rig.engine_leaves = false;
+  run_until (&rig, none_leaving);
+  /* An address that no report speaks for: one report would take the sign
+     back.  */
+  cd_peers_leaving (&rig.nodes[2], "127.0.0.1:9", true);
+  CU_ASSERT_TRUE (run_until (&rig, all_leaving) < 3000000);
+  rig_stop (&rig);
+}
+
+static void
+on_round (void *arg)
+{
+  ((struct rig *)arg)->done++;
+}
+
+/* Guards against a suspicion that is reported as told before every member has
+   it, or never when a member is gone, and against an unnoticed drain.  */
+static void
+test_suspects (void)
+{
+  cs_suspect suspect = { 77, 1, 0 };
+  cs_suspects suspects;
+  static struct rig rig;
+
+  rig_start (&rig);
+  suspects.suspects.suspects_len = 1;
+  suspects.suspects.suspects_val = &suspect;
+  cd_peers_suspects (&rig.nodes[0], &suspects, on_round, &rig);
+  CU_ASSERT_EQUAL (rig.done, 0);
+  run_until (&rig, round_done);
+  CU_ASSERT_EQUAL (rig.seen[1].fingerprint, 77);
+  CU_ASSERT_EQUAL (rig.seen[2].fingerprint, 77);
+  /* A restarted member has forgotten and hears it again.  */
+  node_stop (&rig, 2);
+  node_start (&rig, 2, 203);
+  run_until (&rig, all_connected);
+  CU_ASSERT_EQUAL (rig.seen[2].fingerprint, 77);
+  cd_publish (&rig.nodes[0], CD_DRAIN, NULL);
+  CU_ASSERT_TRUE (run_until (&rig, others_see_drain) < 1000000);
+  CU_ASSERT_STRING_EQUAL (mem_lowest (cd_members (&rig.nodes[1]))->instance,
+                          "n1");
+  rig_stop (&rig);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "configuration", test_configuration },
+          { "signals", test_signals },
+          { "suspects", test_suspects },
+          { NULL, NULL } };
+
+  return unit_main ("peers", tests);
+}
