--- /dev/null
+++ b/cowslipcoved/main.c
@@ -0,0 +1,251 @@
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <openssl/rand.h>
+
+#include "admin.h"
+#include "claims.h"
+#include "control.h"
+#include "daemon.h"
+#include "drain.h"
+#include "kv_etcd.h"
+#include "lg.h"
+#include "peers.h"
+#include "requests.h"
+#include "services.h"
+
+#define MAIN_SIGNAL_COUNT 3
+
+/* What the command line asks for.  */
+struct main_options
+{
+  const char *settings_file;
+  bool check_only;
+};
+
+/* The process-wide state around the daemon.  */
+struct main_process
+{
+  struct cd_daemon daemon;
+  struct main_options options;
+  struct kv_etcd *kv;
+  uv_signal_t signals[MAIN_SIGNAL_COUNT];
+};
+
+const char *argp_program_version = "cowslipcoved 0.1";
+
+static const struct argp_option main_option_list[]
+    = { { "check", 'n', NULL, 0, "check the settings and exit", 0 }, { 0 } };
+
+static error_t
+main_parse_option (int key, char *argument, struct argp_state *state)
+{
+  struct main_options *options = state->input;
+
+  switch (key)
+    {
+    case 'n':
+      options->check_only = true;
+      return 0;
+    case ARGP_KEY_ARG:
+      if (options->settings_file != NULL)
+        argp_usage (state);
+      options->settings_file = argument;
+      return 0;
+    case ARGP_KEY_END:
+      if (options->settings_file == NULL)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp main_argp
+    = { main_option_list,
+        main_parse_option,
+        "SETTINGS_FILE",
+        "Serves rarely used models as one instance of cowslipcove.",
+        NULL,
+        NULL,
+        NULL };
+
+/* Pass a request to the part that owns its path.  */
+static void
+main_dispatch (void *arg, struct http_exchange *exchange)
+{
+  struct cd_daemon *daemon = arg;
+  const char *path = http_path (exchange);
+
+  if (g_str_has_prefix (path, "/v1/"))
+    {
+      cd_drain_request_seen (daemon);
+      cd_requests_handle (daemon, exchange);
+    }
+  else if (g_str_has_prefix (path, "/svc/"))
+    {
+      cd_drain_request_seen (daemon);
+      cd_services_handle (daemon, exchange);
+    }
+  else
+    cd_admin_handle (daemon, exchange);
+}
+
+static void
+main_reload (struct main_process *process)
+{
+  struct set_settings *old = process->daemon.settings;
+  struct set_settings *settings;
+  GError *error = NULL;
+  char *token;
+
+  settings = set_load (process->options.settings_file, &error);
+  if (settings == NULL)
+    {
+      lg_write (LG_SETTINGS_BAD, "%s", error->message);
+      g_error_free (error);
+      return;
+    }
+  /* The other settings are bound to sockets and records.  */
+  token = old->operator_token;
+  old->operator_token = settings->operator_token;
+  settings->operator_token = token;
+  old->drain_notice_ms = settings->drain_notice_ms;
+  old->drain_max_ms = settings->drain_max_ms;
+  old->log_level = settings->log_level;
+  lg_set_threshold ((enum lg_severity)old->log_level);
+  lg_write (LG_RELOAD, "log_level %u, drain_max_ms %u", old->log_level,
+            old->drain_max_ms);
+  set_free (settings);
+}
+
+static void
+main_signalled (uv_signal_t *handle, int number)
+{
+  struct main_process *process = handle->data;
+
+  if (number == SIGHUP)
+    main_reload (process);
+  else
+    cd_drain (&process->daemon);
+}
+
+static void
+main_watch_signals (struct main_process *process)
+{
+  static const int numbers[MAIN_SIGNAL_COUNT] = { SIGTERM, SIGINT, SIGHUP };
+
+  signal (SIGPIPE, SIG_IGN);
+  for (size_t i = 0; i < MAIN_SIGNAL_COUNT; i++)
+    {
+      uv_signal_init (process->daemon.loop, &process->signals[i]);
+      process->signals[i].data = process;
+      uv_signal_start (&process->signals[i], main_signalled, numbers[i]);
+    }
+}
+
+static bool
+main_start_random (struct cd_daemon *daemon)
+{
+  unsigned long seed;
+
+  if (RAND_bytes ((unsigned char *)&daemon->incarnation,
+                  sizeof daemon->incarnation)
+          != 1
+      || RAND_bytes ((unsigned char *)&seed, sizeof seed) != 1)
+    return false;
+  daemon->random = gsl_rng_alloc (gsl_rng_mt19937);
+  gsl_rng_set (daemon->random, seed);
+  return true;
+}
+
+static bool
+main_start_network (struct main_process *process, GError **error)
+{
+  struct cd_daemon *daemon = &process->daemon;
+  const struct set_settings *settings = daemon->settings;
+  struct rpc_config rpc = { .instance = settings->instance,
+                            .incarnation = daemon->incarnation,
+                            .address = settings->rpc_address,
+                            .key = settings->peer_key,
+                            .key_bytes = settings->peer_key_bytes };
+
+  daemon->client = http_client_new (daemon->loop, daemon->tm);
+  process->kv = kv_etcd_new (daemon->client, daemon->tm, daemon->counters,
+                             settings->kv_address, daemon->random);
+  daemon->kv = kv_etcd_store (process->kv);
+  daemon->rpc
+      = rpc_node_new (daemon->loop, daemon->tm, daemon->counters, &rpc, error);
+  if (daemon->rpc == NULL)
+    return false;
+  daemon->server = http_server_new (daemon->loop, settings->http_address,
+                                    settings->body_max_bytes, main_dispatch,
+                                    daemon, error);
+  return daemon->server != NULL;
+}
+
+static void
+main_start_parts (struct cd_daemon *daemon)
+{
+  daemon->peers = cd_peers_new (daemon);
+  daemon->control = cd_control_new (daemon);
+  daemon->claims = cd_claims_new (daemon);
+  daemon->requests = cd_requests_new (daemon);
+  daemon->services = cd_services_new (daemon);
+  daemon->admin = cd_admin_new (daemon);
+}
+
+static int
+main_run (struct main_process *process)
+{
+  struct cd_daemon *daemon = &process->daemon;
+  GError *error = NULL;
+
+  daemon->loop = uv_default_loop ();
+  tm_uv_start (&daemon->clock, daemon->loop);
+  daemon->tm = daemon->clock.service;
+  daemon->counters = ctr_new ();
+  if (!main_start_random (daemon))
+    {
+      fprintf (stderr, "cowslipcoved: no random numbers\n");
+      return EXIT_FAILURE;
+    }
+  if (!main_start_network (process, &error))
+    {
+      lg_write (LG_LISTEN_FAILED, "%s", error->message);
+      g_error_free (error);
+      return EXIT_FAILURE;
+    }
+  main_start_parts (daemon);
+  main_watch_signals (process);
+  lg_write (LG_START, "instance %s in %s, environment %s, HTTP %s, RPC %s",
+            daemon->settings->instance, daemon->settings->zone,
+            daemon->settings->environment, daemon->settings->http_address,
+            daemon->settings->rpc_address);
+  uv_run (daemon->loop, UV_RUN_DEFAULT);
+  lg_write (LG_STOP, "instance %s", daemon->settings->instance);
+  set_free (daemon->settings);
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  static struct main_process process;
+  GError *error = NULL;
+
+  lg_open ("cowslipcoved");
+  argp_parse (&main_argp, argc, argv, 0, NULL, &process.options);
+  process.daemon.settings = set_load (process.options.settings_file, &error);
+  if (process.daemon.settings == NULL)
+    {
+      fprintf (stderr, "cowslipcoved: %s\n", error->message);
+      return EXIT_FAILURE;
+    }
+  if (process.options.check_only)
+    return EXIT_SUCCESS;
+  lg_set_threshold ((enum lg_severity)process.daemon.settings->log_level);
+  return main_run (&process);
+}
--- a/regress/mem_script.c
+++ b/regress/mem_script.c
@@ -283,7 +283,7 @@
   node->self.number = (uint32_t)strtoul (words[3], NULL, 10);
   node->self.incarnation = incarnations++;
   g_ptr_array_add (nodes, node);
-  node->table = mem_new (tm, &node->self, &mem_calls, node);
+  node->table = mem_table_new (tm, &node->self, &mem_calls, node);
   node->cfg = cfg_new (tm, &node->kv, node->random, "e", &cfg_calls, node);
   node->reg = mem_register_new (tm, &node->kv, node->random, "e", &node->self,
                                 &reg_calls, node);
--- a/regress/mem_test.c
+++ b/regress/mem_test.c
@@ -42,7 +42,7 @@
 table_of (struct tm_service *tm, uint32_t count)
 {
   struct mem_member self = member_of ((char *)"n1", "z", 1);
-  struct mem_table *table = mem_new (tm, &self, &callbacks, NULL);
+  struct mem_table *table = mem_table_new (tm, &self, &callbacks, NULL);
 
   for (uint32_t i = 2; i <= count; i++)
     {
