Make the requests test fail instead of hang, and check not_started

A trial without the limit for slow callers made the test run until its time limit, and a trial without the engine's not_started mark passed. Waiting is now bounded, and an engine that never starts must lead to a refusal that says not run.

--- a/regress/requests_test.c
+++ b/regress/requests_test.c
@@ -12,7 +12,7 @@
    The other parts of the daemon are replaced by the functions below.  */
 
 #define ENGINES    2
-#define LIMIT_MS   8000
+#define LIMIT_MS   20000
 #define BIG_EVENTS 1024
 #define BIG_BYTES  32768
 
@@ -122,7 +122,8 @@
     engine_stream (exchange, 2, 5, true);
   else if (strstr (body, "cut") != NULL)
     engine_stream (exchange, 0, 2, false);
-  else if (strstr (body, "busy") != NULL && engine_calls == 1)
+  else if (strstr (body, "full") != NULL
+           || (strstr (body, "busy") != NULL && engine_calls == 1))
     http_respond (exchange, 503, "application/json", refused,
                   strlen (refused));
   else if (strstr (body, "flood") != NULL)
@@ -173,7 +174,7 @@
 {
   static const char format[]
       = "{\"name\":\"e\",\"classes\":{"
-        "\"c\":{\"deadline_ms\":3000,\"expected_ms\":500,\"priority\":7},"
+        "\"c\":{\"deadline_ms\":30000,\"expected_ms\":500,\"priority\":7},"
         "\"tight\":{\"deadline_ms\":200,\"expected_ms\":50,\"priority\":1}},"
         "\"pools\":{"
         "\"p\":{\"memory_bytes\":1000,\"batch\":4,\"checks_fencing\":true,"
@@ -266,15 +267,35 @@
   got->outcome = outcome;
 }
 
-/* Run the loop until *FLAG, at most LIMIT_MS.  */
 static bool
-run_until (const bool *flag)
+is_set (const void *flag)
+{
+  return *(const bool *)flag;
+}
+
+static bool
+is_idle (const void *unused)
+{
+  (void)unused;
+  return cd_requests_active (&daemon_parts) == 0;
+}
+
+static bool
+has_slow_caller (const void *unused)
+{
+  (void)unused;
+  return ctr_get (daemon_parts.counters, "slow_callers_total") == 1;
+}
+
+/* Run the loop until HOLDS says so of ARG, at most LIMIT_MS.  */
+static bool
+run_until (bool (*holds) (const void *arg), const void *arg)
 {
   uint64_t end_us = tm_now_us (daemon_parts.tm) + LIMIT_MS * 1000ULL;
 
-  while (!*flag && tm_now_us (daemon_parts.tm) < end_us)
+  while (!holds (arg) && tm_now_us (daemon_parts.tm) < end_us)
     uv_run (daemon_parts.loop, UV_RUN_ONCE);
-  return *flag;
+  return holds (arg);
 }
 
 static struct http_call *
@@ -324,6 +345,9 @@
       HTTP_COMPLETE },
     { "{\"model\":\"m\",\"prompt\":\"busy\"}", NULL, "choices", "error", 200,
       HTTP_COMPLETE },
+    { "{\"model\":\"m\",\"prompt\":\"full\"}", NULL,
+      "\"reason\":\"endpoint_failed\",\"not_run\":true", DONE, 502,
+      HTTP_COMPLETE },
     { "{\"model\":\"m\",\"prompt\":\"cut\",\"stream\":true}", NULL,
       "\"reason\":\"answer_cut\",\"not_run\":false", DONE, 200, HTTP_CUT },
     { "{\"model\":\"r\",\"prompt\":\"cut\",\"stream\":true}", NULL, FIVE,
@@ -359,7 +383,7 @@
       engine_calls = 0;
       (void)call (&got, c->body == NULL ? "/v1/models" : "/v1/completions",
                   c->class, c->body);
-      CU_ASSERT_TRUE_FATAL (run_until (&got.done));
+      CU_ASSERT_TRUE_FATAL (run_until (is_set, &got.done));
       if (got.status != c->status || strstr (got.body->str, c->has) == NULL
           || strstr (got.body->str, c->lacks) != NULL
           || got.outcome != c->outcome)
@@ -382,7 +406,6 @@
 {
   struct got got;
   struct http_call *caller;
-  bool gone = false;
 
   engine_calls = 0;
   engine_gone = 0;
@@ -392,12 +415,7 @@
     uv_run (daemon_parts.loop, UV_RUN_ONCE);
   CU_ASSERT_PTR_NOT_NULL (strstr (last_body, "\"priority\":7"));
   http_cancel (caller);
-  for (int i = 0; i < 5000 && !gone; i++)
-    {
-      uv_run (daemon_parts.loop, UV_RUN_ONCE);
-      gone = cd_requests_active (&daemon_parts) == 0;
-    }
-  CU_ASSERT_TRUE (gone);
+  CU_ASSERT_TRUE (run_until (is_idle, NULL));
   CU_ASSERT_EQUAL (
       ctr_get (daemon_parts.counters, "requests_gone_total{class=\"c\"}"), 1);
   g_string_free (got.body, TRUE);
@@ -435,22 +453,16 @@
   uv_tcp_init (daemon_parts.loop, &socket);
   connect.data = &ready;
   uv_tcp_connect (&connect, &socket, (struct sockaddr *)&to, on_connected);
-  CU_ASSERT_TRUE_FATAL (run_until (&ready));
+  CU_ASSERT_TRUE_FATAL (run_until (is_set, &ready));
   data = uv_buf_init (text, (unsigned)strlen (text));
   CU_ASSERT_EQUAL (uv_try_write ((uv_stream_t *)&socket, &data, 1),
                    (int)strlen (text));
-  ready = false;
-  for (int i = 0; i < 100000 && !ready; i++)
-    {
-      uv_run (daemon_parts.loop, UV_RUN_ONCE);
-      ready = ctr_get (daemon_parts.counters, "slow_callers_total") == 1;
-    }
-  CU_ASSERT_TRUE (ready);
+  CU_ASSERT_TRUE (run_until (has_slow_caller, NULL));
   CU_ASSERT_EQUAL (cd_requests_active (&daemon_parts), 0);
   ready = false;
   socket.data = &ready;
   uv_close ((uv_handle_t *)&socket, on_closed);
-  CU_ASSERT_TRUE (run_until (&ready));
+  CU_ASSERT_TRUE (run_until (is_set, &ready));
   g_free (text);
 }
 
