Keep ended suspicions until peers have stopped repeating them

Members repeat their suspicions in heartbeats. A report of a crash that arrived after the request had completed began the suspicion anew, and an old end could hide a later crash. An ended suspicion now stays with the time of its end, and the newer of a crash and an end holds.

Trial on a scratch copy: psn_test fails without either rule.

--- a/libcowslip/psn.c
+++ b/libcowslip/psn.c
@@ -4,6 +4,9 @@
 #define PSN_LAPSE_US    600000000ULL
 #define PSN_US_PER_MS   1000
 #define PSN_TABLE_MAX   4096 /* as many as one message carries */
+/* A crash that is reported as this much newer than the end of its suspicion
+   may be an old one whose message took that long.  */
+#define PSN_DELAY_US 1000000ULL
 /* Breaks that are seen within this time may belong to one crash.  */
 #define PSN_ONE_CRASH_US 5000000ULL
 
@@ -13,12 +16,14 @@
   struct psn_run *runs;
 };
 
+/* A suspicion that has ended is kept with no crashes: peers repeat what they
+   said, and an old report must not begin it anew.  */
 struct psn_suspicion
 {
   uint64_t fingerprint;
   uint32_t crashes;
-  uint64_t last_us;
-  char *crashed; /* address of the last endpoint, NULL: told by a peer */
+  uint64_t last_us; /* last crash, or the end */
+  char *crashed;    /* address of the last endpoint, NULL: told by a peer */
 };
 
 struct psn_table
@@ -165,6 +170,15 @@
   endpoint->runs = run;
 }
 
+static void
+psn_finish (struct psn_suspicion *suspicion, uint64_t when_us)
+{
+  g_free (suspicion->crashed);
+  suspicion->crashed = NULL;
+  suspicion->crashes = 0;
+  suspicion->last_us = when_us;
+}
+
 /* RUN has ended.  If its answer was WHOLE, its fingerprint is no longer
    suspected.  */
 void
@@ -176,9 +190,9 @@
   if (run->next != NULL)
     run->next->link = run->link;
   run->endpoint = NULL;
-  if (!whole || psn_find (table, run->fingerprint) == NULL)
+  if (!whole || psn_crashes (table, run->fingerprint) == 0)
     return;
-  g_hash_table_remove (table->suspicions, &run->fingerprint);
+  psn_finish (psn_find (table, run->fingerprint), tm_now_us (table->tm));
   table->changed (table->arg, run->fingerprint, 0);
 }
 
@@ -240,34 +254,37 @@
 }
 
 /* A peer counts CRASHES for FINGERPRINT, the last one AGE_MS ago; 0 crashes
-   mean that the suspicion has ended.  Several instances see the same crash,
-   so the higher count is taken and not the sum.  */
+   mean that the suspicion ended then.  Several instances see the same crash,
+   so the higher count is taken and not the sum.  The newer of a crash and an
+   end holds.  */
 void
 psn_merge (struct psn_table *table, uint64_t fingerprint, uint32_t crashes,
            uint32_t age_ms)
 {
   uint64_t now_us = tm_now_us (table->tm);
   uint64_t age_us = (uint64_t)age_ms * PSN_US_PER_MS;
-  uint64_t last_us = age_us > now_us ? 0 : now_us - age_us;
+  uint64_t when_us = age_us > now_us ? 0 : now_us - age_us;
   struct psn_suspicion *suspicion;
 
   if (age_us >= PSN_LAPSE_US)
     return;
-  if (crashes == 0)
-    {
-      g_hash_table_remove (table->suspicions, &fingerprint);
-      return;
-    }
   suspicion = psn_make (table, fingerprint);
   if (suspicion == NULL)
     return;
-  if (crashes > suspicion->crashes)
+  if (crashes == 0)
     {
-      g_free (suspicion->crashed);
-      suspicion->crashed = NULL;
-      suspicion->crashes = crashes;
+      if (when_us >= suspicion->last_us)
+        psn_finish (suspicion, when_us);
+      return;
     }
-  suspicion->last_us = MAX (suspicion->last_us, last_us);
+  if (crashes <= suspicion->crashes
+      || (suspicion->crashes == 0 && suspicion->last_us > 0
+          && when_us <= suspicion->last_us + PSN_DELAY_US))
+    return;
+  g_free (suspicion->crashed);
+  suspicion->crashed = NULL;
+  suspicion->crashes = crashes;
+  suspicion->last_us = MAX (suspicion->last_us, when_us);
 }
 
 /* Call EACH with ARG for every suspected fingerprint.  */
@@ -286,7 +303,7 @@
     {
       const struct psn_suspicion *s = value;
 
-      if (!psn_lapsed (table, s))
+      if (s->crashes > 0 && !psn_lapsed (table, s))
         each (arg, s->fingerprint, s->crashes,
               (uint32_t)((now_us - s->last_us) / PSN_US_PER_MS));
     }
--- a/regress/psn_test.c
+++ b/regress/psn_test.c
@@ -101,6 +101,7 @@
   psn_merge (table, 7, 2, 0);
   psn_merge (table, 7, 0, 0);
   CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+  wait_us (5 * SECOND_US);
   psn_merge (table, 7, 2, 1000);
   wait_us (598 * SECOND_US);
   CU_ASSERT_EQUAL (psn_check (table, 7), PSN_POISON);
@@ -109,12 +110,40 @@
   finish ();
 }
 
+/* Guards against peers' repetitions that begin an ended suspicion anew, and
+   against an end that hides a later crash.  */
+static void
+test_repeated (void)
+{
+  struct psn_run run = { 0 };
+
+  begin ();
+  psn_merge (table, 7, 1, 0);
+  wait_us (50000);
+  psn_begin (table, &run, 7, "e1");
+  psn_end (table, &run, true);
+  for (uint32_t age_ms = 0; age_ms < 5000; age_ms += 1000)
+    {
+      psn_merge (table, 7, 1, 50 + age_ms);
+      CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+      wait_us (SECOND_US);
+    }
+  psn_merge (table, 7, 1, 0);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_SUSPECT);
+  psn_merge (table, 7, 0, 1500);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_SUSPECT);
+  psn_merge (table, 7, 0, 0);
+  CU_ASSERT_EQUAL (psn_check (table, 7), PSN_CLEAR);
+  finish ();
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[] = { { "one crash", test_one_crash },
                                             { "peer", test_peer },
                                             { "end", test_end },
+                                            { "repeated", test_repeated },
                                             { NULL, NULL } };
 
   return unit_main ("psn", tests);
