--- a/cowslipctl/state.c
+++ b/cowslipctl/state.c
@@ -174,15 +174,43 @@
   return state_print_table (options, "control", "slots", columns);
 }
 
+static void
+state_print_endpoints (const struct ctl_options *options,
+                       struct json_object *endpoints)
+{
+  if (options->json)
+    {
+      ctl_print_json (endpoints);
+      return;
+    }
+  json_object_object_foreach (endpoints, address, entry)
+  {
+    printf (
+        "%-22s in flight %lld, reported %s%s%s\n", address,
+        (long long)ctl_number (entry, "in_flight"),
+        json_object_get_string (json_object_object_get (entry, "reported")),
+        ctl_flag (entry, "leaving") ? ", leaving" : "",
+        ctl_flag (entry, "ejected") ? ", ejected" : "");
+  }
+}
+
 /* Print the endpoints that the instance asked uses.  */
 enum ctl_status
 ctl_endpoints (const struct ctl_options *options, char **args)
 {
-  static const char *const columns[]
-      = { "endpoint", "in_flight", "ejected", "leaving", NULL };
+  struct ctl_answer answer = state_get (options);
+  enum ctl_status status = ctl_answer_status (&answer);
+  struct json_object *requests = NULL;
+  struct json_object *endpoints = NULL;
 
   (void)args;
-  return state_print_table (options, "requests", "endpoints", columns);
+  if (status != CTL_OK)
+    status = ctl_print_error (&answer);
+  else if (json_object_object_get_ex (answer.object, "requests", &requests)
+           && json_object_object_get_ex (requests, "endpoints", &endpoints))
+    state_print_endpoints (options, endpoints);
+  ctl_answer_clear (&answer);
+  return status;
 }
 
 /* Begin a graceful shutdown of the instance asked.  */
