Count the bytes of the HTTP client

Control traffic to engines and to the key-value service was not counted, so the control cost of an instance could not be measured. /metrics shows http_client_sent_bytes and http_client_received_bytes.

--- a/cowslipcoved/admin.c
+++ b/cowslipcoved/admin.c
@@ -92,6 +92,10 @@
                  (int64_t)rpc_bytes_sent (daemon->rpc));
   ctr_set_gauge (daemon->counters, "rpc_received_bytes",
                  (int64_t)rpc_bytes_received (daemon->rpc));
+  ctr_set_gauge (daemon->counters, "http_client_sent_bytes",
+                 (int64_t)http_client_sent_bytes (daemon->client));
+  ctr_set_gauge (daemon->counters, "http_client_received_bytes",
+                 (int64_t)http_client_received_bytes (daemon->client));
   ctr_set_gauge (daemon->counters, "configuration_generation",
                  (int64_t)cd_generation (daemon));
   ctr_print (daemon->counters, out);
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -24,6 +24,8 @@
   h2o_http1client_ctx_t context;
   h2o_multithread_queue_t *queue;
   h2o_multithread_receiver_t receiver;
+  uint64_t sent_bytes;
+  uint64_t received_bytes;
 };
 
 struct http_call
@@ -188,6 +190,7 @@
       http_finish (call, HTTP_CUT);
       return -1;
     }
+  call->client->received_bytes += input->size;
   if (input->size > 0)
     {
       call->in_callback = true;
@@ -246,7 +249,8 @@
 
   (void)minor;
   (void)message;
-  (void)header_bytes;
+  if (header_bytes > 0)
+    call->client->received_bytes += (uint64_t)header_bytes;
   call->chunked = http_has_header (headers, count, "transfer-encoding");
   /* An answer whose end is the end of the connection cannot be told from a
      cut one, so it is treated as cut.  */
@@ -281,6 +285,7 @@
       return NULL;
     }
   call->sent = true;
+  call->client->sent_bytes += call->wire->len;
   call->wire_vector = h2o_iovec_init (call->wire->str, call->wire->len);
   *buffers = &call->wire_vector;
   *count = 1;
@@ -422,6 +427,21 @@
   return state->call;
 }
 
+/* Return how many bytes CLIENT has sent, headers and bodies.  */
+uint64_t
+http_client_sent_bytes (const struct http_client *client)
+{
+  return client->sent_bytes;
+}
+
+/* Return how many bytes CLIENT has received, headers and bodies without the
+   framing of chunks.  */
+uint64_t
+http_client_received_bytes (const struct http_client *client)
+{
+  return client->received_bytes;
+}
+
 /* Return the name of OUTCOME in log lines.  */
 const char *
 http_outcome_text (enum http_outcome outcome)
--- a/libcowslip/http_client.h
+++ b/libcowslip/http_client.h
@@ -73,6 +73,8 @@
                               const struct http_request *request,
                               http_answer_cb done, void *arg);
 void http_cancel (struct http_call *call);
+uint64_t http_client_sent_bytes (const struct http_client *client);
+uint64_t http_client_received_bytes (const struct http_client *client);
 const char *http_outcome_text (enum http_outcome outcome);
 
 #endif
