Serve late requests in turn across the models of an engine

The turn of requests close to their latest start counted per model, so a higher class waiting for one model could starve a lower class waiting for another model on the same engine. The turn now counts over all models.

--- a/libcowslip/adm_impl.h
+++ b/libcowslip/adm_impl.h
@@ -17,7 +17,6 @@
   char *model;
   GSequence *lanes[ADM_LANES];
   GSequence *late; /* the free lane by latest start */
-  uint32_t turn;
   uint32_t arrivals;
   enum adm_outlook outlook;
   uint64_t ready_us;
@@ -33,6 +32,7 @@
   GSequence *all;
   uint32_t waiting_max;
   uint64_t next_order;
+  uint32_t turn; /* starts of waiting requests */
 };
 
 struct adm_entry *adm_first (GSequence *sequence);
--- a/libcowslip/adm_wake.c
+++ b/libcowslip/adm_wake.c
@@ -1,30 +1,47 @@
 #include "adm_impl.h"
 #include "adm_order.h"
 
-/* Every so many starts of a model, a request close to its latest start goes
+/* Every so many starts, a request close to its latest start goes
    first, so that a steady flow of higher classes starves no class.  */
 #define ADM_LATE_TURN 4
 /* A request is close to its latest start in the last quarter of its wait.  */
 #define ADM_LATE_SHARE 4
 
+/* Return whether ENTRY goes before others now because its latest start is
+   near.  */
+static bool
+adm_is_late (const struct adm_queues *queues, const struct adm_entry *entry)
+{
+  uint64_t margin_us = (entry->latest_us - entry->arrived_us) / ADM_LATE_SHARE;
+
+  return queues->turn % ADM_LATE_TURN == ADM_LATE_TURN - 1
+         && tm_now_us (queues->tm) + margin_us >= entry->latest_us;
+}
+
 /* Return the request of QUEUE whose turn it is, or NULL.  */
 static struct adm_entry *
 adm_head (const struct adm_queues *queues, const struct adm_queue *queue,
           int lane)
 {
   struct adm_entry *late = adm_first (queue->late);
-  uint64_t margin_us;
 
-  if (lane == ADM_LANE_FREE && late != NULL
-      && queue->turn % ADM_LATE_TURN == ADM_LATE_TURN - 1)
-    {
-      margin_us = (late->latest_us - late->arrived_us) / ADM_LATE_SHARE;
-      if (tm_now_us (queues->tm) + margin_us >= late->latest_us)
-        return late;
-    }
+  if (lane == ADM_LANE_FREE && late != NULL && adm_is_late (queues, late))
+    return late;
   return adm_first (queue->lanes[lane]);
 }
 
+/* Return whether A goes before B, which wait for different models.  */
+static bool
+adm_precedes (const struct adm_queues *queues, const struct adm_entry *a,
+              const struct adm_entry *b)
+{
+  bool a_late = adm_is_late (queues, a);
+
+  if (a_late != adm_is_late (queues, b))
+    return a_late;
+  return (a_late ? adm_by_latest (a, b, NULL) : adm_by_turn (a, b, NULL)) < 0;
+}
+
 /* Try to start the request whose turn it is; return whether the lane may have
    another one that can start.  */
 static bool
@@ -38,7 +55,7 @@
   switch (queues->actions.start (queues->arg, entry))
     {
     case ADM_STARTED:
-      queue->turn++;
+      queues->turn++;
       return true;
     case ADM_GONE:
       return true;
@@ -79,7 +96,7 @@
 
           if (head == NULL
               || (best_head != NULL
-                  && adm_by_turn (head, best_head, NULL) > 0))
+                  && !adm_precedes (queues, head, best_head)))
             continue;
           best = queue;
           best_head = head;
