Read the records of engines from files that outlive them

The records of an engine that was killed were lost, so the checks of replicas, memory and order of a run with killed engines missed them, and the demonstration had to name the engine as gone. The engine stand-in now appends every record to a file (--log), with the requests that it accepted, started or crashed for and when it began to leave. cowslipload check reads all incarnations from it (--engine-log): budgets across incarnations, at most two crashes of a zone for one request, no work 3 s after the first sign of leaving.

--- a/cowslipload/check.c
+++ b/cowslipload/check.c
@@ -8,6 +8,7 @@
 #include <json-c/json.h>
 
 #include "check.h"
+#include "engine_log.h"
 #include "http_client.h"
 #include "invariants.h"
 #include "tm_uv.h"
@@ -21,7 +22,10 @@
   OPTION_SERVICE,
   OPTION_GONE,
   OPTION_KEYS,
-  OPTION_DOCUMENT
+  OPTION_DOCUMENT,
+  OPTION_BUDGETS,
+  OPTION_ENGINE_LOG,
+  OPTION_NOT_RUN
 };
 
 enum ld_source_kind
@@ -51,13 +55,20 @@
   GHashTable *gone; /* addresses that need not answer */
   uint32_t left;
   uint32_t unreadable;
-  bool failed; /* a file could not be read */
+  uint32_t logs; /* incarnations of engines that were read from files */
+  bool failed;   /* a file could not be read */
 };
 
 static const struct argp_option options[]
     = { { "document", OPTION_DOCUMENT, "FILE", 0,
           "take budgets, engines and services from an environment document",
           0 },
+        { "budgets", OPTION_BUDGETS, "FILE", 0,
+          "take only the budgets from an environment document", 0 },
+        { "engine-log", OPTION_ENGINE_LOG, "FILE@ZONE", 0,
+          "records of all incarnations of an engine stand-in", 0 },
+        { "not-run", OPTION_NOT_RUN, "FILE", 0,
+          "compare with the file that cowslipload --not-run wrote", 0 },
         { "kv", OPTION_KV, "ADDRESS", 0, "key-value stand-in", 0 },
         { "engine", OPTION_ENGINE, "ADDRESS@ZONE", 0, "engine stand-in", 0 },
         { "service", OPTION_SERVICE, "ADDRESS", 0, "service stand-in", 0 },
@@ -120,7 +131,7 @@
 }
 
 static void
-read_document (struct ld_check *check, const char *file)
+read_document (struct ld_check *check, const char *file, bool endpoints)
 {
   struct json_object *document = json_object_from_file (file);
   struct json_object *part;
@@ -133,9 +144,9 @@
     }
   if (json_object_object_get_ex (document, "models", &part))
     add_budgets (check, part);
-  if (json_object_object_get_ex (document, "pools", &part))
+  if (endpoints && json_object_object_get_ex (document, "pools", &part))
     add_endpoints (check, part, LD_FROM_ENGINE);
-  if (json_object_object_get_ex (document, "services", &part))
+  if (endpoints && json_object_object_get_ex (document, "services", &part))
     add_endpoints (check, part, LD_FROM_SERVICE);
   json_object_put (document);
 }
@@ -159,6 +170,39 @@
   return whole;
 }
 
+static void
+read_not_run (struct ld_check *check, const char *file)
+{
+  char *text;
+  char **lines;
+
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    {
+      fprintf (stderr, "cowslipload: %s: cannot read\n", file);
+      check->failed = true;
+      return;
+    }
+  lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    if ((*line)[0] != '\0')
+      inv_not_run (check->invariants, *line);
+  g_strfreev (lines);
+  g_free (text);
+}
+
+static void
+read_engine_log (struct ld_check *check, const char *file, const char *zone)
+{
+  uint32_t incarnations = ld_engine_log (check->invariants, file, zone);
+
+  if (incarnations == 0)
+    {
+      fprintf (stderr, "cowslipload: %s: no records of an engine\n", file);
+      check->failed = true;
+    }
+  check->logs += incarnations;
+}
+
 static void
 read_keys (struct ld_check *check, const char *file)
 {
@@ -188,7 +232,20 @@
   switch (key)
     {
     case OPTION_DOCUMENT:
-      read_document (check, arg);
+      read_document (check, arg, true);
+      return 0;
+    case OPTION_BUDGETS:
+      read_document (check, arg, false);
+      return 0;
+    case OPTION_NOT_RUN:
+      read_not_run (check, arg);
+      return 0;
+    case OPTION_ENGINE_LOG:
+      at = strrchr (arg, '@');
+      if (at == NULL)
+        argp_error (state, "no zone: %s", arg);
+      *at = '\0';
+      read_engine_log (check, arg, at + 1);
       return 0;
     case OPTION_KV:
       add_source (check, LD_FROM_KV, arg, NULL);
@@ -308,11 +365,12 @@
   argp_parse (&parser, argc, argv, 0, NULL, &check);
   fetch_records (&check);
   violations = inv_report (check.invariants, print_finding, NULL);
-  printf ("%u violations, records of %u of %u stand-ins missing\n", violations,
-          check.unreadable, check.sources->len);
+  printf ("%u violations, records of %u of %u stand-ins missing, %u logs of "
+          "engines read\n",
+          violations, check.unreadable, check.sources->len, check.logs);
   inv_free (check.invariants);
   return violations == 0 && check.unreadable == 0 && !check.failed
-                 && check.sources->len > 0
+                 && check.sources->len + check.logs > 0
              ? EXIT_SUCCESS
              : EXIT_FAILURE;
 }
--- /dev/null
+++ b/cowslipload/engine_log.h
@@ -0,0 +1,9 @@
+#ifndef COWSLIPLOAD_ENGINE_LOG_H
+#define COWSLIPLOAD_ENGINE_LOG_H
+
+#include "invariants.h"
+
+uint32_t ld_engine_log (struct inv *invariants, const char *file,
+                        const char *zone);
+
+#endif
--- a/regress/invariants.c
+++ b/regress/invariants.c
@@ -7,6 +7,9 @@
 
 /* A leaving endpoint may receive new work for this long.  */
 #define INV_LEAVING_MAX_MS 3000
+#define INV_US_PER_MS      1000U
+/* So many engines of a zone may crash for one request.  */
+#define INV_CRASHES_MAX 2U
 
 /* A replica that appeared (+1) or went (-1).  */
 struct inv_change
@@ -32,9 +35,12 @@
 
 struct inv
 {
-  GHashTable *slots; /* by "ZONE MODEL" */
-  GHashTable *runs;  /* number of runs by idempotency key */
-  GHashTable *keys;  /* struct inv_key by key */
+  GHashTable *slots;   /* by "ZONE MODEL" */
+  GHashTable *runs;    /* number of runs by idempotency key */
+  GHashTable *keys;    /* struct inv_key by key */
+  GHashTable *crashes; /* number by "ZONE SEED" of the request */
+  GHashTable *started; /* seeds of requests that an engine started */
+  GHashTable *not_run; /* seeds of requests that were refused as not run */
   GPtrArray *findings;
   bool services_read;
 };
@@ -69,6 +75,10 @@
                                       inv_slots_free);
   inv->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   inv->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  inv->crashes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  inv->started = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  inv->not_run = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   inv->findings = g_ptr_array_new_with_free_func (inv_entry_free);
   return inv;
 }
@@ -80,6 +90,9 @@
   g_hash_table_destroy (inv->slots);
   g_hash_table_destroy (inv->runs);
   g_hash_table_destroy (inv->keys);
+  g_hash_table_destroy (inv->crashes);
+  g_hash_table_destroy (inv->started);
+  g_hash_table_destroy (inv->not_run);
   g_ptr_array_free (inv->findings, TRUE);
   g_free (inv);
 }
@@ -168,6 +181,20 @@
     g_array_append_val (inv_slots (inv, model, zone)->changes, change);
 }
 
+/* The memory of an engine that ended is empty.  */
+static void
+inv_engine_end (struct inv *inv, const char *zone, GHashTable *held,
+                int64_t ended_us)
+{
+  struct inv_change change = { (uint64_t)ended_us, -1 };
+  GHashTableIter iter;
+  gpointer model;
+
+  g_hash_table_iter_init (&iter, held);
+  while (ended_us > 0 && g_hash_table_iter_next (&iter, &model, NULL))
+    g_array_append_val (inv_slots (inv, model, zone)->changes, change);
+}
+
 static void
 inv_engine_changes (struct inv *inv, const char *address, const char *zone,
                     struct json_object *records)
@@ -189,6 +216,7 @@
                  address, used_bytes, memory_bytes,
                  inv_int (entry, "time_us"));
     }
+  inv_engine_end (inv, zone, held, inv_int (records, "ended_us"));
   g_hash_table_destroy (held);
 }
 
@@ -217,7 +245,93 @@
     }
 }
 
-/* Take the RECORDS of the engine at ADDRESS in ZONE.  */
+/* Count one more for KEY and return the count.  */
+static uint64_t
+inv_count (GHashTable *counts, const char *key)
+{
+  uint64_t *count = g_hash_table_lookup (counts, key);
+
+  if (count == NULL)
+    {
+      count = g_new0 (uint64_t, 1);
+      g_hash_table_insert (counts, g_strdup (key), count);
+    }
+  return ++*count;
+}
+
+static void
+inv_engine_crashes (struct inv *inv, const char *address, const char *zone,
+                    struct json_object *records)
+{
+  struct json_object *crashes = json_object_object_get (records, "crashes");
+
+  for (size_t i = 0; i < inv_length (crashes); i++)
+    {
+      const char *seed
+          = inv_string (json_object_array_get_idx (crashes, i), "seed");
+      char *name = g_strdup_printf ("%s %s", zone, seed);
+      uint64_t count = inv_count (inv->crashes, name);
+
+      if (count > INV_CRASHES_MAX)
+        inv_add (inv, true,
+                 "engine %s: crash %" PRIu64 " in %s for one request", address,
+                 count, zone);
+      g_free (name);
+    }
+}
+
+/* An engine tells its caller nothing of an order of events between processes,
+   so work that was accepted is compared with the signs that were logged.  */
+static void
+inv_engine_leaving (struct inv *inv, const char *address,
+                    struct json_object *records)
+{
+  struct json_object *signs = json_object_object_get (records, "signs");
+  struct json_object *accepted = json_object_object_get (records, "accepted");
+  uint64_t late = 0;
+  int64_t latest_ms = 0;
+
+  for (size_t i = 0; i < inv_length (signs); i++)
+    {
+      struct json_object *sign = json_object_array_get_idx (signs, i);
+      int64_t from_us = inv_int (sign, "leaving_us");
+      int64_t until_us = inv_int (sign, "back_us");
+
+      for (size_t k = 0; k < inv_length (accepted); k++)
+        {
+          int64_t after_ms
+              = (inv_int (json_object_array_get_idx (accepted, k), "time_us")
+                 - from_us)
+                / INV_US_PER_MS;
+          bool back
+              = until_us > 0 && from_us + after_ms * INV_US_PER_MS >= until_us;
+
+          if (after_ms <= INV_LEAVING_MAX_MS || back)
+            continue;
+          late++;
+          latest_ms = MAX (latest_ms, after_ms);
+        }
+    }
+  if (late > 0)
+    inv_add (inv, true,
+             "engine %s: %" PRIu64 " requests after it began to leave, "
+             "the last %" PRId64 " ms after it",
+             address, late, latest_ms);
+}
+
+static void
+inv_engine_started (struct inv *inv, struct json_object *records)
+{
+  struct json_object *started = json_object_object_get (records, "started");
+
+  for (size_t i = 0; i < inv_length (started); i++)
+    g_hash_table_add (inv->started,
+                      g_strdup (inv_string (
+                          json_object_array_get_idx (started, i), "seed")));
+}
+
+/* Take the RECORDS of the engine at ADDRESS in ZONE: what GET /records shows,
+   or those of one incarnation from its log file, with when it ended.  */
 void
 inv_engine (struct inv *inv, const char *address, const char *zone,
             struct json_object *records)
@@ -227,6 +341,9 @@
 
   inv_engine_changes (inv, address, zone, records);
   inv_engine_orders (inv, address, records);
+  inv_engine_crashes (inv, address, zone, records);
+  inv_engine_leaving (inv, address, records);
+  inv_engine_started (inv, records);
   if (inv_length (overcommits) > 0)
     inv_add (inv, true, "engine %s: memory overcommitted %zu times", address,
              inv_length (overcommits));
@@ -256,16 +373,9 @@
     {
       const char *key
           = inv_string (json_object_array_get_idx (runs, i), "key");
-      uint64_t *count = g_hash_table_lookup (inv->runs, key);
 
-      if (key[0] == '\0')
-        continue;
-      if (count == NULL)
-        {
-          count = g_new0 (uint64_t, 1);
-          g_hash_table_insert (inv->runs, g_strdup (key), count);
-        }
-      ++*count;
+      if (key[0] != '\0')
+        inv_count (inv->runs, key);
     }
   if (inv_int (records, "dropped") > 0)
     inv_add (inv, true, "service %s: records are not complete", address);
@@ -295,6 +405,14 @@
   g_hash_table_replace (inv->keys, g_strdup (key->text), held);
 }
 
+/* Take that the only attempt of the request with SEED was refused as not
+   run.  */
+void
+inv_not_run (struct inv *inv, const char *seed)
+{
+  g_hash_table_add (inv->not_run, g_strdup (seed));
+}
+
 static gint
 inv_change_compare (gconstpointer a, gconstpointer b)
 {
@@ -360,6 +478,20 @@
     }
 }
 
+static void
+inv_check_not_run (struct inv *inv)
+{
+  GHashTableIter iter;
+  gpointer seed;
+
+  g_hash_table_iter_init (&iter, inv->not_run);
+  while (g_hash_table_iter_next (&iter, &seed, NULL))
+    if (g_hash_table_contains (inv->started, seed))
+      inv_add (inv, true,
+               "request %s was refused as not run, but an engine started it",
+               (const char *)seed);
+}
+
 /* Report all findings to FINDING with ARG and return the number of
    violations.  */
 uint32_t
@@ -373,6 +505,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &slots))
     inv_check_slots (inv, slots);
   inv_check_keys (inv);
+  inv_check_not_run (inv);
   for (guint i = 0; i < inv->findings->len; i++)
     {
       const struct inv_finding_entry *entry = inv->findings->pdata[i];
--- a/regress/invariants.h
+++ b/regress/invariants.h
@@ -31,6 +31,7 @@
 void inv_kv (struct inv *inv, const char *address,
              struct json_object *records);
 void inv_key (struct inv *inv, const struct inv_key *key);
+void inv_not_run (struct inv *inv, const char *seed);
 uint32_t inv_report (struct inv *inv, inv_finding finding, void *arg);
 
 #endif
--- a/standin/engine/batch.c
+++ b/standin/engine/batch.c
@@ -90,7 +90,11 @@
                         * STAND_US_PER_MS;
 
   if (marker[0] != '\0' && strstr (request->prompt, marker) != NULL)
-    _exit (ENG_CRASH_STATUS);
+    {
+      eng_log_request (request, "crashes");
+      _exit (ENG_CRASH_STATUS);
+    }
+  eng_log_request (request, "started");
   if (eng_prefix_use (engine, request))
     prefill_us /= ENG_CACHED_PREFILL_DIVISOR;
   request->started = true;
--- a/standin/engine/engine.c
+++ b/standin/engine/engine.c
@@ -34,9 +34,16 @@
   struct eng_records *records = &engine->records;
 
   if (stand_fault (&engine->faults, "leaving") == 0)
-    records->leaving_us = 0;
+    {
+      if (records->leaving_us != 0)
+        eng_log (engine, "back", json_object_new_object ());
+      records->leaving_us = 0;
+    }
   else if (records->leaving_us == 0)
-    records->leaving_us = stand_now_us ();
+    {
+      records->leaving_us = stand_now_us ();
+      eng_log (engine, "leaving", json_object_new_object ());
+    }
 }
 
 /* Answer one request to the engine ARG.  */
@@ -76,6 +83,8 @@
                      "{\"slow_factor\": 1, \"crash_on\": \"\", \"refuse\": 0,"
                      " \"leaving\": false, \"cut_after_tokens\": 0,"
                      " \"pause_orders_ms\": 0}");
+  if (options->crash_on != NULL)
+    stand_add_string (engine->faults.values, "crash_on", options->crash_on);
   eng_records_init (&engine->records);
   engine->random = gsl_rng_alloc (gsl_rng_taus2);
   gsl_rng_set (engine->random, options->seed + index);
@@ -92,4 +101,5 @@
   engine->prefixes
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   eng_reports_start (engine);
+  eng_log_start (engine);
 }
--- a/standin/engine/engine.h
+++ b/standin/engine/engine.h
@@ -1,6 +1,8 @@
 #ifndef STANDIN_ENGINE_ENGINE_H
 #define STANDIN_ENGINE_ENGINE_H
 
+#include <stdio.h>
+
 #include <gsl/gsl_rng.h>
 
 #include "standin.h"
@@ -12,6 +14,8 @@
 {
   const char *address;
   const char *weights_address; /* NULL: remote loads take bytes/remote_rate */
+  const char *log_file;        /* NULL: none */
+  const char *crash_on;        /* first value of the fault */
   uint32_t count;              /* engines, on consecutive ports */
   uint64_t memory_bytes;
   uint64_t host_bytes;  /* checkpoints kept in host memory */
@@ -139,6 +143,7 @@
   const struct eng_options *options;
   struct stand_faults faults;
   struct eng_records records;
+  FILE *log; /* NULL: none */
   gsl_rng *random;
   char incarnation[17];
   char address[64];
@@ -208,7 +213,11 @@
 void eng_cache_events (struct engine *engine, struct http_exchange *exchange);
 
 void eng_record (struct engine *engine, struct json_object *list,
-                 struct json_object *entry);
+                 const char *name, struct json_object *entry);
+void eng_log (struct engine *engine, const char *list,
+              struct json_object *entry);
+void eng_log_start (struct engine *engine);
+void eng_log_request (const struct eng_request *request, const char *kind);
 void eng_records_init (struct eng_records *records);
 void eng_record_change (struct engine *engine, const char *model,
                         const char *state);
--- a/standin/engine/generate.c
+++ b/standin/engine/generate.c
@@ -186,5 +186,6 @@
       return;
     }
   eng_remember (engine, request);
+  eng_log_request (request, "accepted");
   eng_enqueue (request);
 }
--- a/standin/engine/main.c
+++ b/standin/engine/main.c
@@ -27,6 +27,8 @@
   OPTION_SEED,
   OPTION_ADAPTER_STORE,
   OPTION_CHECK_FENCING,
+  OPTION_LOG,
+  OPTION_CRASH_ON,
   OPTION_OVERCOMMIT,
   OPTION_RESUME_OWN
 };
@@ -38,6 +40,10 @@
   { "weights", 'w', "ADDRESS", 0, "fetch remote weights from ADDRESS", 0 },
   { "check-fencing", OPTION_CHECK_FENCING, NULL, 0,
     "refuse orders with an old fencing number", 0 },
+  { "log", OPTION_LOG, "FILE", 0,
+    "append every record to FILE, which outlives the engine", 0 },
+  { "crash-on", OPTION_CRASH_ON, "TEXT", 0,
+    "crash on a prompt that contains TEXT", 0 },
   { "accept-overcommit", OPTION_OVERCOMMIT, NULL, 0,
     "accept loads beyond the memory and record them", 0 },
   { "resume-own", OPTION_RESUME_OWN, NULL, 0,
@@ -173,6 +179,12 @@
     case OPTION_CHECK_FENCING:
       settings.check_fencing = true;
       return 0;
+    case OPTION_LOG:
+      settings.log_file = arg;
+      return 0;
+    case OPTION_CRASH_ON:
+      settings.crash_on = arg;
+      return 0;
     case OPTION_OVERCOMMIT:
       settings.accept_overcommit = true;
       return 0;
@@ -234,7 +246,8 @@
   static struct engine *engines;
 
   argp_parse (&parser, argc, argv, 0, NULL, NULL);
-  if (settings.token_ms == 0 || settings.count == 0)
+  if (settings.token_ms == 0 || settings.count == 0
+      || (settings.count > 1 && settings.log_file != NULL))
     return EXIT_FAILURE;
   stand_init (&host, "standin-engine");
   engines = g_new0 (struct engine, settings.count);
--- a/standin/engine/models.c
+++ b/standin/engine/models.c
@@ -78,7 +78,7 @@
     }
   entry = json_object_new_object ();
   stand_add_int (entry, "used_bytes", (int64_t)used_bytes);
-  eng_record (engine, engine->records.overcommits, entry);
+  eng_record (engine, engine->records.overcommits, "overcommits", entry);
   return true;
 }
 
--- a/standin/engine/orders.c
+++ b/standin/engine/orders.c
@@ -139,7 +139,7 @@
   stand_add_string (entry, "fence", stand_string (order, "fence"));
   stand_add_int (entry, "status", status);
   stand_add_int (entry, "running", eng_running_on (engine, model));
-  eng_record (engine, engine->records.orders, entry);
+  eng_record (engine, engine->records.orders, "orders", entry);
 }
 
 static void
--- a/standin/engine/records.c
+++ b/standin/engine/records.c
@@ -10,12 +10,72 @@
   records->overcommits = json_object_new_array ();
 }
 
-/* Append ENTRY with the time to LIST, or count it as dropped when the list is
-   full, so that a checker knows that the records are not complete.  */
+/* Write ENTRY, which belongs to LIST, with the time to the log file, if there
+   is one.  A line is written at once, so that a killed engine leaves all that
+   it did before.  */
+static void
+eng_log_line (struct engine *engine, const char *list,
+              struct json_object *entry)
+{
+  FILE *log = engine->log;
+
+  if (log == NULL)
+    return;
+  stand_add_string (entry, "list", list);
+  stand_add_int (entry, "time_us", (int64_t)stand_now_us ());
+  if (fprintf (log, "%s\n",
+               json_object_to_json_string_ext (entry, JSON_C_TO_STRING_PLAIN))
+          < 0
+      || fflush (log) != 0)
+    g_error ("%s: cannot write the log", engine->options->log_file);
+}
+
+/* Write ENTRY to the log file only and release it.  */
+void
+eng_log (struct engine *engine, const char *list, struct json_object *entry)
+{
+  eng_log_line (engine, list, entry);
+  json_object_put (entry);
+}
+
+/* Log that ENGINE starts with empty memory.  */
+void
+eng_log_start (struct engine *engine)
+{
+  struct json_object *entry = json_object_new_object ();
+
+  if (engine->options->log_file != NULL)
+    engine->log = fopen (engine->options->log_file, "ae");
+  if (engine->options->log_file != NULL && engine->log == NULL)
+    g_error ("%s: cannot open", engine->options->log_file);
+  stand_add_string (entry, "incarnation", engine->incarnation);
+  stand_add_int (entry, "memory_bytes",
+                 (int64_t)engine->options->memory_bytes);
+  eng_log (engine, "start", entry);
+}
+
+/* Log the step KIND of REQUEST.  */
+void
+eng_log_request (const struct eng_request *request, const char *kind)
+{
+  struct json_object *entry = json_object_new_object ();
+  char seed[24];
+
+  (void)g_snprintf (seed, sizeof seed, "%" G_GUINT64_FORMAT, request->seed);
+  stand_add_string (entry, "id", request->id);
+  stand_add_string (entry, "seed", seed);
+  stand_add_string (entry, "model", request->name);
+  eng_log (request->engine, kind, entry);
+}
+
+/* Append ENTRY with the time to LIST, whose name is NAME, or count it as
+   dropped when the list is full, so that a checker knows that the records are
+   not complete.  */
 void
-eng_record (struct engine *engine, struct json_object *list,
+eng_record (struct engine *engine, struct json_object *list, const char *name,
             struct json_object *entry)
 {
+  eng_log_line (engine, name, entry);
   if (json_object_array_length (list) >= engine->options->records_max)
     {
       engine->records.dropped++;
@@ -38,7 +98,7 @@
   stand_add_string (change, "model", model);
   stand_add_string (change, "state", state);
   stand_add_int (change, "used_bytes", (int64_t)used_bytes);
-  eng_record (engine, engine->records.changes, change);
+  eng_record (engine, engine->records.changes, "changes", change);
   if (used_bytes > engine->records.used_peak_bytes)
     engine->records.used_peak_bytes = used_bytes;
   if (models > engine->records.models_peak)
@@ -58,7 +118,7 @@
   stand_add_int (run, "first_token", request->first);
   stand_add_int (run, "tokens", request->next - request->first);
   stand_add_int (run, "arrived_us", (int64_t)request->arrived_us);
-  eng_record (request->engine, request->engine->records.runs, run);
+  eng_record (request->engine, request->engine->records.runs, "runs", run);
 }
 
 /* Answer GET /records.  */
