Note failed renewals of the controller's lease

The key-value client names no lease when a renewal fails, and the election ignored every answer whose lease was not its own. So it did not see the outage, and 5 s after the last other failure the controller stopped all orders: cold models no longer loaded for the rest of the outage, also on engines that check fencing numbers.

The outcome is now noted before the lease is compared.

--- a/libcowslip/own_kv.c
+++ b/libcowslip/own_kv.c
@@ -161,29 +161,39 @@
   kv_txn (&own->config.kv, &txn, own_read_done, own);
 }
 
+/* Act on the OUTCOME of a renewal.  One that failed names no lease, and must
+   be noted all the same: orders during an outage rely on it.  */
 static void
-own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
+own_renewed (struct own *own, enum kv_outcome outcome, int64_t lease)
 {
-  struct own *own = arg;
   uint64_t valid_us = (OWN_TTL_S * 1000 - OWN_MARGIN_MS) * OWN_US_PER_MS;
 
-  own->renewing = false;
-  if (own->closed || lease != own->lease)
+  own_note_outcome (own, outcome);
+  if (own->kv_failed)
     {
-      own_unref (own);
+      own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
       return;
     }
-  own_note_outcome (own, outcome);
+  if (lease != own->lease)
+    return;
   if (outcome == KV_OK)
-    own->lease_safe_us = own->renew_us + valid_us;
-  else if (outcome == KV_CONFLICT)
     {
-      own->lease_safe_us = 0;
-      own->lease = 0;
-      own->next_read_us = 0;
+      own->lease_safe_us = own->renew_us + valid_us;
+      return;
     }
-  else
-    own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
+  own->lease_safe_us = 0;
+  own->lease = 0;
+  own->next_read_us = 0;
+}
+
+static void
+own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
+{
+  struct own *own = arg;
+
+  own->renewing = false;
+  if (!own->closed)
+    own_renewed (own, outcome, lease);
   own_unref (own);
 }
 
--- a/regress/plc_zone_test.c
+++ b/regress/plc_zone_test.c
@@ -167,11 +167,45 @@
   CU_ASSERT_TRUE (loads > 0);
 }
 
+static bool
+may_order (const struct sim *sim)
+{
+  uint64_t fence;
+
+  for (uint32_t i = 0; i < SIM_INSTANCES; i++)
+    if (own_may_order (sim->instances[i].own, true, &fence))
+      return true;
+  return false;
+}
+
+/* Guards against a controller that stops ordering engines that check fencing
+   numbers in the middle of an outage, because it does not note that the
+   renewals of its lease fail.  */
+static void
+test_outage (void)
+{
+  struct sim *sim = sim_new (1, &calm);
+  uint32_t without = 0;
+
+  for (uint32_t i = 0; i < SIM_INSTANCES; i++)
+    sim_start (sim, i);
+  sim_advance (sim, CALM_MS);
+  CU_ASSERT_TRUE (may_order (sim));
+  sim->kv_down = true;
+  for (uint32_t t = 0; t < FAULTY_MS; t += ROUND_MS)
+    {
+      sim_advance (sim, ROUND_MS);
+      without += !may_order (sim);
+    }
+  CU_ASSERT_EQUAL (without, 0);
+  sim_free (sim);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
-      = { { "seeds", test_seeds }, { NULL, NULL } };
+      = { { "seeds", test_seeds }, { "outage", test_outage }, { NULL, NULL } };
 
   return unit_main ("plc_zone", tests);
 }
--- a/regress/sim_kv.c
+++ b/regress/sim_kv.c
@@ -189,6 +189,13 @@
     g_free (call->texts[i]);
 }
 
+static bool
+sim_kv_failed (enum kv_outcome outcome)
+{
+  return outcome == KV_UNKNOWN || outcome == KV_UNAVAILABLE;
+}
+
+/* As with the real client, a call that failed names no lease.  */
 static void
 sim_kv_answer (struct sim *sim, void *data)
 {
@@ -200,7 +207,8 @@
   if (call->done != NULL)
     call->done (call->arg, &result);
   else if (call->lease_done != NULL)
-    call->lease_done (call->arg, call->outcome, call->lease);
+    call->lease_done (call->arg, call->outcome,
+                      sim_kv_failed (call->outcome) ? 0 : call->lease);
   sim_kv_clear (call);
 }
 
