Add a TCP relay that cuts off the processes behind it

A partition of a zone could not be made with the other stand-ins. The relay forwards connections from addresses to others; with the fault cut it closes all of them and refuses new ones.

--- /dev/null
+++ b/standin/relay/main.c
@@ -0,0 +1,299 @@
+#include <argp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin.h"
+
+#define RLY_BACKLOG     64
+#define RLY_READ_BYTES  65536U
+#define RLY_FORWARD_MAX 16
+
+/* One address that is listened on and where its connections go.  */
+struct rly_forward
+{
+  struct rly *relay;
+  uv_tcp_t listener;
+  struct sockaddr_in target;
+};
+
+/* One side of a connection.  */
+struct rly_side
+{
+  uv_tcp_t tcp;
+  struct rly_pair *pair;
+  struct rly_side *other;
+  char buffer[RLY_READ_BYTES];
+};
+
+/* A caller's connection and the one to the target.  */
+struct rly_pair
+{
+  struct rly *relay;
+  struct rly_side sides[2];
+  uv_connect_t connect;
+  uint8_t open; /* handles that are not closed */
+};
+
+/* The relay between the instances of a zone and other processes.  */
+struct rly
+{
+  struct stand_host host;
+  struct stand_faults faults;
+  struct rly_forward forwards[RLY_FORWARD_MAX];
+  size_t count;
+  GHashTable *pairs;
+  uint64_t accepted;
+  uint64_t refused;
+};
+
+/* Bytes that are being written.  */
+struct rly_write
+{
+  uv_write_t request;
+  char bytes[];
+};
+
+static const struct argp_option options[] = {
+  { "listen", 'l', "ADDRESS", 0,
+    "take faults on ADDRESS (IP:PORT): cut, which closes all connections "
+    "and refuses new ones",
+    0 },
+  { "forward", 'f', "FROM=TO", 0,
+    "forward connections to the address FROM to the address TO; may be "
+    "given several times",
+    0 },
+  { 0 }
+};
+
+static const char *listen_address = "127.0.0.1:7004";
+static struct rly relay;
+
+static bool
+rly_parse_address (const char *text, struct sockaddr_in *address)
+{
+  const char *colon = strrchr (text, ':');
+  char ip[INET_ADDRSTRLEN];
+  unsigned long port;
+
+  if (colon == NULL || (size_t)(colon - text) >= sizeof ip)
+    return false;
+  memcpy (ip, text, (size_t)(colon - text));
+  ip[colon - text] = '\0';
+  port = strtoul (colon + 1, NULL, 10);
+  return port > 0 && port <= UINT16_MAX
+         && uv_ip4_addr (ip, (int)port, address) == 0;
+}
+
+static bool
+rly_add_forward (const char *text)
+{
+  struct rly_forward *forward = &relay.forwards[relay.count];
+  char **parts = g_strsplit (text, "=", 2);
+  struct sockaddr_in from;
+  bool good = relay.count < RLY_FORWARD_MAX && g_strv_length (parts) == 2
+              && rly_parse_address (parts[0], &from)
+              && rly_parse_address (parts[1], &forward->target);
+
+  g_strfreev (parts);
+  if (!good)
+    return false;
+  forward->relay = &relay;
+  uv_tcp_init (&relay.host.loop, &forward->listener);
+  forward->listener.data = forward;
+  relay.count++;
+  return uv_tcp_bind (&forward->listener, (struct sockaddr *)&from, 0) == 0;
+}
+
+static void
+rly_closed (uv_handle_t *handle)
+{
+  struct rly_side *side = handle->data;
+
+  if (--side->pair->open == 0)
+    g_free (side->pair);
+}
+
+static void
+rly_pair_close (struct rly_pair *pair)
+{
+  if (!g_hash_table_remove (pair->relay->pairs, pair))
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (pair->sides); i++)
+    uv_close ((uv_handle_t *)&pair->sides[i].tcp, rly_closed);
+}
+
+static void
+rly_alloc (uv_handle_t *handle, size_t suggested, uv_buf_t *buf)
+{
+  struct rly_side *side = handle->data;
+
+  (void)suggested;
+  *buf = uv_buf_init (side->buffer, sizeof side->buffer);
+}
+
+static void
+rly_written (uv_write_t *request, int status)
+{
+  (void)status;
+  g_free (request);
+}
+
+/* The end of one direction ends both: HTTP needs no half-open connection.  */
+static void
+rly_read (uv_stream_t *stream, ssize_t bytes, const uv_buf_t *buf)
+{
+  struct rly_side *side = stream->data;
+  struct rly_write *write;
+  uv_buf_t out;
+
+  if (bytes < 0)
+    {
+      rly_pair_close (side->pair);
+      return;
+    }
+  write = g_malloc (sizeof *write + (size_t)bytes);
+  memcpy (write->bytes, buf->base, (size_t)bytes);
+  out = uv_buf_init (write->bytes, (unsigned)bytes);
+  if (uv_write (&write->request, (uv_stream_t *)&side->other->tcp, &out, 1,
+                rly_written)
+      == 0)
+    return;
+  g_free (write);
+  rly_pair_close (side->pair);
+}
+
+static void
+rly_connected (uv_connect_t *connect, int status)
+{
+  struct rly_pair *pair = connect->data;
+
+  if (status == UV_ECANCELED)
+    return;
+  if (status != 0)
+    {
+      rly_pair_close (pair);
+      return;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (pair->sides); i++)
+    uv_read_start ((uv_stream_t *)&pair->sides[i].tcp, rly_alloc, rly_read);
+}
+
+static struct rly_pair *
+rly_pair_new (struct rly *owner)
+{
+  struct rly_pair *pair = g_new0 (struct rly_pair, 1);
+
+  pair->relay = owner;
+  pair->open = G_N_ELEMENTS (pair->sides);
+  pair->connect.data = pair;
+  for (size_t i = 0; i < G_N_ELEMENTS (pair->sides); i++)
+    {
+      struct rly_side *side = &pair->sides[i];
+
+      uv_tcp_init (&owner->host.loop, &side->tcp);
+      side->tcp.data = side;
+      side->pair = pair;
+      side->other = &pair->sides[1 - i];
+    }
+  g_hash_table_add (owner->pairs, pair);
+  return pair;
+}
+
+static void
+rly_accept (uv_stream_t *listener, int status)
+{
+  struct rly_forward *forward = listener->data;
+  struct rly *owner = forward->relay;
+  struct rly_pair *pair;
+
+  if (status < 0)
+    return;
+  pair = rly_pair_new (owner);
+  if (uv_accept (listener, (uv_stream_t *)&pair->sides[0].tcp) != 0
+      || stand_fault (&owner->faults, "cut") != 0)
+    {
+      owner->refused++;
+      rly_pair_close (pair);
+      return;
+    }
+  owner->accepted++;
+  if (uv_tcp_connect (&pair->connect, &pair->sides[1].tcp,
+                      (const struct sockaddr *)&forward->target, rly_connected)
+      != 0)
+    rly_pair_close (pair);
+}
+
+static void
+rly_cut (struct rly *owner)
+{
+  GList *pairs = g_hash_table_get_keys (owner->pairs);
+
+  for (GList *l = pairs; l != NULL; l = l->next)
+    rly_pair_close (l->data);
+  g_list_free (pairs);
+}
+
+static void
+rly_handle (void *arg, struct http_exchange *exchange)
+{
+  struct rly *owner = arg;
+  struct json_object *body;
+
+  if (stand_faults_serve (&owner->faults, exchange))
+    {
+      if (stand_fault (&owner->faults, "cut") != 0)
+        rly_cut (owner);
+      return;
+    }
+  if (!stand_is (exchange, "GET", "/records"))
+    {
+      stand_reply_error (exchange, 404, "not found");
+      return;
+    }
+  body = json_object_new_object ();
+  stand_add_int (body, "accepted", (int64_t)owner->accepted);
+  stand_add_int (body, "refused", (int64_t)owner->refused);
+  stand_add_int (body, "open", g_hash_table_size (owner->pairs));
+  stand_reply (exchange, 200, body);
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  switch (key)
+    {
+    case 'l':
+      listen_address = arg;
+      return 0;
+    case 'f':
+      if (!rly_add_forward (arg))
+        argp_error (state, "cannot forward %s", arg);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp parser
+      = { options, parse_option,
+          NULL,    "TCP relay that can cut off the processes behind it.",
+          NULL,    NULL,
+          NULL };
+
+  stand_init (&relay.host, "standin-relay");
+  stand_faults_init (&relay.faults, "{\"cut\": 0}");
+  relay.pairs = g_hash_table_new (NULL, NULL);
+  argp_parse (&parser, argc, argv, 0, NULL, NULL);
+  for (size_t i = 0; i < relay.count; i++)
+    if (uv_listen ((uv_stream_t *)&relay.forwards[i].listener, RLY_BACKLOG,
+                   rly_accept)
+        != 0)
+      return EXIT_FAILURE;
+  if (!stand_listen (&relay.host, listen_address, rly_handle, &relay))
+    return EXIT_FAILURE;
+  stand_run (&relay.host);
+  return EXIT_SUCCESS;
+}
