--- a/cowslipload/experiment.h
+++ b/cowslipload/experiment.h
@@ -73,6 +73,7 @@
   uint32_t requests_max;
   uint32_t in_flight_max;
   bool resend;
+  bool follow_ready;  /* send only to ready targets */
   GPtrArray *targets; /* "IP:PORT" */
   struct ld_arrival arrival;
   GPtrArray *mix; /* struct ld_mix */
--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -12,7 +12,10 @@
 enum option_key
 {
   OPTION_RESEND = 256,
-  OPTION_KEYS
+  OPTION_KEYS,
+  OPTION_NOT_RUN,
+  OPTION_BROKEN,
+  OPTION_FOLLOW_READY
 };
 
 /* What the command line says.  */
@@ -22,6 +25,9 @@
   const char *csv;
   const char *png;
   const char *keys;
+  const char *not_run;
+  const char *broken;
+  bool follow_ready;
   GPtrArray *targets;
   const char *seed;
   const char *duration;
@@ -29,20 +35,27 @@
   bool resend;
 };
 
-static const struct argp_option options[]
-    = { { "target", 't', "ADDRESS", 0,
-          "send to ADDRESS (IP:PORT); may be given several times", 0 },
-        { "seed", 's', "NUMBER", 0, "seed of all random choices", 0 },
-        { "duration", 'd', "SECONDS", 0, "send for SECONDS", 0 },
-        { "rate", 'r', "NUMBER", 0, "requests per second", 0 },
-        { "resend", OPTION_RESEND, NULL, 0,
-          "send again after a broken connection", 0 },
-        { "csv", 'c', "FILE", 0, "write the counts and times to FILE", 0 },
-        { "plot", 'p', "FILE.png", 0,
-          "write gnuplot commands for FILE.png to FILE.gp", 0 },
-        { "keys", OPTION_KEYS, "FILE", 0,
-          "write what is known about each idempotency key to FILE", 0 },
-        { 0 } };
+static const struct argp_option options[] = {
+  { "target", 't', "ADDRESS", 0,
+    "send to ADDRESS (IP:PORT); may be given several times", 0 },
+  { "seed", 's', "NUMBER", 0, "seed of all random choices", 0 },
+  { "duration", 'd', "SECONDS", 0, "send for SECONDS", 0 },
+  { "rate", 'r', "NUMBER", 0, "requests per second", 0 },
+  { "resend", OPTION_RESEND, NULL, 0, "send again after a broken connection",
+    0 },
+  { "csv", 'c', "FILE", 0, "write the counts and times to FILE", 0 },
+  { "plot", 'p', "FILE.png", 0,
+    "write gnuplot commands for FILE.png to FILE.gp", 0 },
+  { "keys", OPTION_KEYS, "FILE", 0,
+    "write what is known about each idempotency key to FILE", 0 },
+  { "not-run", OPTION_NOT_RUN, "FILE", 0,
+    "write the seeds of requests that were refused as not run to FILE", 0 },
+  { "broken", OPTION_BROKEN, "FILE", 0,
+    "write time (us) and target of each broken connection to FILE", 0 },
+  { "follow-ready", OPTION_FOLLOW_READY, NULL, 0,
+    "send only to targets whose /readyz answers 200, as a balancer does", 0 },
+  { 0 }
+};
 
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
@@ -75,6 +88,15 @@
     case OPTION_KEYS:
       arguments->keys = arg;
       return 0;
+    case OPTION_NOT_RUN:
+      arguments->not_run = arg;
+      return 0;
+    case OPTION_BROKEN:
+      arguments->broken = arg;
+      return 0;
+    case OPTION_FOLLOW_READY:
+      arguments->follow_ready = true;
+      return 0;
     case ARGP_KEY_ARG:
       if (arguments->experiment != NULL)
         argp_usage (state);
@@ -100,6 +122,8 @@
     experiment->arrival.rate = strtod (arguments->rate, NULL);
   if (arguments->resend)
     experiment->resend = true;
+  if (arguments->follow_ready)
+    experiment->follow_ready = true;
   if (arguments->targets->len > 0)
     {
       g_ptr_array_free (experiment->targets, TRUE);
@@ -121,6 +145,27 @@
   return out;
 }
 
+/* Open FILE for *OUT unless it is NULL.  */
+static bool
+open_wanted (const char *file, FILE **out)
+{
+  return file == NULL || (*out = open_output (file)) != NULL;
+}
+
+static bool
+open_outputs (const struct ld_arguments *arguments, struct ld_outputs *outputs)
+{
+  return open_wanted (arguments->keys, &outputs->keys)
+         && open_wanted (arguments->not_run, &outputs->not_run)
+         && open_wanted (arguments->broken, &outputs->broken);
+}
+
+static bool
+close_output (FILE *out)
+{
+  return out == NULL || fclose (out) == 0;
+}
+
 static bool
 write_csv (const GPtrArray *tallies, const char *file)
 {
@@ -173,17 +218,17 @@
      const struct ld_experiment *experiment)
 {
   GPtrArray *tallies = g_ptr_array_new_with_free_func (ld_tally_free);
-  FILE *keys = NULL;
+  struct ld_outputs outputs = { 0 };
   GError *error = NULL;
   bool good;
 
-  if (arguments->keys != NULL
-      && (keys = open_output (arguments->keys)) == NULL)
+  if (!open_outputs (arguments, &outputs))
     return false;
   printf (LD_TABLE_TITLE, experiment->seed);
-  good = ld_run (experiment, tallies, keys, &error);
-  if (keys != NULL && fclose (keys) != 0)
-    good = false;
+  good = ld_run (experiment, tallies, &outputs, &error);
+  good = close_output (outputs.keys) && good;
+  good = close_output (outputs.not_run) && good;
+  good = close_output (outputs.broken) && good;
   if (error != NULL)
     {
       fprintf (stderr, "cowslipload: %s\n", error->message);
--- a/cowslipload/request.c
+++ b/cowslipload/request.c
@@ -139,8 +139,9 @@
   request->due_us = due_us;
   request->name
       = mix->names->pdata[gsl_ran_discrete (run->random, mix->popularity)];
-  request->target = (guint)gsl_rng_uniform_int (run->random,
-                                                run->experiment->targets->len);
+  request->target = ld_targets_next (
+      run->targets,
+      (guint)gsl_rng_uniform_int (run->random, run->experiment->targets->len));
   for (guint i = 0; i < run->tallies->len; i++)
     if (strcmp (((struct ld_tally *)run->tallies->pdata[i])->name, mix->tally)
         == 0)
@@ -167,7 +168,7 @@
   request->body = g_strdup (first->body);
   request->key = first->key;
   request->due_us = first->due_us;
-  request->target = (first->target + 1) % first->run->experiment->targets->len;
+  request->target = ld_targets_next (first->run->targets, first->target + 1);
   if (request->key != NULL)
     request->key->sends++;
   ld_reply_init (&request->reply);
@@ -287,6 +288,9 @@
                           run->random, LD_RESEND_MAX_MS - LD_RESEND_MIN_MS);
 
   request->tally->broken++;
+  if (run->outputs->broken != NULL)
+    fprintf (run->outputs->broken, "%" PRIu64 " %s\n", uv_hrtime () / 1000,
+             (const char *)targets->pdata[request->target]);
   if (!run->experiment->resend)
     {
       request->tally->lost++;
@@ -295,10 +299,10 @@
       return;
     }
   if (targets->len > 1)
-    request->target
-        = (request->target + 1
-           + (guint)gsl_rng_uniform_int (run->random, targets->len - 1))
-          % targets->len;
+    request->target = ld_targets_next (
+        run->targets,
+        request->target + 1
+            + (guint)gsl_rng_uniform_int (run->random, targets->len - 1));
   request->tally->resent++;
   ld_reply_clear (&request->reply);
   ld_reply_init (&request->reply);
@@ -314,6 +318,9 @@
   /* After a broken connection, "not run" speaks of the last attempt only.  */
   if (request->key != NULL && request->reply.not_run && request->attempts == 1)
     request->key->not_run++;
+  if (request->mix->kind != LD_SERVICE && request->reply.not_run
+      && request->attempts == 1 && request->run->outputs->not_run != NULL)
+    fprintf (request->run->outputs->not_run, "%" PRIu64 "\n", request->seed);
   ld_request_end (request);
 }
 
--- a/cowslipload/run.c
+++ b/cowslipload/run.c
@@ -195,17 +195,17 @@
 static void
 ld_run_clear (struct ld_run *run)
 {
+  ld_targets_free (run->targets);
   ld_arrivals_free (run->arrivals);
   g_hash_table_destroy (run->keys);
   gsl_rng_free (run->random);
 }
 
-/* Run EXPERIMENT, add one tally per class to TALLIES and write what is known
-   about each idempotency key to KEYS, if it is not NULL.  Return false and set
-   ERROR if the experiment cannot run.  */
+/* Run EXPERIMENT, add one tally per class to TALLIES and write to OUTPUTS.
+   Return false and set ERROR if the experiment cannot run.  */
 bool
-ld_run (const struct ld_experiment *experiment, GPtrArray *tallies, FILE *keys,
-        GError **error)
+ld_run (const struct ld_experiment *experiment, GPtrArray *tallies,
+        const struct ld_outputs *outputs, GError **error)
 {
   static struct ld_run run;
 
@@ -213,6 +213,9 @@
   run.arrivals = ld_arrivals_new (experiment, run.random, error);
   if (run.arrivals == NULL)
     return false;
+  run.outputs = outputs;
+  run.targets = ld_targets_new (run.client, run.tm, experiment->targets,
+                                experiment->follow_ready);
   run.start_us = tm_now_us (run.tm);
   ld_plan_next (&run);
   tm_after (run.tm, &run.arrival, 0, ld_arrive, &run);
@@ -224,8 +227,8 @@
   if (run.not_sent > 0)
     fprintf (stderr, "%" PRIu64 " requests not sent: too many in flight\n",
              run.not_sent);
-  if (keys != NULL)
-    ld_write_keys (&run, keys);
+  if (outputs->keys != NULL)
+    ld_write_keys (&run, outputs->keys);
   ld_run_clear (&run);
   return true;
 }
--- a/cowslipload/run.h
+++ b/cowslipload/run.h
@@ -9,6 +9,7 @@
 #include "http_client.h"
 #include "reply.h"
 #include "tally.h"
+#include "targets.h"
 #include "tm_uv.h"
 
 #define LD_KEY_BYTES 48
@@ -22,6 +23,14 @@
   uint32_t not_run;
 };
 
+/* Files that tell a checker about single requests.  NULL: not wanted.  */
+struct ld_outputs
+{
+  FILE *keys;    /* what is known about each idempotency key */
+  FILE *not_run; /* seeds of model requests refused as not run */
+  FILE *broken;  /* time and target of each broken connection */
+};
+
 /* One experiment under way.  */
 struct ld_run
 {
@@ -34,6 +43,8 @@
   gsl_rng *random;
   struct ld_arrivals *arrivals;
   GPtrArray *tallies;
+  const struct ld_outputs *outputs;
+  struct ld_targets *targets;
   GHashTable *keys; /* struct ld_key by text */
   uint64_t start_us;
   uint64_t next_us;
@@ -70,7 +81,7 @@
 };
 
 bool ld_run (const struct ld_experiment *experiment, GPtrArray *tallies,
-             FILE *keys, GError **error);
+             const struct ld_outputs *outputs, GError **error);
 void ld_run_done (struct ld_run *run);
 
 struct ld_request *ld_request_new (struct ld_run *run,
--- /dev/null
+++ b/cowslipload/targets.h
@@ -0,0 +1,21 @@
+#ifndef COWSLIPLOAD_TARGETS_H
+#define COWSLIPLOAD_TARGETS_H
+
+#include <stdbool.h>
+
+#include <glib.h>
+
+#include "http_client.h"
+#include "tm.h"
+
+/* Where requests are sent, and which of the targets are ready.  */
+struct ld_targets;
+
+struct ld_targets *ld_targets_new (struct http_client *client,
+                                   struct tm_service *tm,
+                                   const GPtrArray *addresses,
+                                   bool follow_ready);
+void ld_targets_free (struct ld_targets *targets);
+guint ld_targets_next (const struct ld_targets *targets, guint wanted);
+
+#endif
