Close the connection of a caller that does not read

Cause: an answer that was cut because its caller read too slowly kept the socket and up to 8 MB until the caller read or left, because h2o waits for the write that is under way. Change: http_stream_abort shuts the socket down beneath h2o, so the write fails and the request is freed.

--- a/cowslipcoved/requests_answer.c
+++ b/cowslipcoved/requests_answer.c
@@ -184,8 +184,10 @@
 
   request->request = NULL;
   request->exchange = NULL;
-  if (exchange != NULL && request->streaming)
-    http_stream_end (exchange, outcome == RQ_DELIVERED && !request->slow);
+  if (exchange != NULL && request->slow)
+    http_stream_abort (exchange);
+  else if (exchange != NULL && request->streaming)
+    http_stream_end (exchange, outcome == RQ_DELIVERED);
   else if (exchange != NULL)
     http_respond (exchange, CD_STATUS_CALLER_GONE, "text/plain", "", 0);
   cd_request_free (request);
--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -449,6 +449,20 @@
   http_flush (exchange);
 }
 
+/* End a started answer whose caller does not read and drop what waits for it.
+   h2o waits for a write to end, so the socket is shut down beneath it; the
+   write then fails and h2o frees the request.  */
+void
+http_stream_abort (struct http_exchange *exchange)
+{
+  h2o_conn_t *connection = exchange->request->conn;
+  h2o_socket_t *socket = connection->callbacks->get_socket (connection);
+
+  http_stream_end (exchange, false);
+  if (socket != NULL)
+    (void)shutdown (h2o_socket_get_fd (socket), SHUT_RDWR);
+}
+
 /* Return how many bytes wait for a slow caller.  */
 size_t
 http_stream_pending_bytes (const struct http_exchange *exchange)
--- a/libcowslip/http_server.h
+++ b/libcowslip/http_server.h
@@ -47,6 +47,7 @@
 void http_stream_write (struct http_exchange *exchange, const char *data,
                         size_t bytes);
 void http_stream_end (struct http_exchange *exchange, bool whole);
+void http_stream_abort (struct http_exchange *exchange);
 size_t http_stream_pending_bytes (const struct http_exchange *exchange);
 
 #endif
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -225,6 +225,7 @@
 {
   struct http_exchange *held;
   uint32_t gone;
+  bool connected;
 };
 
 static void
@@ -319,6 +320,59 @@
   http_server_free (server);
 }
 
+static void
+slow_connected (uv_connect_t *connect, int status)
+{
+  (void)status;
+  ((struct echo *)connect->data)->connected = true;
+}
+
+static void
+slow_written (uv_write_t *write, int status)
+{
+  (void)write;
+  (void)status;
+}
+
+/* Guards against a caller that never reads and keeps its connection and the
+   bytes for it until the process ends.  */
+static void
+test_slow_caller (void)
+{
+  static char block[65536];
+  struct echo echo = { 0 };
+  char address[32];
+  struct http_server *server = echo_open (&echo, address, sizeof address);
+  char request[] = "GET /hold HTTP/1.1\r\nhost: a\r\n\r\n";
+  uv_buf_t buffer = uv_buf_init (request, sizeof request - 1);
+  struct sockaddr_in peer;
+  uv_connect_t connect = { .data = &echo };
+  uv_write_t write;
+  uv_tcp_t slow;
+
+  uv_ip4_addr ("127.0.0.1", http_server_port (server), &peer);
+  uv_tcp_init (&loop, &slow);
+  uv_tcp_connect (&connect, &slow, (struct sockaddr *)&peer, slow_connected);
+  while (!echo.connected)
+    uv_run (&loop, UV_RUN_ONCE);
+  uv_write (&write, (uv_stream_t *)&slow, &buffer, 1, slow_written);
+  while (echo.held == NULL)
+    uv_run (&loop, UV_RUN_ONCE);
+  for (int i = 0; i < 1000 && http_stream_pending_bytes (echo.held) == 0; i++)
+    {
+      http_stream_write (echo.held, block, sizeof block);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  CU_ASSERT_TRUE (http_stream_pending_bytes (echo.held) > 0);
+  http_stream_abort (echo.held);
+  for (int i = 0; i < 1000 && http_server_active (server) > 0; i++)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  CU_ASSERT_EQUAL (http_server_active (server), 0);
+  uv_close ((uv_handle_t *)&slow, NULL);
+  uv_run (&loop, UV_RUN_NOWAIT);
+  http_server_free (server);
+}
+
 /* Guards against bodies beyond the limit that reach a handler.  */
 static void
 test_limits (void)
@@ -354,6 +408,7 @@
           { "connection refused", test_refused },
           { "end of a stream", test_stream_end },
           { "cancel", test_cancel },
+          { "slow caller", test_slow_caller },
           { "limits", test_limits },
           { NULL, NULL } };
 
