Let the retry budget decide about calls to services

A call to a service was repeated up to twice, whatever the load. Now each class has its budget (rty_), of the same percentage as for models.

--- a/cowslipcoved/services.c
+++ b/cowslipcoved/services.c
@@ -14,6 +14,7 @@
   GHashTable *endpoints; /* address -> struct clm_endpoint */
   GHashTable *choices;   /* name of the service -> struct clm_choice */
   GHashTable *calls;     /* struct cd_call, of itself */
+  struct rty_budgets *budgets;
 };
 
 static void cd_endpoints_read (void *arg, const void *what);
@@ -51,6 +52,7 @@
   services->choices = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                              clm_choice_free);
   services->calls = g_hash_table_new_full (NULL, NULL, cd_call_free, NULL);
+  services->budgets = rty_new (daemon->tm);
   cd_subscribe (daemon, CD_DOCUMENT, cd_endpoints_read, services);
   cd_subscribe (daemon, CD_LEAVING, cd_endpoint_leaving, services);
   return services;
@@ -65,6 +67,7 @@
   g_hash_table_destroy (services->calls);
   g_hash_table_destroy (services->choices);
   g_hash_table_destroy (services->endpoints);
+  rty_free (services->budgets);
   g_free (services);
 }
 
@@ -95,6 +98,7 @@
   GHashTableIter iter;
   gpointer call;
 
+  rty_set_percent (services->budgets, env_limits (what)->retry_percent);
   g_hash_table_remove_all (services->choices);
   for (guint i = 0; i < list->len; i++)
     {
@@ -186,6 +190,7 @@
   struct cd_call_config config = { .daemon = daemon,
                                    .exchange = exchange,
                                    .target = target,
+                                   .budgets = services->budgets,
                                    .finished = cd_call_finished,
                                    .arg = services };
   enum rsn_refusal reason;
@@ -195,6 +200,7 @@
     {
       struct cd_call *call = cd_call_new (&config);
 
+      rty_request (services->budgets, config.klass->name);
       g_hash_table_add (services->calls, call);
       cd_call_start (call);
     }
--- a/cowslipcoved/services_attempt.c
+++ b/cowslipcoved/services_attempt.c
@@ -5,7 +5,6 @@
 
 #define CD_US_PER_MS       UINT64_C (1000)
 #define CD_LIMIT_MARGIN_US (250 * CD_US_PER_MS)
-#define CD_RETRIES_MAX     2
 
 const char *const cd_passed_headers[CD_PASSED_HEADERS]
     = { "content-type", "accept", "idempotency-key", "x-request-id" };
@@ -152,9 +151,8 @@
 {
   struct cd_call *call = context;
 
-  if (call->retries == CD_RETRIES_MAX)
+  if (!rty_take (call->config.budgets, call->class_name, reason))
     return false;
-  call->retries++;
   ctr_retry (call->config.daemon->counters, reason);
   return true;
 }
--- a/cowslipcoved/services_call.c
+++ b/cowslipcoved/services_call.c
@@ -118,6 +118,7 @@
   call->config = *config;
   call->exchange = exchange;
   call->service = g_strdup (config->service->name);
+  call->class_name = g_strdup (config->klass->name);
   call->method = g_strdup (http_method (exchange));
   call->target = g_strdup (config->target);
   call->body_bytes = http_body_bytes (exchange);
@@ -163,6 +164,7 @@
     g_free (call->values[i]);
   g_ptr_array_free (call->tried, TRUE);
   g_free (call->service);
+  g_free (call->class_name);
   g_free (call->method);
   g_free (call->target);
   g_free (call->body);
--- a/cowslipcoved/services_call.h
+++ b/cowslipcoved/services_call.h
@@ -3,6 +3,7 @@
 
 #include "clm_pick.h"
 #include "daemon.h"
+#include "rty.h"
 
 /* One call to a plain service: carries out what clm_call decides.  */
 struct cd_call;
@@ -14,8 +15,9 @@
   const struct env_service *service;
   const struct env_class *klass;
   const struct clm_choice *choice; /* until cd_call_endpoints_changed */
-  const char *target;              /* path and query at the service */
-  const char *key;                 /* NULL: none given */
+  struct rty_budgets *budgets;
+  const char *target; /* path and query at the service */
+  const char *key;    /* NULL: none given */
   bool is_repeatable;
   void (*finished) (void *arg, struct cd_call *call); /* frees it */
   void *arg;
--- a/cowslipcoved/services_impl.h
+++ b/cowslipcoved/services_impl.h
@@ -12,6 +12,7 @@
   struct http_exchange *exchange; /* NULL: answered or gone */
   struct clm_call *machine;
   char *service;
+  char *class_name;
   char *method;
   char *target;
   char *body;
@@ -23,7 +24,6 @@
   struct http_call *attempt;
   struct tm_timer gone;
   uint64_t deadline_us;
-  uint32_t retries;
 };
 
 extern const char *const cd_passed_headers[CD_PASSED_HEADERS];
--- a/regress/clm_sim.h
+++ b/regress/clm_sim.h
@@ -7,7 +7,7 @@
    zones, callers that repeat their calls elsewhere, a service that records
    what it ran, and faults everywhere in between.  */
 
-struct sim_result
+struct clms_result
 {
   uint32_t calls;
   uint32_t runs;
@@ -19,6 +19,6 @@
   char first[160];     /* the first violation */
 };
 
-struct sim_result sim_run (uint64_t seed);
+struct clms_result clms_run (uint64_t seed);
 
 #endif
--- a/regress/clm_sim_call.c
+++ b/regress/clm_sim_call.c
@@ -6,20 +6,20 @@
 /* The service: it records each run, whether or not somebody waits.  */
 
 static void
-sim_attempt_runs (struct sim *sim, void *arg)
+clms_attempt_runs (struct clms *sim, void *arg)
 {
-  struct sim_attempt *attempt = arg;
-  struct sim_run run = { attempt->key, attempt->claim_id };
+  struct clms_attempt *attempt = arg;
+  struct clms_run run = { attempt->key, attempt->claim_id };
 
   g_array_append_val (sim->runs, run);
   attempt->run = sim->runs->len;
 }
 
 static void
-sim_attempt_ends (struct sim *sim, void *arg)
+clms_attempt_ends (struct clms *sim, void *arg)
 {
-  struct sim_attempt *attempt = arg;
-  struct sim_call *call = attempt->call;
+  struct clms_attempt *attempt = arg;
+  struct clms_call *call = attempt->call;
   char text[16];
 
   (void)sim;
@@ -36,15 +36,16 @@
 }
 
 static bool
-sim_start_attempt (void *context)
+clms_start_attempt (void *context)
 {
-  struct sim_call *call = context;
-  struct sim *sim = call->at->sim;
-  struct sim_attempt *attempt = sim_new (sim, sizeof *attempt);
-  uint32_t fate = (uint32_t)sim_uniform (sim, 100);
-  uint64_t run_us = SIM_MS + sim_uniform (sim, 20 * SIM_MS);
-  uint64_t end_us = run_us + SIM_MS
-                    + sim_uniform (sim, fate < 90 ? 300 * SIM_MS : 40 * SIM_S);
+  struct clms_call *call = context;
+  struct clms *sim = call->at->sim;
+  struct clms_attempt *attempt = clms_new (sim, sizeof *attempt);
+  uint32_t fate = (uint32_t)clms_uniform (sim, 100);
+  uint64_t run_us = CLMS_MS + clms_uniform (sim, 20 * CLMS_MS);
+  uint64_t end_us
+      = run_us + CLMS_MS
+        + clms_uniform (sim, fate < 90 ? 300 * CLMS_MS : 40 * CLMS_S);
 
   if (++call->endpoints_tried > 3)
     return false;
@@ -56,46 +57,46 @@
                  : fate < 35 ? CLM_ATTEMPT_CUT
                              : CLM_ATTEMPT_WHOLE;
   if (fate >= 27)
-    sim_later (sim, run_us, sim_attempt_runs, attempt);
-  sim_later (sim, end_us, sim_attempt_ends, attempt);
+    clms_later (sim, run_us, clms_attempt_runs, attempt);
+  clms_later (sim, end_us, clms_attempt_ends, attempt);
   return true;
 }
 
 /* Calls and callers.  */
 
 static void
-sim_claimed (void *arg, const cs_claim_reply *reply)
+clms_claimed (void *arg, const cs_claim_reply *reply)
 {
-  clm_call_claimed (((struct sim_call *)arg)->machine, reply);
+  clm_call_claimed (((struct clms_call *)arg)->machine, reply);
 }
 
 static void
-sim_claim (void *context, const cs_claim *claim)
+clms_claim (void *context, const cs_claim *claim)
 {
-  struct sim_call *call = context;
+  struct clms_call *call = context;
 
-  clm_submit (call->at->submitter, claim, sim_claimed, call);
+  clm_submit (call->at->submitter, claim, clms_claimed, call);
 }
 
 static void
-sim_settled (void *arg, const cs_claim_reply *reply)
+clms_settled (void *arg, const cs_claim_reply *reply)
 {
   (void)arg;
   (void)reply;
 }
 
 static void
-sim_settle (void *context, const cs_claim *claim)
+clms_settle (void *context, const cs_claim *claim)
 {
-  struct sim_call *call = context;
+  struct clms_call *call = context;
 
-  clm_submit (call->at->submitter, claim, sim_settled, NULL);
+  clm_submit (call->at->submitter, claim, clms_settled, NULL);
 }
 
 static void
-sim_abandon (void *context)
+clms_abandon (void *context)
 {
-  struct sim_call *call = context;
+  struct clms_call *call = context;
 
   if (call->attempt != NULL)
     call->attempt->call = NULL;
@@ -103,13 +104,13 @@
 }
 
 static bool
-sim_has_endpoint (void *context)
+clms_has_endpoint (void *context)
 {
-  return ((const struct sim_call *)context)->endpoints_tried < 3;
+  return ((const struct clms_call *)context)->endpoints_tried < 3;
 }
 
 static bool
-sim_may_retry (void *context, enum rty_reason reason)
+clms_may_retry (void *context, enum rty_reason reason)
 {
   (void)context;
   (void)reason;
@@ -117,63 +118,64 @@
 }
 
 static bool
-sim_is_owner_alive (void *context, const char *owner, uint64_t incarnation)
+clms_is_owner_alive (void *context, const char *owner, uint64_t incarnation)
 {
-  const struct sim_call *call = context;
+  const struct clms_call *call = context;
 
   return call->at->seen[atoi (owner)] == incarnation;
 }
 
-static void sim_submit (struct sim *sim, uint32_t key, uint32_t tries_left);
+static void clms_submit (struct clms *sim, uint32_t key, uint32_t tries_left);
 
 /* ARG holds the key and how often the caller still tries.  */
 void
-sim_repeat (struct sim *sim, void *arg)
+clms_repeat (struct clms *sim, void *arg)
 {
   uint32_t number = (uint32_t)((char *)arg - sim->again[0]);
 
-  sim_submit (sim, number / (SIM_TRIES + 1), number % (SIM_TRIES + 1));
+  clms_submit (sim, number / (CLMS_TRIES + 1), number % (CLMS_TRIES + 1));
 }
 
 void
-sim_repeat_later (struct sim *sim, const struct sim_call *call)
+clms_repeat_later (struct clms *sim, const struct clms_call *call)
 {
   if (call->tries_left > 0)
-    sim_later (sim, 100 * SIM_MS + sim_uniform (sim, 8 * SIM_S), sim_repeat,
-               &sim->again[call->key][call->tries_left - 1]);
+    clms_later (sim, 100 * CLMS_MS + clms_uniform (sim, 8 * CLMS_S),
+                clms_repeat, &sim->again[call->key][call->tries_left - 1]);
 }
 
 static void
-sim_record (struct sim_call *call, uint32_t run, bool not_run)
+clms_record (struct clms_call *call, uint32_t run, bool not_run)
 {
-  struct sim_record record = { call->key, call->claim.claim_id, not_run, run };
+  struct clms_record record
+      = { call->key, call->claim.claim_id, not_run, run };
 
   g_array_append_val (call->at->sim->records, record);
 }
 
 static void
-sim_answer (void *context, const struct clm_answer *answer)
+clms_answer (void *context, const struct clm_answer *answer)
 {
   char text[16] = "";
 
   memcpy (text, answer->body, MIN (answer->body_bytes, sizeof text - 1));
-  sim_record (context, (uint32_t)atoi (text), false);
+  clms_record (context, (uint32_t)atoi (text), false);
 }
 
 static void
-sim_refuse (void *context, enum rsn_refusal reason, bool not_run)
+clms_refuse (void *context, enum rsn_refusal reason, bool not_run)
 {
-  struct sim_call *call = context;
+  struct clms_call *call = context;
 
-  sim_record (call, 0, not_run);
+  clms_record (call, 0, not_run);
   call->at->sim->result.unknown += reason == RSN_OUTCOME_UNKNOWN;
-  sim_repeat_later (call->at->sim, call);
+  clms_repeat_later (call->at->sim, call);
 }
 
 void
-sim_call_free (void *arg)
+clms_call_free (void *arg)
 {
-  struct sim_call *call = arg;
+  struct clms_call *call = arg;
 
   if (call->attempt != NULL)
     call->attempt->call = NULL;
@@ -182,45 +184,46 @@
 }
 
 static void
-sim_finished (void *context)
+clms_finished (void *context)
 {
-  struct sim_call *call = context;
+  struct clms_call *call = context;
 
   if (call->attempt != NULL)
-    sim_violation (call->at->sim, "key %u: finished with an attempt",
-                   call->key);
+    clms_violation (call->at->sim, "key %u: finished with an attempt",
+                    call->key);
   g_ptr_array_remove_fast (call->at->calls, call);
 }
 
 static void
-sim_submit (struct sim *sim, uint32_t key, uint32_t tries_left)
+clms_submit (struct clms *sim, uint32_t key, uint32_t tries_left)
 {
   static const struct clm_call_actions actions = {
-    .claim = sim_claim,
-    .settle = sim_settle,
-    .attempt = sim_start_attempt,
-    .has_endpoint = sim_has_endpoint,
-    .abandon = sim_abandon,
-    .may_retry = sim_may_retry,
-    .is_owner_alive = sim_is_owner_alive,
-    .answer = sim_answer,
-    .refuse = sim_refuse,
-    .finished = sim_finished,
+    .claim = clms_claim,
+    .settle = clms_settle,
+    .attempt = clms_start_attempt,
+    .has_endpoint = clms_has_endpoint,
+    .abandon = clms_abandon,
+    .may_retry = clms_may_retry,
+    .is_owner_alive = clms_is_owner_alive,
+    .answer = clms_answer,
+    .refuse = clms_refuse,
+    .finished = clms_finished,
   };
   static char none[] = "";
-  struct sim_instance *at = &sim->instances[sim_uniform (sim, SIM_INSTANCES)];
-  struct sim_call *call = g_new0 (struct sim_call, 1);
+  struct clms_instance *at
+      = &sim->instances[clms_uniform (sim, CLMS_INSTANCES)];
+  struct clms_call *call = g_new0 (struct clms_call, 1);
   struct clm_call_config config
       = { .actions = &actions,
           .context = call,
           .tm = sim->tm,
-          .deadline_us = tm_now_us (sim->tm) + SIM_DEADLINE_US,
+          .deadline_us = tm_now_us (sim->tm) + CLMS_DEADLINE_US,
           .claim = &call->claim };
 
-  *call = (struct sim_call){ .at = at, .key = key, .tries_left = tries_left };
+  *call = (struct clms_call){ .at = at, .key = key, .tries_left = tries_left };
   if (at->incarnation == 0)
     {
-      sim_repeat_later (sim, call);
+      clms_repeat_later (sim, call);
       g_free (call);
       return;
     }
@@ -230,7 +233,7 @@
       = (cs_claim){ .kind = CS_CLAIM_OPEN,
                     .key = call->claim_key,
                     .claim_id = clm_new_id (sim->random, at->incarnation),
-                    .request_digest = sim_percent (sim, 4) ? 2 : 1,
+                    .request_digest = clms_percent (sim, 4) ? 2 : 1,
                     .owner = at->name,
                     .owner_incarnation = at->incarnation,
                     .content_type = none };
--- a/regress/clm_sim_check.c
+++ b/regress/clm_sim_check.c
@@ -5,60 +5,61 @@
 /* The checker.  */
 
 static void
-sim_check_record (struct sim *sim, const struct sim_record *record,
-                  uint32_t runs_of_key[], uint32_t answer_of_key[])
+clms_check_record (struct clms *sim, const struct clms_record *record,
+                   uint32_t runs_of_key[], uint32_t answer_of_key[])
 {
   uint32_t *first = &answer_of_key[record->key];
 
   sim->result.not_run += record->not_run;
   for (guint i = 0; record->not_run && i < sim->runs->len; i++)
-    if (g_array_index (sim->runs, struct sim_run, i).claim_id
+    if (g_array_index (sim->runs, struct clms_run, i).claim_id
         == record->claim_id)
-      sim_violation (sim, "key %u: \"not run\" is false", record->key);
+      clms_violation (sim, "key %u: \"not run\" is false", record->key);
   if (record->run == 0)
     return;
   sim->result.repeats += *first != 0;
   if (*first != 0 && *first != record->run)
-    sim_violation (sim, "key %u: answers of runs %u and %u", record->key,
-                   *first, record->run);
+    clms_violation (sim, "key %u: answers of runs %u and %u", record->key,
+                    *first, record->run);
   if (runs_of_key[record->key] == 0)
-    sim_violation (sim, "key %u: answered without a run", record->key);
+    clms_violation (sim, "key %u: answered without a run", record->key);
   *first = record->run;
 }
 
 static void
-sim_check_runs (struct sim *sim)
+clms_check_runs (struct clms *sim)
 {
-  uint32_t runs[SIM_KEYS] = { 0 };
-  uint32_t answers[SIM_KEYS] = { 0 };
+  uint32_t runs[CLMS_KEYS] = { 0 };
+  uint32_t answers[CLMS_KEYS] = { 0 };
 
   sim->result.runs = sim->runs->len;
   for (guint i = 0; i < sim->runs->len; i++)
-    if (++runs[g_array_index (sim->runs, struct sim_run, i).key] > 1)
-      sim_violation (sim, "key %u ran again",
-                     g_array_index (sim->runs, struct sim_run, i).key);
+    if (++runs[g_array_index (sim->runs, struct clms_run, i).key] > 1)
+      clms_violation (sim, "key %u ran again",
+                      g_array_index (sim->runs, struct clms_run, i).key);
   for (guint i = 0; i < sim->records->len; i++)
-    sim_check_record (sim, &g_array_index (sim->records, struct sim_record, i),
-                      runs, answers);
+    clms_check_record (sim,
+                       &g_array_index (sim->records, struct clms_record, i),
+                       runs, answers);
 }
 
 static void
-sim_check_instance (struct sim *sim, struct sim_instance *instance)
+clms_check_instance (struct clms *sim, struct clms_instance *instance)
 {
   uint32_t left = clm_submitter_unfinished (instance->submitter);
 
   if (left > 0)
-    sim_violation (sim, "%s: %u completions not written", instance->name,
-                   left);
+    clms_violation (sim, "%s: %u completions not written", instance->name,
+                    left);
   if (instance->calls->len > 0)
-    sim_violation (sim, "%s: %u calls without an end", instance->name,
-                   instance->calls->len);
+    clms_violation (sim, "%s: %u calls without an end", instance->name,
+                    instance->calls->len);
 }
 
 /* An open claim of a live owner that has no such call would block its key
    although nothing runs.  */
 static void
-sim_check_open (struct sim *sim, uint32_t key)
+clms_check_open (struct clms *sim, uint32_t key)
 {
   char name[32];
   const char *value;
@@ -72,18 +73,18 @@
   if (claim->kind == CS_CLAIM_OPEN
       && sim->instances[atoi (claim->owner)].incarnation
              == claim->owner_incarnation)
-    sim_violation (sim, "key %u: claim left open", key);
+    clms_violation (sim, "key %u: claim left open", key);
   clm_free (claim);
 }
 
 /* Compare what callers were told and what is stored with what the service
    ran.  */
 void
-sim_check (struct sim *sim)
+clms_check (struct clms *sim)
 {
-  sim_check_runs (sim);
-  for (uint32_t key = 0; key < SIM_KEYS; key++)
-    sim_check_open (sim, key);
-  for (size_t i = 0; i < SIM_INSTANCES; i++)
-    sim_check_instance (sim, &sim->instances[i]);
+  clms_check_runs (sim);
+  for (uint32_t key = 0; key < CLMS_KEYS; key++)
+    clms_check_open (sim, key);
+  for (size_t i = 0; i < CLMS_INSTANCES; i++)
+    clms_check_instance (sim, &sim->instances[i]);
 }
