Look up the owner of a claim in the member records

An instance knows the members of its own zone, so a call that was repeated in another zone while it ran was answered outcome_unknown instead of in_progress.

--- a/cowslipcoved/services_call.c
+++ b/cowslipcoved/services_call.c
@@ -1,5 +1,4 @@
 #include "claims.h"
-#include "peers.h"
 #include "services_impl.h"
 
 #define CD_US_PER_MS UINT64_C (1000)
@@ -7,7 +6,13 @@
 static void
 cd_act_claimed (void *arg, const cs_claim_reply *reply)
 {
-  clm_call_claimed (((struct cd_call *)arg)->machine, reply);
+  struct cd_call *call = arg;
+
+  if (reply->outcome == CS_CLAIM_HELD
+      && !cd_act_is_owner_alive (call, reply->owner, reply->owner_incarnation))
+    cd_owner_read (call, reply);
+  else
+    clm_call_claimed (call->machine, reply);
 }
 
 static void
@@ -36,19 +41,6 @@
                     call->config.daemon);
 }
 
-static bool
-cd_act_is_owner_alive (void *context, const char *owner, uint64_t incarnation)
-{
-  const struct cd_call *call = context;
-  const struct mem_table *members = cd_members (call->config.daemon);
-  const struct mem_member *member
-      = members == NULL ? NULL : mem_find (members, owner);
-
-  return member != NULL && member->incarnation == incarnation
-         && (member == mem_self (members) || member->recorded
-             || member->reachable);
-}
-
 static void
 cd_act_finished (void *context)
 {
@@ -93,18 +85,20 @@
   const struct cd_daemon *daemon = call->config.daemon;
   char none[] = "";
   char *claim_key = clm_key (call->service, key);
+  char *owner = cd_owner_name (daemon->settings);
   cs_claim claim
       = { .kind = CS_CLAIM_OPEN,
           .key = claim_key,
           .claim_id = clm_new_id (daemon->random, daemon->incarnation),
           .request_digest = clm_digest (call->method, call->target, "",
                                         call->body, call->body_bytes),
-          .owner = daemon->settings->instance,
+          .owner = owner,
           .owner_incarnation = daemon->incarnation,
           .content_type = none };
 
   cd_call_machine (call, &claim);
   g_free (claim_key);
+  g_free (owner);
 }
 
 /* Return a new call as CONFIG says.  It keeps what it needs of the exchange,
@@ -165,6 +159,7 @@
   g_ptr_array_free (call->tried, TRUE);
   g_free (call->service);
   g_free (call->class_name);
+  g_free (call->held.owner);
   g_free (call->method);
   g_free (call->target);
   g_free (call->body);
--- a/cowslipcoved/services_impl.h
+++ b/cowslipcoved/services_impl.h
@@ -24,6 +24,8 @@
   struct http_call *attempt;
   struct tm_timer gone;
   uint64_t deadline_us;
+  cs_claim_reply held;    /* while its owner's record is read */
+  bool is_owner_recorded; /* as that record says */
 };
 
 extern const char *const cd_passed_headers[CD_PASSED_HEADERS];
@@ -33,6 +35,11 @@
 void cd_act_abandon (void *context);
 bool cd_act_may_retry (void *context, enum rty_reason reason);
 
+char *cd_owner_name (const struct set_settings *settings);
+bool cd_act_is_owner_alive (void *context, const char *owner,
+                            uint64_t incarnation);
+void cd_owner_read (struct cd_call *call, const cs_claim_reply *reply);
+
 void cd_caller_watch (struct cd_call *call);
 void cd_act_answer (void *context, const struct clm_answer *answer);
 void cd_act_refuse (void *context, enum rsn_refusal reason, bool not_run);
--- a/regress/services_test.c
+++ b/regress/services_test.c
@@ -1,7 +1,9 @@
 #include <string.h>
 
 #include "claims.h"
+#include "clm.h"
 #include "fake_kv.h"
+#include "mem_record.h"
 #include "peers.h"
 #include "services.h"
 #include "unit.h"
@@ -296,14 +298,59 @@
   wait_idle ();
 }
 
+static void
+hold (const char *key)
+{
+  char *claim_key = clm_key ("booking", key);
+  char *name = g_strconcat ("cowslip/a/claims/", claim_key, NULL);
+  char owner[] = "b/b-1";
+  cs_claim claim
+      = { .claim_id = 1,
+          .owner = owner,
+          .owner_incarnation = 5,
+          .request_digest = clm_digest ("POST", "/ok", "", "x", 1) };
+  char *value = clm_write (&claim);
+
+  fake_kv_put (world.kv, name, value);
+  g_free (claim_key);
+  g_free (name);
+  g_free (value);
+}
+
+/* Guards against calling a call unknown that an instance of another zone is
+   running, and against waiting for an owner that has restarted.  */
+static void
+test_owner (void)
+{
+  struct mem_member owner = { .instance = "b-1",
+                              .zone = "b",
+                              .rpc_address = "127.0.0.1:2",
+                              .http_address = "127.0.0.1:3",
+                              .number = 1,
+                              .incarnation = 5 };
+  uint32_t runs = world.runs;
+
+  hold ("held");
+  for (int i = 0; i < 2; i++)
+    {
+      char *record = mem_record_format (&owner);
+
+      fake_kv_put (world.kv, "cowslip/a/members/b/b-1", record);
+      call ("POST", "/svc/booking/ok", "held", "x", 0);
+      CU_ASSERT_EQUAL (world.status, i == 0 ? 409 : 502);
+      owner.incarnation++;
+      g_free (record);
+    }
+  CU_ASSERT_EQUAL (world.runs, runs);
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "calls", test_calls },
-                                            { "leaving", test_leaving },
-                                            { "gone", test_gone },
-                                            { "outage", test_outage },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "calls", test_calls }, { "leaving", test_leaving },
+          { "gone", test_gone },   { "outage", test_outage },
+          { "owner", test_owner }, { NULL, NULL } };
 
   set_up ();
   return unit_main ("services", tests);
