--- a/regress/plc_zone_test.c
+++ b/regress/plc_zone_test.c
@@ -10,14 +10,15 @@
 #define ROUND_MS  200
 
 static const struct sim_faults faulty = { 60, 60, 40 };
+static const struct sim_faults mostly_late = { 30, 250, 30 };
 static const struct sim_faults calm = { 0, 0, 0 };
 
-/* Two models at a time are in demand, for two seconds, so that loads, unloads
-   and evictions follow each other.  */
+/* Two models at a time are in demand, for TURN_MS, so that loads, unloads and
+   evictions follow each other.  */
 static void
-demand_something (struct sim *sim)
+demand_something (struct sim *sim, uint32_t turn_ms)
 {
-  uint32_t turn = (uint32_t)(sim->now_us / (2000 * SIM_US_PER_MS));
+  uint32_t turn = (uint32_t)(sim->now_us / (turn_ms * SIM_US_PER_MS));
   uint32_t index = (turn * 2 + sim_pick (sim, 2)) % SIM_MODELS;
 
   sim_demand (sim, sim_pick (sim, SIM_INSTANCES), sim_plan.models[index].name,
@@ -70,9 +71,36 @@
     instance->kv_cut = !instance->kv_cut;
 }
 
+/* Take the holder out of contact for about as long as its lease lives, so that
+   it and a successor believe at the same time that they are in control.  */
 static void
-do_harm (struct sim *sim)
+isolate_holder (struct sim *sim)
 {
+  struct sim_instance *instance = &sim->instances[choose_instance (sim)];
+  uint32_t dice = sim_pick (sim, 8);
+
+  if (!instance->alive)
+    sim_start (sim, instance->index);
+  if (instance->heals_us != 0)
+    return;
+  sim_log (sim, "%s %s", instance->name, dice < 3 ? "pauses" : "is cut off");
+  instance->paused = dice < 3;
+  instance->kv_cut = dice >= 3;
+  instance->heals_us
+      = sim->now_us + (4000 + sim_pick (sim, 8000)) * SIM_US_PER_MS;
+  if (dice == 7)
+    sim->kv_down = true;
+}
+
+static void
+do_harm (struct sim *sim, bool isolate)
+{
+  if (isolate && sim_pick (sim, 15) == 0)
+    isolate_holder (sim);
+  if (isolate && sim_pick (sim, 25) == 0)
+    sim->kv_down = false;
+  if (isolate)
+    return;
   if (sim_pick (sim, 10) == 0)
     break_an_instance (sim);
   if (sim_pick (sim, 25) == 0)
@@ -110,7 +138,7 @@
   repair (sim);
   for (uint32_t t = 0; t < CALM_MS; t += ROUND_MS)
     {
-      demand_something (sim);
+      demand_something (sim, 2000);
       sim_advance (sim, ROUND_MS);
       seen |= sim_loaded (sim);
     }
@@ -122,7 +150,8 @@
 static bool
 run_seed (uint64_t seed, uint32_t *loads)
 {
-  struct sim *sim = sim_new (seed, &faulty);
+  bool isolate = seed % 2 == 1;
+  struct sim *sim = sim_new (seed, isolate ? &mostly_late : &faulty);
   uint32_t recovered;
   bool good;
 
@@ -132,9 +161,9 @@
   for (uint32_t t = 0; t < FAULTY_MS && sim->violation[0] == '\0';
        t += ROUND_MS)
     {
-      demand_something (sim);
+      demand_something (sim, isolate ? 1000 : 2000);
       if (t > 5000)
-        do_harm (sim);
+        do_harm (sim, isolate);
       sim_advance (sim, ROUND_MS);
     }
   *loads += sim->loads;
--- a/regress/sim.c
+++ b/regress/sim.c
@@ -354,6 +354,7 @@
   instance->alive = true;
   instance->paused = false;
   instance->kv_cut = false;
+  instance->heals_us = 0;
   instance->fence = 0;
   instance->incarnation++;
   instance->heard_us = sim->now_us;
@@ -442,6 +443,12 @@
     {
       struct sim_instance *instance = &sim->instances[i];
 
+      if (instance->heals_us != 0 && sim->now_us >= instance->heals_us)
+        {
+          instance->paused = false;
+          instance->kv_cut = false;
+          instance->heals_us = 0;
+        }
       if (!instance->alive || instance->paused)
         continue;
       instance->heard_us = sim->now_us;
--- a/regress/sim.h
+++ b/regress/sim.h
@@ -29,7 +29,8 @@
   uint64_t incarnation;
   bool alive;
   bool paused;
-  bool kv_cut; /* does not reach the key-value service */
+  bool kv_cut;       /* does not reach the key-value service */
+  uint64_t heals_us; /* end of the pause and of the cut; 0: not planned */
   uint64_t heard_us;
   uint64_t died_us;
   struct tm_service *tm;
--- a/regress/sim_engine.c
+++ b/regress/sim_engine.c
@@ -208,7 +208,14 @@
   struct sim *sim = instance->sim;
   struct sim_order *copy = g_new0 (struct sim_order, 1);
   uint32_t dice = sim_pick (sim, 1000);
+  uint32_t late_ms = sim_pick (sim, OWN_ORDER_MAX_MS - 20);
 
+  /* The last orders of an isolated instance take as long as they can.  */
+  if (instance->heals_us != 0)
+    {
+      dice = sim->faults.lost;
+      late_ms = OWN_ORDER_MAX_MS - 20 - sim_pick (sim, 300);
+    }
   copy->from = instance;
   copy->order = *order;
   for (uint32_t i = 0; i < SIM_ENGINES; i++)
@@ -227,8 +234,8 @@
   if (dice < sim->faults.lost)
     sim_post (sim, NULL, SIM_LATENCY_US, sim_order_arrives_silently, copy);
   else if (dice < sim->faults.lost + sim->faults.late)
-    sim_post (sim, NULL, sim_pick (sim, OWN_ORDER_MAX_MS - 20) * SIM_US_PER_MS,
-              sim_order_arrives_silently, copy);
+    sim_post (sim, NULL, late_ms * SIM_US_PER_MS, sim_order_arrives_silently,
+              copy);
   else
     g_free (copy);
 }
