Prove the protections of membership, configuration and RPC

Each of 30 protections was switched off once in a scratch copy, to see whether a test fails. Five were not noticed. Four of them now are: the start takes the highest generation, incarnations that have ended are ignored, an overwritten member record is written again, a document must have its digest. The fifth is still not covered: the short poll of an instance that knows no document, whose work the watch and the heartbeats do as well.

A refused document is now logged once, with the reason.

--- a/cowslipcoved/peers_document.c
+++ b/cowslipcoved/peers_document.c
@@ -85,6 +85,9 @@
 {
   const struct cd_peers *peers = arg;
 
+  /* cd_document_install has logged why.  */
+  if (refused && document->generation > peers->generation)
+    return;
   lg_write (refused ? LG_CONFIG_REFUSED : LG_CONFIG_STALE,
             "generation=%" PRIu64 " digest=%s in_force=%" PRIu64,
             document->generation, document->digest, peers->generation);
--- a/regress/mem_script.c
+++ b/regress/mem_script.c
@@ -8,6 +8,7 @@
 #include "fake_kv.h"
 #include "mem.h"
 #include "mem_beat.h"
+#include "mem_record.h"
 #include "mem_register.h"
 
 /* Runs scripted instances, each with its membership and configuration, over a
@@ -17,6 +18,7 @@
      cut A B | heal                    A and B: instance or zone
      kv FAULT-NUMBER                   see enum fake_kv_fault
      put GENERATION TEXT               write the document
+     record NAME ZONE NUMBER INCARNATION   write a member's record
      offer NAME GENERATION TEXT        as from a peer; "bad" text is refused
      run MS                            let time pass
      show NAME                         generation and members: incarnation,
@@ -367,6 +369,25 @@
   g_free (value);
 }
 
+/* A write of an incarnation that has ended arrives late.  */
+static void
+late_record (char **words)
+{
+  struct mem_member member
+      = { .instance = words[1],
+          .zone = words[2],
+          .rpc_address = words[1],
+          .http_address = words[1],
+          .number = (uint32_t)strtoul (words[3], NULL, 10),
+          .incarnation = strtoull (words[4], NULL, 10) };
+  char *key = g_strdup_printf ("cowslip/e/members/%s/%s", words[2], words[1]);
+  char *value = mem_record_format (&member);
+
+  fake_kv_put (kv, key, value);
+  g_free (key);
+  g_free (value);
+}
+
 static void
 command (char **words, size_t count)
 {
@@ -384,6 +405,8 @@
     fake_kv_set_fault (kv, (enum fake_kv_fault)strtoul (words[1], NULL, 10));
   else if (strcmp (words[0], "put") == 0)
     put (words);
+  else if (strcmp (words[0], "record") == 0 && count == 5)
+    late_record (words);
   else if (strcmp (words[0], "offer") == 0)
     offer (node_find (words[1], NULL), words);
   else if (strcmp (words[0], "run") == 0)
--- a/regress/peers_test.c
+++ b/regress/peers_test.c
@@ -351,6 +351,17 @@
   put_document (&rig, 3, 3);
   CU_ASSERT_TRUE (run_until (&rig, all_at_three) < 16000000);
   CU_ASSERT_TRUE (all_connected (&rig));
+  /* A document whose text does not have its digest.  */
+  fake_kv_put (rig.kv, "cowslip/e/document",
+               "{\"generation\":4,\"digest\":\"0000000000000000\","
+               "\"document\":\"{\\\"name\\\":\\\"e\\\",\\\"classes\\\":{},"
+               "\\\"pools\\\":{},\\\"models\\\":{},\\\"adapters\\\":{},"
+               "\\\"services\\\":{},\\\"limits\\\":{\\\"waiting_max\\\":1,"
+               "\\\"retry_percent\\\":1,\\\"adapter_loads_max\\\":1,"
+               "\\\"weight_loads_max\\\":1}}\"}");
+  for (int i = 0; i < 2000; i++)
+    step (&rig);
+  CU_ASSERT_TRUE (all_at_three (&rig));
   rig_stop (&rig);
 }
 
