--- /dev/null
+++ b/cowslipcoved/admin.c
@@ -0,0 +1,229 @@
+#include <string.h>
+
+#include <json-c/json.h>
+#include <openssl/crypto.h>
+
+#include "admin.h"
+#include "admin_env.h"
+#include "control.h"
+#include "drain.h"
+#include "peers.h"
+#include "requests.h"
+#include "services.h"
+
+#define ADMIN_PREFIX       "/admin/v1/"
+#define ADMIN_ENVIRONMENTS "/admin/v1/environments/"
+#define ADMIN_JSON         "application/json"
+#define ADMIN_TEXT         "text/plain; charset=utf-8"
+#define ADMIN_BEARER       "Bearer "
+
+struct cd_admin
+{
+  struct cd_daemon *daemon;
+};
+
+/* Return the operators' interface of DAEMON.  */
+struct cd_admin *
+cd_admin_new (struct cd_daemon *daemon)
+{
+  struct cd_admin *admin = g_new0 (struct cd_admin, 1);
+
+  admin->daemon = daemon;
+  return admin;
+}
+
+/* Free ADMIN.  */
+void
+cd_admin_free (struct cd_admin *admin)
+{
+  g_free (admin);
+}
+
+/* Answer with OBJECT as JSON and drop the reference to it.  */
+void
+cd_admin_answer (struct http_exchange *exchange, uint16_t status,
+                 struct json_object *object)
+{
+  const char *text = json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+
+  http_respond (exchange, status, ADMIN_JSON, text, strlen (text));
+  json_object_put (object);
+}
+
+static void
+admin_text (struct http_exchange *exchange, uint16_t status, const char *text)
+{
+  http_respond (exchange, status, ADMIN_TEXT, text, strlen (text));
+}
+
+static bool
+admin_authorized (const struct cd_daemon *daemon,
+                  const struct http_exchange *exchange)
+{
+  const char *given = http_header_value (exchange, "authorization");
+  const char *token = daemon->settings->operator_token;
+
+  if (given == NULL || !g_str_has_prefix (given, ADMIN_BEARER))
+    return false;
+  given += strlen (ADMIN_BEARER);
+  /* The time of the comparison must not tell how much of a guess is right.  */
+  return strlen (given) == strlen (token)
+         && CRYPTO_memcmp (given, token, strlen (token)) == 0;
+}
+
+static void
+admin_ready (const struct cd_daemon *daemon, struct http_exchange *exchange)
+{
+  if (daemon->draining)
+    admin_text (exchange, 503, "draining\n");
+  else if (cd_document (daemon) == NULL)
+    admin_text (exchange, 503, "no configuration\n");
+  else
+    admin_text (exchange, 200, "ready\n");
+}
+
+static void
+admin_metrics (const struct cd_daemon *daemon, struct http_exchange *exchange)
+{
+  GString *out = g_string_new (NULL);
+
+  ctr_set_gauge (daemon->counters, "rpc_sent_bytes",
+                 (int64_t)rpc_bytes_sent (daemon->rpc));
+  ctr_set_gauge (daemon->counters, "rpc_received_bytes",
+                 (int64_t)rpc_bytes_received (daemon->rpc));
+  ctr_set_gauge (daemon->counters, "http_client_sent_bytes",
+                 (int64_t)http_client_sent_bytes (daemon->client));
+  ctr_set_gauge (daemon->counters, "http_client_received_bytes",
+                 (int64_t)http_client_received_bytes (daemon->client));
+  ctr_set_gauge (daemon->counters, "configuration_generation",
+                 (int64_t)cd_generation (daemon));
+  ctr_print (daemon->counters, out);
+  http_respond (exchange, 200, "text/plain; version=0.0.4", out->str,
+                out->len);
+  g_string_free (out, TRUE);
+}
+
+static struct json_object *
+admin_member (const struct mem_member *member)
+{
+  struct json_object *object = json_object_new_object ();
+
+  json_object_object_add (object, "instance",
+                          json_object_new_string (member->instance));
+  json_object_object_add (object, "zone",
+                          json_object_new_string (member->zone));
+  json_object_object_add (object, "number",
+                          json_object_new_int64 (member->number));
+  json_object_object_add (object, "generation",
+                          json_object_new_uint64 (member->generation));
+  json_object_object_add (object, "recorded",
+                          json_object_new_boolean (member->recorded));
+  json_object_object_add (object, "reachable",
+                          json_object_new_boolean (member->reachable));
+  json_object_object_add (object, "draining",
+                          json_object_new_boolean (member->draining));
+  return object;
+}
+
+static struct json_object *
+admin_members (const struct cd_daemon *daemon)
+{
+  const GPtrArray *members = mem_members (cd_members (daemon));
+  struct json_object *list = json_object_new_array ();
+
+  for (guint i = 0; i < members->len; i++)
+    json_object_array_add (list,
+                           admin_member (g_ptr_array_index (members, i)));
+  return list;
+}
+
+/* Add under KEY what one part of the instance says of itself.  */
+static void
+admin_part (const struct cd_daemon *daemon, struct json_object *status,
+            const char *key,
+            void (*append) (const struct cd_daemon *daemon,
+                            struct json_object *out))
+{
+  struct json_object *part = json_object_new_object ();
+
+  append (daemon, part);
+  json_object_object_add (status, key, part);
+}
+
+static void
+admin_status (const struct cd_daemon *daemon, struct http_exchange *exchange)
+{
+  struct json_object *status = json_object_new_object ();
+  const struct env_document *document = cd_document (daemon);
+  const char *holder = cd_control_holder (daemon);
+
+  json_object_object_add (status, "instance",
+                          json_object_new_string (daemon->settings->instance));
+  json_object_object_add (status, "zone",
+                          json_object_new_string (daemon->settings->zone));
+  json_object_object_add (
+      status, "environment",
+      json_object_new_string (daemon->settings->environment));
+  json_object_object_add (status, "generation",
+                          json_object_new_uint64 (cd_generation (daemon)));
+  json_object_object_add (
+      status, "digest",
+      json_object_new_string (document == NULL ? "" : env_digest (document)));
+  json_object_object_add (status, "draining",
+                          json_object_new_boolean (daemon->draining));
+  json_object_object_add (status, "kv_reachable",
+                          json_object_new_boolean (cd_kv_reachable (daemon)));
+  json_object_object_add (
+      status, "controller",
+      json_object_new_string (holder == NULL ? "" : holder));
+  json_object_object_add (status, "members", admin_members (daemon));
+  admin_part (daemon, status, "control", cd_control_status);
+  admin_part (daemon, status, "requests", cd_requests_status);
+  admin_part (daemon, status, "services", cd_services_status);
+  cd_admin_answer (exchange, 200, status);
+}
+
+static void
+admin_operator (struct cd_daemon *daemon, struct http_exchange *exchange)
+{
+  const char *path = http_path (exchange);
+  bool get = strcmp (http_method (exchange), "GET") == 0;
+  bool post = strcmp (http_method (exchange), "POST") == 0;
+
+  if (!admin_authorized (daemon, exchange))
+    {
+      ctr_add (daemon->counters, "operator_denied_total", 1);
+      admin_text (exchange, 401, "operator token missing or wrong\n");
+    }
+  else if (g_str_has_prefix (path, ADMIN_ENVIRONMENTS))
+    cd_admin_environment (daemon, exchange,
+                          path + strlen (ADMIN_ENVIRONMENTS));
+  else if (get && strcmp (path, ADMIN_PREFIX "status") == 0)
+    admin_status (daemon, exchange);
+  else if (post && strcmp (path, ADMIN_PREFIX "drain") == 0)
+    {
+      cd_drain (daemon);
+      admin_text (exchange, 202, "draining\n");
+    }
+  else
+    admin_text (exchange, 404, "no such call\n");
+}
+
+/* Answer a request for health, counters or an operator's call.  */
+void
+cd_admin_handle (struct cd_daemon *daemon, struct http_exchange *exchange)
+{
+  const char *path = http_path (exchange);
+
+  if (strcmp (path, "/livez") == 0)
+    admin_text (exchange, 200, "alive\n");
+  else if (strcmp (path, "/readyz") == 0)
+    admin_ready (daemon, exchange);
+  else if (strcmp (path, "/metrics") == 0)
+    admin_metrics (daemon, exchange);
+  else if (g_str_has_prefix (path, ADMIN_PREFIX))
+    admin_operator (daemon, exchange);
+  else
+    cd_refuse (daemon, exchange, RSN_NOT_FOUND, true, "no such path");
+}
--- a/regress/sim.c
+++ b/regress/sim.c
@@ -3,7 +3,7 @@
 
 #include "sim.h"
 
-#define SIM_STEP_MS    20
+#define SIM_STEP_MS    40
 #define SIM_HEARD_MS   3000
 #define SIM_RECORD_MS  10000
 #define SIM_MEMBERS_MS 250
@@ -11,10 +11,10 @@
 static const struct plc_model_spec sim_models[SIM_MODELS] = {
   { "a", "1", "text", 40, 5, 1, 4, 500, 3000 },
   { "b", "1", "text", 40, 5, 2, 4, 500, 3000 },
-  { "c", "1", "text", 40, 5, 1, 4, 500, 3000 },
+  { "c", "1", "text", 40, 5, 2, 4, 500, 3000 },
   { "d", "1", "plain", 40, 5, 1, 4, 500, 3000 },
   { "e", "1", "plain", 40, 5, 2, 4, 500, 3000 },
-  { "f", "1", "plain", 40, 5, 1, 4, 500, 3000 },
+  { "f", "1", "plain", 40, 5, 2, 4, 500, 3000 },
 };
 
 static const struct plc_engine_spec sim_engine_specs[SIM_ENGINES] = {
@@ -354,6 +354,7 @@
   instance->alive = true;
   instance->paused = false;
   instance->kv_cut = false;
+  instance->heals_us = 0;
   instance->fence = 0;
   instance->incarnation++;
   instance->heard_us = sim->now_us;
@@ -442,6 +443,12 @@
     {
       struct sim_instance *instance = &sim->instances[i];
 
+      if (instance->heals_us != 0 && sim->now_us >= instance->heals_us)
+        {
+          instance->paused = false;
+          instance->kv_cut = false;
+          instance->heals_us = 0;
+        }
       if (!instance->alive || instance->paused)
         continue;
       instance->heard_us = sim->now_us;
