--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 
 CFLAGS = -O2 -g
 STRICT = -Wall -Wextra -Werror
-CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin -Iregress
+CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin -Iregress \
+	-Icowslipload
 MODFLAGS = $(shell pkg-config --cflags $(MODULES))
 LIBS = $(shell pkg-config --libs $(MODULES)) -lm -lpthread
 COMPILE = @$(CC) -std=gnu11 $(CFLAGS) $(SANFLAGS) $(STRICT) $(CPPFLAGS) \
@@ -43,6 +44,8 @@
 	$(filter-out %_test.c %_script.c,$(wildcard regress/*.c)))
 # Parts of the daemon that tests link: all but its main.
 DAEMON_PARTS = $(BUILD)/libcowslipcoved.a
+# Parts of the load tool that tests link.
+LOAD_PARTS = $(BUILD)/libcowslipload.a
 OUR_C = $(LIB_SRC) $(wildcard cowslipcoved/*.c cowslipctl/*.c \
 	cowslipload/*.c standin/*.c standin/*/*.c regress/*.c)
 OUR_H = $(filter-out proto/%,$(wildcard libcowslip/*.h cowslipcoved/*.h \
@@ -72,6 +75,10 @@
 	rm -f $@
 	ar rcs $@ $^
 
+$(LOAD_PARTS): $(filter-out %/main.o,$(LOAD_OBJ)) $(BUILD)/standin/answer.o
+	rm -f $@
+	ar rcs $@ $^
+
 $(BUILD)/cowslipcoved/cowslipcoved: $(BUILD)/cowslipcoved/main.o \
 		$(DAEMON_PARTS) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
@@ -89,7 +96,8 @@
 		$(STANDIN_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/regress/%: $(BUILD)/regress/%.o $(TEST_SHARED) $(DAEMON_PARTS) $(LIB)
+$(BUILD)/regress/%: $(BUILD)/regress/%.o $(TEST_SHARED) $(DAEMON_PARTS) \
+		$(LOAD_PARTS) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
 
 check: deps
--- a/cowslipload/call.c
+++ b/cowslipload/call.c
@@ -102,9 +102,13 @@
 ld_call (int argc, char **argv)
 {
   static const struct argp parser
-      = { options, parse_option, "METHOD ADDRESS PATH [BODY]",
+      = { options,
+          parse_option,
+          "METHOD ADDRESS PATH [BODY]",
           "Make one HTTP call, as to switch a fault of a stand-in.",
-          NULL,    NULL,         NULL };
+          NULL,
+          NULL,
+          NULL };
   static struct ld_single single;
 
   argp_parse (&parser, argc, argv, 0, NULL, &single);
--- /dev/null
+++ b/regress/standin_kv_run.sh
@@ -0,0 +1,58 @@
+#!/bin/sh
+# Guards against a key-value stand-in that differs from the published protocol
+# or whose faults have no effect, by which other tests would prove nothing.
+
+. "$(dirname "$0")/standins.sh"
+start kv --writes 50
+kv=$address
+put='"success":[{"requestPut":{"key":"YWE=","value":"YmI="'
+absent='"compare":[{"target":"CREATE","key":"YWE=","createRevision":"0"}]'
+
+expect "grant" '"ID":"1","TTL":"1"' "$(call "$kv" /v3/lease/grant '{"TTL":1}')"
+expect "create" '"succeeded":true' \
+    "$(call "$kv" /v3/kv/txn "{$absent,$put,\"lease\":\"1\"}}]}")"
+answer=$(call "$kv" /v3/kv/txn "{$absent,$put}}],
+  \"failure\":[{\"request_range\":{\"key\":\"YWE=\"}}]}")
+refuse "create again" succeeded "$answer"
+expect "create again" '"value":"YmI=","lease":"1"' "$answer"
+expect "prefix range" '"count":"1"' \
+    "$(call "$kv" /v3/kv/range '{"key":"YQ==","range_end":"Yg=="}')"
+expect "unknown lease" "lease not found" \
+    "$(call "$kv" /v3/kv/txn "{$put,\"lease\":\"9\"}}]}")"
+
+# A watch from revision 1 shows the past and the expiry of the lease.
+"$load" call POST "$kv" /v3/watch '{"create_request":{"key":"YQ==",
+  "range_end":"Yg==","start_revision":"1"}}' >"$dir/watch" 2>&1 &
+watch=$!
+await "watch opens" '"watches":1' "$kv" /records
+await "lease expires" '"leases":0' "$kv" /records
+expect "keepalive of an expired lease" '"ID":"1"}' \
+    "$(call "$kv" /v3/lease/keepalive '{"ID":"1"}')"
+call "$kv" /fault '{"lose_answers":1}' >/dev/null
+expect "lost answer" "connection cut" \
+    "$(call "$kv" /v3/kv/txn "{$put}}]}")"
+expect "effect of a lost answer" '"count":"1"' \
+    "$(call "$kv" /v3/kv/range '{"key":"YWE="}')"
+
+call "$kv" /fault '{"outage":1}' >/dev/null
+wait $watch
+expect "outage" "status 503" "$(call "$kv" /v3/kv/range '{"key":"YWE="}')"
+expect "unknown fault" "unknown fault" "$(call "$kv" /fault '{"x":1}')"
+call "$kv" /fault '{"outage":0}' >/dev/null
+# An outage that ends breaks the calls that it left unanswered.
+call "$kv" /fault '{"outage":2}' >/dev/null
+call "$kv" /v3/kv/range '{"key":"YWE="}' >"$dir/silent" &
+silent=$!
+sleep 0.3
+call "$kv" /fault '{"outage":0}' >/dev/null
+wait $silent
+expect "silent outage" "connection cut" "$(cat "$dir/silent")"
+
+# 60 writes in parallel are more than one second allows.
+writers=
+for _ in $(seq 60); do
+	call "$kv" /v3/kv/txn "{$put}}]}" >/dev/null &
+	writers="$writers $!"
+done
+for writer in $writers; do wait "$writer"; done
+expect "peak of writes" '"refused_by_rate":' "$(get "$kv" /records)"
