--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -12,6 +12,8 @@
 #include "ctr.h"
 #include "tm.h"
 
+#define RPC_ORIGIN_BYTES 129
+
 /* ONC RPC over TCP between instances, authenticated with an HMAC.  */
 struct rpc_node;
 
@@ -30,7 +32,7 @@
 /* The sender of a call; authenticated.  */
 struct rpc_origin
 {
-  char instance[128];
+  char instance[RPC_ORIGIN_BYTES];
   uint64_t incarnation;
 };
 
@@ -80,8 +82,10 @@
 void rpc_answer (struct rpc_request *request, void *result);
 void rpc_send (struct rpc_node *node, const struct rpc_call *call,
                rpc_done done, void *arg);
+const char *rpc_address (const struct rpc_node *node);
 uint64_t rpc_bytes_sent (const struct rpc_node *node);
 uint64_t rpc_bytes_received (const struct rpc_node *node);
+bool_t rpc_xdr_void (XDR *xdr, void *value);
 const char *rpc_outcome_text (enum rpc_outcome outcome);
 
 #endif
