--- a/Makefile
+++ b/Makefile
@@ -118,6 +118,10 @@
 	$(MAKE) all
 	BUILD=$(BUILD) sh demo/run.sh
 
+# Draws the plot of a file that cowslipload -p wrote: make plot PLOT=FILE.gp
+plot:
+	gnuplot $(PLOT)
+
 format:
 	clang-format -i $(OUR_C) $(OUR_H)
 
@@ -151,7 +155,7 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all deps check tests demo format format-check tidy proto install clean
+.PHONY: all deps check tests demo plot format format-check tidy proto install clean
 .PRECIOUS: $(BUILD)/%.o
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
