Fit slopes of the control cost with their errors

cowslipload slopes reads the output of capacity.sh and works out the cost of an instance in a zone of the target size by least squares (GSL).

--- a/cowslipload/capacity.sh
+++ b/cowslipload/capacity.sh
@@ -6,7 +6,7 @@
 #   instances,engines,models,role,cpu_percent,rss_kb,rpc_out,rpc_in,http_out,
 #   http_in,kv_calls_s,kv_txn_s   (bytes a second)
 # Usage: BUILD=build sh cowslipload/capacity.sh >capacity.csv
-#        then: sh cowslipload/slopes.sh capacity.csv
+#        then: cowslipload slopes capacity.csv
 # Takes about 15 s a run; at most 120 processes and 2 GB of memory.
 
 set -u
--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -6,6 +6,7 @@
 #include "call.h"
 #include "check.h"
 #include "run.h"
+#include "slopes.h"
 
 #define LD_TABLE_TITLE "seed %" PRIu64 "\n"
 
@@ -210,7 +211,8 @@
           parse_option,
           "EXPERIMENT",
           "Send the requests of an experiment and report what became of them."
-          "\vSee also: cowslipload check --help, cowslipload call --help",
+          "\vSee also: cowslipload check --help, cowslipload call --help, "
+          "cowslipload slopes --help",
           NULL,
           NULL,
           NULL };
@@ -221,6 +223,8 @@
 
   if (argc > 1 && strcmp (argv[1], "check") == 0)
     return ld_check (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "slopes") == 0)
+    return ld_slopes (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "call") == 0)
     return ld_call (argc - 1, argv + 1);
   arguments.targets = g_ptr_array_new_with_free_func (g_free);
