Test that unrepeatable calls get connections of their own

The rule had no test. services_test fails when such a call takes a pooled connection (trial on a copy); 60 assertions pass, also with the sanitizers.

--- a/regress/services_test.c
+++ b/regress/services_test.c
@@ -21,6 +21,8 @@
   char service_address[32];
   struct env_document *document;
   uint32_t runs;
+  bool is_fresh;      /* the last call had a connection of its own */
+  char last_key[256]; /* the idempotency key that came with it */
   bool answered;
   enum http_outcome outcome;
   uint16_t status;
@@ -79,7 +81,12 @@
   char *text = is_large ? g_strnfill (100000, '.')
                         : g_strdup_printf ("run %u", ++world.runs);
 
+  const char *connection = http_header_value (exchange, "connection");
+  const char *key = http_header_value (exchange, "idempotency-key");
+
   (void)arg;
+  world.is_fresh = g_strcmp0 (connection, "close") == 0;
+  g_strlcpy (world.last_key, key == NULL ? "" : key, sizeof world.last_key);
   if (strcmp (path, "/cut") == 0)
     {
       http_stream_start (exchange, 200, "text/plain");
@@ -241,6 +248,22 @@
   wait_idle ();
 }
 
+/* Guards against a call that may not be repeated on a pooled connection: if
+   the service had just closed it, it would be unknown whether the call ran.
+   Also guards against a key that the service does not get.  */
+static void
+test_connection (void)
+{
+  for (int i = 0; i < 2; i++)
+    {
+      call ("GET", "/svc/booking/ok", NULL, "", 0);
+      CU_ASSERT_FALSE (world.is_fresh);
+    }
+  call ("POST", "/svc/booking/ok", "fresh", "x", 0);
+  CU_ASSERT_TRUE (world.is_fresh);
+  CU_ASSERT_STRING_EQUAL (world.last_key, "fresh");
+}
+
 /* Guards against work for a leaving endpoint, and against a key that stays
    blocked after a refusal that said "not run".  */
 static void
@@ -347,10 +370,13 @@
 int
 main (void)
 {
-  static const struct unit_test tests[]
-      = { { "calls", test_calls }, { "leaving", test_leaving },
-          { "gone", test_gone },   { "outage", test_outage },
-          { "owner", test_owner }, { NULL, NULL } };
+  static const struct unit_test tests[] = { { "calls", test_calls },
+                                            { "connection", test_connection },
+                                            { "leaving", test_leaving },
+                                            { "gone", test_gone },
+                                            { "outage", test_outage },
+                                            { "owner", test_owner },
+                                            { NULL, NULL } };
 
   set_up ();
   return unit_main ("services", tests);
