Limit the time to connect, and end a HEAD answer with its header

Cause: an endpoint whose packets vanish used up the whole deadline of a call, and the HTTP client waited for the body of a HEAD answer, so calls to services cancelled it by hand. Change: a connection has 1 s to be made, after which nothing was sent; h2o is told of HEAD; the work-around is removed. Measured: http_test has a server with a full backlog and a HEAD answer with a length; 123 assertions pass, services_test still passes. Conclusion: "not run" is true for such endpoints, and they can be retried.

--- a/cowslipcoved/services_attempt.c
+++ b/cowslipcoved/services_attempt.c
@@ -23,12 +23,6 @@
 
   clm_endpoint_connected (call->endpoint);
   clm_call_head (call->machine, status, content_type);
-  if (strcmp (call->method, "HEAD") != 0)
-    return;
-  /* The answer to HEAD has no body, whatever length it declares.  */
-  http_cancel (call->attempt);
-  cd_attempt_over (call);
-  clm_call_ended (call->machine, CLM_ATTEMPT_WHOLE);
 }
 
 static void
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -7,10 +7,13 @@
 
 #include "http_client.h"
 
-#define HTTP_POOL_IDLE_MS       5000
-#define HTTP_POOL_CAPACITY      65536
-#define HTTP_IO_TIMEOUT_MS      3600000
-#define HTTP_FETCH_MAX_BYTES    (8U << 20)
+#define HTTP_POOL_IDLE_MS    5000
+#define HTTP_POOL_CAPACITY   65536
+#define HTTP_IO_TIMEOUT_MS   3600000
+#define HTTP_FETCH_MAX_BYTES (8U << 20)
+/* Longer than a lost SYN's first repetition within a region would need, and
+   short against the deadlines of requests.  */
+#define HTTP_CONNECT_LIMIT_MS   1000
 #define HTTP_US_PER_MS          1000
 #define HTTP_CONTENT_TYPE_BYTES 128
 #define HTTP_ADDRESS_BYTES      64
@@ -37,6 +40,8 @@
   GString *wire;
   h2o_iovec_t wire_vector;
   struct tm_timer limit;
+  struct tm_timer connect_limit;
+  bool is_head;
   bool sent;
   bool chunked;
   bool in_callback;
@@ -161,6 +166,7 @@
 http_call_free (struct http_call *call)
 {
   tm_cancel (call->client->tm, &call->limit);
+  tm_cancel (call->client->tm, &call->connect_limit);
   g_string_free (call->wire, TRUE);
   g_free (call);
 }
@@ -279,6 +285,7 @@
 {
   struct http_call *call = connection->data;
 
+  tm_cancel (call->client->tm, &call->connect_limit);
   if (error != NULL)
     {
       http_finish (call, HTTP_CONNECT_FAILED);
@@ -289,7 +296,7 @@
   call->wire_vector = h2o_iovec_init (call->wire->str, call->wire->len);
   *buffers = &call->wire_vector;
   *count = 1;
-  *is_head = 0;
+  *is_head = call->is_head;
   return http_head_cb;
 }
 
@@ -303,15 +310,21 @@
   http_finish (call, HTTP_TIMEOUT);
 }
 
+/* No connection was made, so nothing was sent.  */
 static void
-http_bad_address (void *arg)
+http_not_connected (void *arg)
 {
-  http_finish (arg, HTTP_CONNECT_FAILED);
+  struct http_call *call = arg;
+
+  if (call->connection != NULL)
+    h2o_http1client_cancel (call->connection);
+  http_finish (call, HTTP_CONNECT_FAILED);
 }
 
 /* Send REQUEST and report its answer piece by piece to HANDLERS with ARG.
    on_done is called exactly once, never from within this function, unless the
-   call is cancelled.  Return the call, valid until on_done or http_cancel.  */
+   call is cancelled.  A connection that is not made within 1 s counts as
+   failed.  Return the call, valid until on_done or http_cancel.  */
 struct http_call *
 http_start (struct http_client *client, const struct http_request *request,
             const struct http_handlers *handlers, void *arg)
@@ -323,16 +336,20 @@
   call->client = client;
   call->handlers = *handlers;
   call->arg = arg;
+  call->is_head = strcmp (request->method, "HEAD") == 0;
   call->wire = http_write_request (request);
   if (pool == NULL)
     {
-      tm_after (client->tm, &call->limit, 0, http_bad_address, call);
+      tm_after (client->tm, &call->limit, 0, http_not_connected, call);
       return call;
     }
   if (request->timeout_ms > 0)
     tm_after (client->tm, &call->limit,
               (uint64_t)request->timeout_ms * HTTP_US_PER_MS,
               http_limit_passed, call);
+  tm_after (client->tm, &call->connect_limit,
+            (uint64_t)HTTP_CONNECT_LIMIT_MS * HTTP_US_PER_MS,
+            http_not_connected, call);
   if (request->fresh)
     {
       const char *colon = strrchr (request->address, ':');
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -1,5 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http_client.h"
 #include "http_server.h"
@@ -220,6 +222,71 @@
   CU_ASSERT_FALSE (seen.sent);
 }
 
+/* Guards against an endpoint whose packets vanish and that uses up the whole
+   time limit of a call, and against calling such a request sent.  */
+static void
+test_unreachable (void)
+{
+  struct sockaddr_in local;
+  socklen_t bytes = sizeof local;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int filler[4];
+  char address[32];
+  struct seen seen = { 0 };
+  struct http_request request
+      = { .method = "GET", .address = address, .path = "/" };
+  uint64_t start_us = tm_now_us (clock_driver.service);
+
+  /* The kernel drops connections beyond the backlog of a server that does not
+     accept.  */
+  uv_ip4_addr ("127.0.0.1", 0, &local);
+  bind (listener, (struct sockaddr *)&local, sizeof local);
+  listen (listener, 0);
+  getsockname (listener, (struct sockaddr *)&local, &bytes);
+  for (size_t i = 0; i < G_N_ELEMENTS (filler); i++)
+    {
+      filler[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect (filler[i], (struct sockaddr *)&local, sizeof local);
+    }
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (local.sin_port));
+  http_start (client, &request, &seen_handlers, &seen);
+  while (seen.done == 0
+         && tm_now_us (clock_driver.service) < start_us + 10000000)
+    uv_run (&loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (seen.done, 1);
+  CU_ASSERT_EQUAL (seen.outcome, HTTP_CONNECT_FAILED);
+  CU_ASSERT_FALSE (seen.sent);
+  for (size_t i = 0; i < G_N_ELEMENTS (filler); i++)
+    close (filler[i]);
+  close (listener);
+}
+
+/* Guards against a HEAD answer that is taken for cut because its body never
+   comes.  */
+static void
+test_head (void)
+{
+  struct canned canned
+      = { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" };
+  struct seen seen = { 0 };
+  char address[32];
+  struct http_request request = {
+    .method = "HEAD", .address = address, .path = "/", .timeout_ms = LIMIT_MS
+  };
+
+  canned_open (&canned);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", canned.port);
+  http_start (client, &request, &seen_handlers, &seen);
+  while (seen.done == 0)
+    uv_run (&loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (seen.outcome, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (seen.status, 200);
+  uv_close ((uv_handle_t *)&canned.listener, NULL);
+  if (!uv_is_closing ((uv_handle_t *)&canned.connection))
+    uv_close ((uv_handle_t *)&canned.connection, NULL);
+  uv_run (&loop, UV_RUN_NOWAIT);
+}
+
 /* A server whose answers the test writes, and what it knows of callers.  */
 struct echo
 {
@@ -406,6 +473,8 @@
   static const struct unit_test tests[]
       = { { "answers whole and cut", test_answers },
           { "connection refused", test_refused },
+          { "unreachable", test_unreachable },
+          { "HEAD", test_head },
           { "end of a stream", test_stream_end },
           { "cancel", test_cancel },
           { "slow caller", test_slow_caller },
