Load adapters where requests wait for them

Requests for an adapter were routed to replicas of its model, and an engine that had not loaded the adapter answered not_started until the retry budget was used up. No part of the daemon ordered adapter loads.

A request for an adapter now waits, is routed and is reported as demand under the adapter's name. Demand for it is also demand and use for its model. The controller loads adapters into the memory that each replica reserves, evicts the least recently used ones after the quiesce protocol, keeps the zone's share of loads in flight, and writes nothing to the key-value service. States that an engine answered before a later adapter order do not decide over that adapter. A replica is unloaded only when its adapters are out of use, too.

A replica that an instance was asked to quiesce while the newest view did not show it as ready keeps no mark any more: when the controller ended the quiescence because of new demand, the instance never used the replica again.

requests_test expected that a request for an adapter without a loaded copy is answered by a replica of its model, which is the fault itself. The view of the test now shows the adapter, and a second adapter that is not loaded must be refused with queue_deadline.

--- a/cowslipcoved/control.c
+++ b/cowslipcoved/control.c
@@ -64,7 +64,13 @@
           [PLC_NOTE_LOAD] = { LG_LOAD_ORDERED, "loads_ordered" },
           [PLC_NOTE_LOAD_FAILED] = { LG_LOAD_FAILED, "loads_failed" },
           [PLC_NOTE_UNLOAD] = { LG_UNLOAD_ORDERED, "unloads_ordered" },
-          [PLC_NOTE_UNPINNED] = { LG_REPLICA_UNPINNED, "replicas_unpinned" } };
+          [PLC_NOTE_UNPINNED] = { LG_REPLICA_UNPINNED, "replicas_unpinned" },
+          [PLC_NOTE_ADAPTER_LOAD]
+          = { LG_ADAPTER_LOAD_ORDERED, "adapter_loads_ordered" },
+          [PLC_NOTE_ADAPTER_LOAD_FAILED]
+          = { LG_ADAPTER_LOAD_FAILED, "adapter_loads_failed" },
+          [PLC_NOTE_ADAPTER_UNLOAD]
+          = { LG_ADAPTER_UNLOAD_ORDERED, "adapter_unloads_ordered" } };
   struct cd_control *control = arg;
 
   lg_write (notes[note].event, "engine %s%s%s", endpoint,
--- a/cowslipcoved/control_order.c
+++ b/cowslipcoved/control_order.c
@@ -16,15 +16,19 @@
   if (order->model != NULL)
     json_object_object_add (json, "model",
                             json_object_new_string (order->model));
-  if (order->kind == PLC_LOAD)
+  if (order->adapter != NULL)
+    json_object_object_add (json, "adapter",
+                            json_object_new_string (order->adapter));
+  if (order->kind == PLC_LOAD || order->kind == PLC_ADAPTER_LOAD)
     {
       json_object_object_add (json, "version",
                               json_object_new_string (order->version));
       json_object_object_add (json, "bytes",
                               json_object_new_uint64 (order->bytes));
-      json_object_object_add (json, "adapter_bytes",
-                              json_object_new_uint64 (order->adapter_bytes));
     }
+  if (order->kind == PLC_LOAD)
+    json_object_object_add (json, "adapter_bytes",
+                            json_object_new_uint64 (order->adapter_bytes));
   text = g_strdup (
       json_object_to_json_string_ext (json, JSON_C_TO_STRING_PLAIN));
   json_object_put (json);
@@ -76,10 +80,13 @@
 void
 control_order (void *arg, const struct plc_order *order)
 {
-  static const char *const paths[] = { [PLC_SEAL] = "/admin/seal",
-                                       [PLC_STATE] = "/admin/state",
-                                       [PLC_LOAD] = "/admin/load",
-                                       [PLC_UNLOAD] = "/admin/unload" };
+  static const char *const paths[]
+      = { [PLC_SEAL] = "/admin/seal",
+          [PLC_STATE] = "/admin/state",
+          [PLC_LOAD] = "/admin/load",
+          [PLC_UNLOAD] = "/admin/unload",
+          [PLC_ADAPTER_LOAD] = "/admin/adapters/load",
+          [PLC_ADAPTER_UNLOAD] = "/admin/adapters/unload" };
   static const struct http_header headers[]
       = { { "Content-Type", "application/json" }, { NULL, NULL } };
   struct cd_control *control = arg;
--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -54,6 +54,25 @@
   return specs;
 }
 
+static GArray *
+control_adapters (const struct env_document *document)
+{
+  const GPtrArray *adapters = env_adapters (document);
+  GArray *specs = g_array_new (FALSE, FALSE, sizeof (struct plc_adapter_spec));
+
+  for (guint i = 0; i < adapters->len; i++)
+    {
+      const struct env_adapter *adapter = g_ptr_array_index (adapters, i);
+      struct plc_adapter_spec spec = { .name = adapter->name,
+                                       .version = adapter->version,
+                                       .model = adapter->model->name,
+                                       .bytes = adapter->bytes };
+
+      g_array_append_val (specs, spec);
+    }
+  return specs;
+}
+
 /* Put the part of the document WHAT that concerns the own zone in force.  */
 void
 control_on_document (void *arg, const void *what)
@@ -63,6 +82,7 @@
   const char *zone = control->daemon->settings->zone;
   GArray *models = control_models (document, zone);
   GArray *engines = control_engines (document, zone);
+  GArray *adapters = control_adapters (document);
   guint zones = MAX (env_zones (document)->len, 1);
   struct plc_plan plan
       = { .models = (const struct plc_model_spec *)(void *)models->data,
@@ -72,8 +92,12 @@
           .weight_loads = env_limits (document)->weight_loads_max / zones };
 
   plc_set_plan (control->plc, &plan);
+  plc_set_adapters (
+      control->plc, (const struct plc_adapter_spec *)(void *)adapters->data,
+      adapters->len, env_limits (document)->adapter_loads_max / zones);
   g_array_free (models, TRUE);
   g_array_free (engines, TRUE);
+  g_array_free (adapters, TRUE);
 }
 
 /* Note the members of the own zone in the table WHAT.  */
--- a/cowslipcoved/control_state.c
+++ b/cowslipcoved/control_state.c
@@ -79,6 +79,26 @@
   return true;
 }
 
+/* An adapter that cannot be read would not be counted either.  */
+static bool
+control_read_adapter (struct json_object *json, GArray *adapters)
+{
+  uint32_t state
+      = control_position (control_text (json, "state"), control_states,
+                          G_N_ELEMENTS (control_states));
+  struct plc_reported_adapter adapter
+      = { .name = control_text (json, "name"),
+          .model = control_text (json, "model"),
+          .version = control_text (json, "version"),
+          .state = (enum plc_slot_state)state };
+
+  if (adapter.name == NULL || adapter.model == NULL
+      || state == G_N_ELEMENTS (control_states))
+    return false;
+  g_array_append_val (adapters, adapter);
+  return true;
+}
+
 static bool
 control_read_list (struct json_object *json, const char *key, GArray *out,
                    bool (*read) (struct json_object *json, GArray *out))
@@ -102,7 +122,10 @@
 
   if (incarnation == NULL
       || !control_read_list (state->json, "models", state->models,
-                             control_read_model))
+                             control_read_model)
+      || (json_object_object_get_ex (state->json, "adapters", NULL)
+          && !control_read_list (state->json, "adapters", state->adapters,
+                                 control_read_adapter)))
     return false;
   (void)control_read_list (state->json, "cached", state->cached,
                            control_read_cached);
@@ -116,6 +139,9 @@
   state->state.model_count = state->models->len;
   state->state.cached = (const struct plc_cached *)(void *)state->cached->data;
   state->state.cached_count = state->cached->len;
+  state->state.adapters
+      = (const struct plc_reported_adapter *)(void *)state->adapters->data;
+  state->state.adapter_count = state->adapters->len;
   return true;
 }
 
@@ -131,6 +157,8 @@
   *state = (struct control_state){ 0 };
   state->models = g_array_new (FALSE, FALSE, sizeof (struct plc_reported));
   state->cached = g_array_new (FALSE, FALSE, sizeof (struct plc_cached));
+  state->adapters
+      = g_array_new (FALSE, FALSE, sizeof (struct plc_reported_adapter));
   if (answer->outcome == HTTP_CONNECT_FAILED || !answer->sent)
     return PLC_NOT_SENT;
   if (answer->outcome != HTTP_COMPLETE)
@@ -158,5 +186,6 @@
 {
   g_array_free (state->models, TRUE);
   g_array_free (state->cached, TRUE);
+  g_array_free (state->adapters, TRUE);
   json_object_put (state->json);
 }
--- a/cowslipcoved/control_status.c
+++ b/cowslipcoved/control_status.c
@@ -31,7 +31,8 @@
 
 /* Add to OUT what is known of the zone's control: holder and fencing number,
    and on the holder the slots with their states, how many engines are sealed,
-   how many loads wait, and the weight store fetches in use.  */
+   how many loads wait, the weight store fetches in use, how many adapters are
+   loaded and how many of their loads are in flight.  */
 void
 cd_control_status (const struct cd_daemon *daemon, struct json_object *out)
 {
@@ -59,5 +60,9 @@
                           json_object_new_int64 (status.store_in_use));
   json_object_object_add (out, "store_slots",
                           json_object_new_int64 (status.store_slots));
+  json_object_object_add (out, "adapters",
+                          json_object_new_int64 (status.adapters));
+  json_object_object_add (out, "adapter_loads",
+                          json_object_new_int64 (status.adapter_loads));
   json_object_object_add (out, "slots", slots);
 }
--- a/cowslipcoved/requests.c
+++ b/cowslipcoved/requests.c
@@ -119,7 +119,8 @@
                    "the environment has no such class");
       return;
     }
-  spec = (struct dsp_spec){ .model = model->name,
+  spec = (struct dsp_spec){ .model
+                            = adapter != NULL ? adapter->name : model->name,
                             .pool = model->pool->name,
                             .class_name = class->name,
                             .priority = class->priority,
--- a/cowslipcoved/requests_zone.c
+++ b/cowslipcoved/requests_zone.c
@@ -175,6 +175,7 @@
   const struct env_limits *limits = env_limits (document);
   const GPtrArray *pools = env_pools (document);
   const GPtrArray *models = env_models (document);
+  const GPtrArray *adapters = env_adapters (document);
   const struct vw_view *view = NULL;
 
   dsp_set_limits (requests->dsp, limits->waiting_max, limits->retry_percent);
@@ -188,6 +189,14 @@
       dsp_add_model (requests->dsp, model->name,
                      env_budget (model, requests->daemon->settings->zone));
     }
+  for (guint i = 0; i < adapters->len; i++)
+    {
+      const struct env_adapter *adapter = g_ptr_array_index (adapters, i);
+
+      dsp_add_adapter (
+          requests->dsp, adapter->name, adapter->model->name,
+          env_budget (adapter->model, requests->daemon->settings->zone));
+    }
   dsp_configure_end (requests->dsp);
   /* A view that came before the document named models yet unknown here.  */
   if (requests->daemon->control != NULL)
--- a/libcowslip/dsp.h
+++ b/libcowslip/dsp.h
@@ -21,7 +21,7 @@
 
 struct dsp_spec
 {
-  const char *model;
+  const char *model; /* or adapter */
   const char *pool;
   const char *class_name;
   int32_t priority;
@@ -82,6 +82,8 @@
                        uint32_t batch);
 void dsp_configure_begin (struct dsp *dsp);
 void dsp_add_model (struct dsp *dsp, const char *model, uint32_t budget);
+void dsp_add_adapter (struct dsp *dsp, const char *adapter, const char *model,
+                      uint32_t budget);
 void dsp_configure_end (struct dsp *dsp);
 void dsp_view (struct dsp *dsp, const struct vw_view *view);
 void dsp_load (struct dsp *dsp, const char *address, uint32_t running,
--- a/libcowslip/dsp_impl.h
+++ b/libcowslip/dsp_impl.h
@@ -33,9 +33,10 @@
   uint32_t active;
 };
 
-/* What the zone offers for one model.  */
+/* What the zone offers for one model or adapter.  */
 struct dsp_model
 {
+  char *base; /* the adapter's model; NULL for a model */
   uint32_t budget;
   bool configured;
   enum adm_outlook outlook;
@@ -70,6 +71,8 @@
   uint64_t first_us;    /* first byte, 0: none */
 };
 
+void dsp_model_free (gpointer data);
+
 extern const struct rq_actions dsp_request_actions;
 
 enum adm_start dsp_admit (void *arg, struct adm_entry *entry);
--- a/libcowslip/dsp_request.c
+++ b/libcowslip/dsp_request.c
@@ -4,7 +4,6 @@
 /* A request without a first byte after this many times the promise is
    repeated elsewhere.  */
 #define DSP_HEDGE_FACTOR 3
-#define DSP_MODELS_MAX   64
 /* Differences below this are noise of timers and scheduling.  */
 #define DSP_HEDGE_MIN_US 10000
 
@@ -22,19 +21,21 @@
 void
 dsp_wake_endpoint (struct dsp *dsp, const struct rt_endpoint *endpoint)
 {
-  const char *models[DSP_MODELS_MAX];
-  uint32_t count = 0;
+  GPtrArray *models;
 
   if (adm_waiting (dsp->queues) == 0)
     return;
-  for (guint i = 0; i < endpoint->replicas->len && count < DSP_MODELS_MAX; i++)
+  models = g_ptr_array_new ();
+  for (guint i = 0; i < endpoint->replicas->len; i++)
     {
       const struct rt_replica *r = g_ptr_array_index (endpoint->replicas, i);
+      const char *name = rt_model_name (r->model);
 
-      if (r->ready)
-        models[count++] = rt_model_name (r->model);
+      if (r->ready && adm_waiting_for (dsp->queues, name) > 0)
+        g_ptr_array_add (models, (gpointer)name);
     }
-  adm_wake (dsp->queues, models, count);
+  adm_wake (dsp->queues, (const char *const *)models->pdata, models->len);
+  g_ptr_array_unref (models);
 }
 
 /* ATTEMPT is over; its answer was WHOLE or not.  */
--- a/libcowslip/plc.c
+++ b/libcowslip/plc.c
@@ -1,4 +1,4 @@
-#include "plc_private.h"
+#include "plc_adapter.h"
 
 #define PLC_TICK_MS 100
 
@@ -31,6 +31,11 @@
   plc->sorted = g_ptr_array_new ();
   plc->peers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, plc_peer_free);
+  plc->adapter_loads = 1;
+  plc->copies = g_ptr_array_new_with_free_func (plc_copy_free);
+  plc->adapters = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         plc_adapter_free);
+  plc->adapter_orders = g_hash_table_new (g_int64_hash, g_int64_equal);
   return plc;
 }
 
@@ -41,6 +46,9 @@
   if (plc == NULL)
     return;
   plc_stop (plc);
+  g_ptr_array_free (plc->copies, TRUE);
+  g_hash_table_destroy (plc->adapters);
+  g_hash_table_destroy (plc->adapter_orders);
   g_ptr_array_free (plc->slots, TRUE);
   g_hash_table_destroy (plc->models);
   g_hash_table_destroy (plc->engines);
@@ -66,6 +74,8 @@
     plc_run_quiesce (plc);
   if (plc->running && !plc->paused)
     plc_run_loads (plc);
+  if (plc->running && !plc->paused)
+    plc_run_adapters (plc);
   if (plc->running)
     plc_run_view (plc);
 }
@@ -92,6 +102,8 @@
   GHashTableIter iter;
   gpointer value;
 
+  while (plc->copies->len > 0)
+    plc_copy_remove (plc, g_ptr_array_index (plc->copies, 0));
   while (plc->slots->len > 0)
     plc_slot_remove (plc, g_ptr_array_index (plc->slots, 0));
   g_hash_table_iter_init (&iter, plc->engines);
@@ -105,6 +117,8 @@
       engine->clear_us = 0;
       engine->next_read_us = 0;
       engine->failures = 0;
+      engine->adapter_failures = 0;
+      engine->adapter_not_before_us = 0;
     }
   if (plc->saving_pins != NULL)
     g_ptr_array_unref (plc->saving_pins);
@@ -169,7 +183,7 @@
       if (engine->order_id != 0 || plc_now (plc) < engine->clear_us)
         return false;
     }
-  return true;
+  return plc_adapters_settled (plc);
 }
 
 /* Replace the members of the zone.  One that is not named any more is
--- a/libcowslip/plc.h
+++ b/libcowslip/plc.h
@@ -47,6 +47,15 @@
   uint32_t keep_alive_max_ms;
 };
 
+/* An adapter of a model, loaded within the adapter_bytes of its replicas.  */
+struct plc_adapter_spec
+{
+  const char *name;
+  const char *version;
+  const char *model;
+  uint64_t bytes;
+};
+
 struct plc_engine_spec
 {
   const char *address;
@@ -69,7 +78,9 @@
   PLC_SEAL,
   PLC_STATE, /* a read; needs no authority */
   PLC_LOAD,
-  PLC_UNLOAD
+  PLC_UNLOAD,
+  PLC_ADAPTER_LOAD,
+  PLC_ADAPTER_UNLOAD
 };
 
 struct plc_order
@@ -79,6 +90,7 @@
   const char *endpoint;
   uint64_t fence;
   const char *model;
+  const char *adapter; /* NULL: the order is for the model */
   const char *version;
   uint64_t bytes;
   uint64_t adapter_bytes;
@@ -105,6 +117,15 @@
   uint32_t ready_in_ms;
 };
 
+/* One adapter in an engine's own state.  STATE as in plc_reported.  */
+struct plc_reported_adapter
+{
+  const char *name;
+  const char *model;
+  const char *version; /* NULL: not told */
+  enum plc_slot_state state;
+};
+
 struct plc_cached
 {
   const char *name;
@@ -121,6 +142,8 @@
   uint32_t model_count;
   const struct plc_cached *cached;
   uint32_t cached_count;
+  const struct plc_reported_adapter *adapters;
+  uint32_t adapter_count;
 };
 
 /* A member of the zone, this instance included.  */
@@ -131,7 +154,7 @@
   bool reachable;
 };
 
-/* Waiting requests of one instance for one model.  */
+/* Waiting requests of one instance for one model or adapter.  */
 struct plc_demand
 {
   const char *model;
@@ -148,7 +171,10 @@
   PLC_NOTE_LOAD,
   PLC_NOTE_LOAD_FAILED,
   PLC_NOTE_UNLOAD,
-  PLC_NOTE_UNPINNED
+  PLC_NOTE_UNPINNED,
+  PLC_NOTE_ADAPTER_LOAD,
+  PLC_NOTE_ADAPTER_LOAD_FAILED,
+  PLC_NOTE_ADAPTER_UNLOAD
 };
 
 struct plc_callbacks
@@ -160,7 +186,7 @@
   void (*order) (void *arg, const struct plc_order *order);
   /* Answered by plc_saved.  */
   void (*save) (void *arg, const GPtrArray *pins);
-  /* Answered by plc_quiesced.  */
+  /* MODEL is a model or an adapter.  Answered by plc_quiesced.  */
   void (*ask_quiesce) (void *arg, const char *instance, const char *model,
                        const char *endpoint);
   void (*view) (void *arg, const struct vw_view *view);
@@ -187,6 +213,8 @@
   uint32_t waiting_loads;
   uint32_t store_in_use;
   uint32_t store_slots;
+  uint32_t adapters;      /* loaded, counted once per engine */
+  uint32_t adapter_loads; /* in flight, or may be */
 };
 
 typedef void (*plc_slot_visit) (void *arg, const struct plc_slot_status *slot);
@@ -195,6 +223,9 @@
                      const struct plc_callbacks *callbacks, void *arg);
 void plc_free (struct plc *plc);
 void plc_set_plan (struct plc *plc, const struct plc_plan *plan);
+void plc_set_adapters (struct plc *plc,
+                       const struct plc_adapter_spec *adapters, uint32_t count,
+                       uint32_t loads_max);
 void plc_set_members (struct plc *plc, const struct plc_member *members,
                       uint32_t count);
 void plc_set_leaving (struct plc *plc, const char *endpoint, bool leaving);
--- a/libcowslip/plc_demand.c
+++ b/libcowslip/plc_demand.c
@@ -1,4 +1,4 @@
-#include "plc_private.h"
+#include "plc_adapter.h"
 
 /* Reports are repeated with each heartbeat, once a second.  */
 #define PLC_WAIT_VALID_MS 3500
@@ -17,22 +17,16 @@
   model->last_used_us = now_us;
 }
 
-/* INSTANCE reports DEMAND, which replaces its last report for the model.
-   Names that are not in the plan are ignored.  */
-void
-plc_demanded (struct plc *plc, const char *instance,
-              const struct plc_demand *demand)
+static void
+plc_note_wait (struct plc *plc, GHashTable *demands, char *key,
+               const struct plc_demand *demand)
 {
-  struct plc_model *model = g_hash_table_lookup (plc->models, demand->model);
   struct plc_wait *wait;
 
-  if (model == NULL || !model->planned)
-    return;
-  if (demand->waiting > 0 || demand->arrivals > 0)
-    plc_note_use (plc, model);
   if (demand->waiting == 0)
     {
-      g_hash_table_remove (model->demands, instance);
+      g_hash_table_remove (demands, key);
+      g_free (key);
       return;
     }
   wait = g_new0 (struct plc_wait, 1);
@@ -40,23 +34,51 @@
   wait->earliest_us = demand->earliest_us;
   wait->priority = demand->priority;
   wait->heard_us = plc_now (plc);
-  g_hash_table_replace (model->demands, g_strdup (instance), wait);
+  g_hash_table_replace (demands, key, wait);
   plc_wake (plc);
 }
 
-/* Sum up the demand for MODEL over all instances that reported lately.  */
+/* INSTANCE reports DEMAND, which replaces its last report for the model or
+   adapter.  Demand for an adapter is also demand for its model.  Names that
+   are not in the plan are ignored.  */
 void
-plc_sum_demand (struct plc *plc, struct plc_model *model)
+plc_demanded (struct plc *plc, const char *instance,
+              const struct plc_demand *demand)
 {
+  struct plc_adapter *adapter
+      = g_hash_table_lookup (plc->adapters, demand->model);
+  struct plc_model *model = g_hash_table_lookup (plc->models, demand->model);
+
+  if (adapter != NULL && adapter->planned)
+    model = adapter->model;
+  else
+    adapter = NULL;
+  if (model == NULL || !model->planned)
+    return;
+  if (demand->waiting > 0 || demand->arrivals > 0)
+    plc_note_use (plc, model);
+  if (adapter != NULL && (demand->waiting > 0 || demand->arrivals > 0))
+    adapter->last_used_us = plc_now (plc);
+  if (adapter != NULL)
+    plc_note_wait (plc, adapter->demands, g_strdup (instance), demand);
+  plc_note_wait (plc, model->demands,
+                 adapter == NULL
+                     ? g_strdup (instance)
+                     : g_strdup_printf ("%s %s", instance, adapter->name),
+                 demand);
+}
+
+/* Sum up DEMANDS over all instances that reported lately, and forget the older
+   reports.  */
+struct plc_need
+plc_sum_waits (const struct plc *plc, GHashTable *demands)
+{
+  struct plc_need need = { .earliest_us = UINT64_MAX, .priority = INT32_MIN };
   uint64_t now_us = plc_now (plc);
   GHashTableIter iter;
   gpointer value;
 
-  model->waiting = 0;
-  model->earliest_us = UINT64_MAX;
-  model->latest_us = 0;
-  model->priority = INT32_MIN;
-  g_hash_table_iter_init (&iter, model->demands);
+  g_hash_table_iter_init (&iter, demands);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct plc_wait *wait = value;
@@ -66,9 +88,23 @@
           g_hash_table_iter_remove (&iter);
           continue;
         }
-      model->waiting += wait->waiting;
-      model->earliest_us = MIN (model->earliest_us, wait->earliest_us);
-      model->latest_us = MAX (model->latest_us, wait->earliest_us);
-      model->priority = MAX (model->priority, wait->priority);
+      need.waiting += wait->waiting;
+      need.earliest_us = MIN (need.earliest_us, wait->earliest_us);
+      need.latest_us = MAX (need.latest_us, wait->earliest_us);
+      need.heard_us = MAX (need.heard_us, wait->heard_us);
+      need.priority = MAX (need.priority, wait->priority);
     }
+  return need;
+}
+
+/* Sum up the demand for MODEL, that for its adapters included.  */
+void
+plc_sum_demand (struct plc *plc, struct plc_model *model)
+{
+  struct plc_need need = plc_sum_waits (plc, model->demands);
+
+  model->waiting = need.waiting;
+  model->earliest_us = need.earliest_us;
+  model->latest_us = need.latest_us;
+  model->priority = need.priority;
 }
--- a/libcowslip/plc_engine.c
+++ b/libcowslip/plc_engine.c
@@ -1,4 +1,4 @@
-#include "plc_private.h"
+#include "plc_adapter.h"
 
 #define PLC_SETTLED_READ_MS 10000
 #define PLC_BUSY_READ_MS    200
@@ -48,7 +48,7 @@
           || slot->state == PLC_DOUBTFUL)
         return true;
     }
-  return false;
+  return plc_adapters_unknown (engine);
 }
 
 static void
@@ -82,6 +82,7 @@
       if (slot->state != PLC_COLD)
         slot->state = PLC_DOUBTFUL;
     }
+  plc_adapters_doubt (engine);
 }
 
 static void
@@ -106,6 +107,8 @@
   slot->model->last_used_us = MAX (slot->model->last_used_us, plc->started_us);
   slot->since_us = 0;
   slot->failures = 0;
+  if (slot->adapter_bytes == 0)
+    slot->adapter_bytes = slot->model->adapter_bytes;
   if (slot->state != PLC_QUIESCING)
     slot->state = PLC_LOADED;
 }
@@ -208,6 +211,7 @@
         plc_apply_reported (plc, plc_slot_new (plc, model, 0, engine, false),
                             &state->models[i]);
       }
+  plc_adapters_apply (plc, engine, state);
 }
 
 static void
@@ -288,8 +292,12 @@
   struct plc_slot *slot;
 
   if (engine == NULL)
-    return;
+    {
+      plc_adapter_answered (plc, id, outcome, state);
+      return;
+    }
   slot = engine->order_slot;
+  engine->answered_id = id;
   engine->order_id = 0;
   engine->order_slot = NULL;
   if (outcome == PLC_ANSWERED)
@@ -310,10 +318,12 @@
     engine->departed = false;
   if (engine->departed || !engine->gone || engine->sealed
       || engine->failures == 0 || engine->order_id != 0
+      || plc_adapters_ordered (engine)
       || plc_now (plc) < engine->gone_us + PLC_ORDER_MAX_US
       || plc_now (plc) < engine->clear_us)
     return;
   engine->departed = true;
+  plc_adapters_drop (plc, engine);
   for (guint i = engine->slots->len; i > 0; i--)
     plc_apply_absent (plc, g_ptr_array_index (engine->slots, i - 1));
 }
--- a/libcowslip/plc_load.c
+++ b/libcowslip/plc_load.c
@@ -104,6 +104,7 @@
     return;
   slot->state = PLC_LOADING;
   slot->bytes = plc_model_need (slot->model);
+  slot->adapter_bytes = slot->model->adapter_bytes;
   slot->tier = load->tier;
   slot->since_us = plc_now (plc);
   slot->ready_us = plc_now (plc) + plc_load_time_us (plc, load);
--- a/libcowslip/plc_pins.c
+++ b/libcowslip/plc_pins.c
@@ -5,7 +5,7 @@
 
 /* Return whether enough engines were read since the authority began: all that
    answer.  Pins that are chosen before would go to engines that do not.  */
-static bool
+bool
 plc_is_settled (const struct plc *plc)
 {
   if (plc_now (plc) >= plc->started_us + PLC_SETTLE_MS * PLC_US_PER_MS)
--- a/libcowslip/plc_private.h
+++ b/libcowslip/plc_private.h
@@ -27,12 +27,19 @@
   uint32_t failures;
   GHashTable *cached; /* model -> struct plc_cached_copy */
   GPtrArray *slots;   /* struct plc_slot, not owned */
+  GPtrArray *copies;  /* struct plc_adapter_copy, not owned */
+  uint32_t adapter_failures;
+  uint64_t adapter_not_before_us;
+  /* States read by an order with a lower number may show adapters that were
+     unloaded since.  */
+  uint64_t adapters_settled_id;
 
   uint64_t order_id; /* under way; 0: none */
   enum plc_order_kind order_kind;
   struct plc_slot *order_slot;
   uint64_t order_sent_us;
-  uint64_t clear_us; /* an unanswered order may take effect before */
+  uint64_t answered_id; /* whose answer is being applied */
+  uint64_t clear_us;    /* an unanswered order may take effect before */
   uint64_t next_read_us;
 };
 
@@ -56,7 +63,8 @@
   uint32_t number;
   bool pinned;
   enum plc_slot_state state;
-  uint64_t bytes; /* with adapters, as long as it is not cold */
+  uint64_t bytes;         /* with adapters, as long as it is not cold */
+  uint64_t adapter_bytes; /* reserved with the replica; 0: cold */
   char *version;
   enum plc_tier tier;
   uint64_t since_us; /* the load began */
@@ -92,6 +100,16 @@
   int32_t priority;
 };
 
+/* Sum of the waiting requests that instances reported lately.  */
+struct plc_need
+{
+  uint32_t waiting;
+  uint64_t earliest_us;
+  uint64_t latest_us;
+  uint64_t heard_us; /* the last report */
+  int32_t priority;
+};
+
 struct plc_wait
 {
   uint32_t waiting;
@@ -123,11 +141,15 @@
   uint64_t next_id;
   uint32_t weight_loads;
   uint32_t waiting_loads;
-  GPtrArray *slots;    /* owned */
-  GHashTable *models;  /* name -> struct plc_model */
-  GHashTable *engines; /* address -> struct plc_engine */
-  GPtrArray *sorted;   /* struct plc_engine by address */
-  GHashTable *peers;   /* instance -> struct plc_peer */
+  GPtrArray *slots;           /* owned */
+  GHashTable *models;         /* name -> struct plc_model */
+  GHashTable *engines;        /* address -> struct plc_engine */
+  GHashTable *adapters;       /* name -> struct plc_adapter */
+  GHashTable *adapter_orders; /* order id -> struct plc_adapter_copy */
+  GPtrArray *copies;          /* struct plc_adapter_copy, owned */
+  uint32_t adapter_loads;
+  GPtrArray *sorted; /* struct plc_engine by address */
+  GHashTable *peers; /* instance -> struct plc_peer */
   struct plc_estimate estimate;
   bool saving;
   uint64_t next_save_us;
@@ -178,6 +200,7 @@
 void plc_run_idle (struct plc *plc);
 void plc_run_quiesce (struct plc *plc);
 void plc_run_loads (struct plc *plc);
+void plc_run_adapters (struct plc *plc);
 void plc_run_view (struct plc *plc);
 
 bool plc_send (struct plc *plc, struct plc_engine *engine,
@@ -185,7 +208,13 @@
 void plc_quiesce_begin (struct plc *plc, struct plc_slot *slot,
                         enum plc_quiesce_reason reason);
 bool plc_make_room (struct plc *plc, struct plc_slot *slot);
+bool plc_is_settled (const struct plc *plc);
+bool plc_members_quiet (struct plc *plc, GHashTable *quiet, const char *name,
+                        const struct plc_engine *engine, bool ask);
 void plc_sum_demand (struct plc *plc, struct plc_model *model);
+struct plc_need plc_sum_waits (const struct plc *plc, GHashTable *demands);
+enum vw_state plc_view_state (const struct plc *plc,
+                              const struct plc_slot *slot);
 enum plc_tier plc_slot_tier (const struct plc_slot *slot);
 
 #endif
--- a/libcowslip/plc_quiesce.c
+++ b/libcowslip/plc_quiesce.c
@@ -1,4 +1,4 @@
-#include "plc_private.h"
+#include "plc_adapter.h"
 
 #define PLC_ASK_MS 200
 /* The view that shows the quiescing replica goes out before the question.  */
@@ -16,6 +16,7 @@
   slot->reason = reason;
   slot->next_ask_us = plc_now (plc) + PLC_FIRST_ASK_MS * PLC_US_PER_MS;
   g_hash_table_remove_all (slot->quiet);
+  plc_adapters_ask_again (slot);
 }
 
 static bool
@@ -27,10 +28,12 @@
          && plc_now (plc) < peer->missed_us + PLC_MISSING_MS * PLC_US_PER_MS;
 }
 
-/* Ask the members that have not confirmed yet, if ASK.  Return whether all
-   have; with no member known nothing is confirmed.  */
-static bool
-plc_is_confirmed (struct plc *plc, const struct plc_slot *slot, bool ask)
+/* Ask the members that are not in QUIET whether they use the model or adapter
+   NAME on ENGINE, if ASK.  Return whether all have confirmed that they do not;
+   with no member known nothing is confirmed.  */
+bool
+plc_members_quiet (struct plc *plc, GHashTable *quiet, const char *name,
+                   const struct plc_engine *engine, bool ask)
 {
   GHashTableIter iter;
   gpointer value;
@@ -42,16 +45,28 @@
       const struct plc_peer *peer = value;
 
       if (!plc_must_answer (plc, peer)
-          || g_hash_table_contains (slot->quiet, peer->instance))
+          || g_hash_table_contains (quiet, peer->instance))
         continue;
       confirmed = false;
       if (ask)
-        plc->callbacks.ask_quiesce (plc->arg, peer->instance,
-                                    slot->model->name, slot->engine->address);
+        plc->callbacks.ask_quiesce (plc->arg, peer->instance, name,
+                                    engine->address);
     }
   return confirmed;
 }
 
+/* Requests for an adapter use the replica of its model, so both must be out of
+   use.  */
+static bool
+plc_is_confirmed (struct plc *plc, const struct plc_slot *slot, bool ask)
+{
+  bool adapters = plc_adapters_quiet (plc, slot, ask);
+
+  return plc_members_quiet (plc, slot->quiet, slot->model->name, slot->engine,
+                            ask)
+         && adapters;
+}
+
 static void
 plc_run_quiescing (struct plc *plc, struct plc_slot *slot)
 {
@@ -92,6 +107,8 @@
   struct plc_engine *engine = g_hash_table_lookup (plc->engines, endpoint);
   struct plc_slot *slot = engine == NULL ? NULL : plc_slot_on (engine, model);
 
+  if (engine != NULL && accepted && in_flight == 0)
+    plc_adapter_quiesced (plc, engine, instance, model);
   if (slot == NULL || slot->state != PLC_QUIESCING || !accepted
       || in_flight > 0)
     return;
--- a/libcowslip/plc_table.c
+++ b/libcowslip/plc_table.c
@@ -3,7 +3,7 @@
 #include "plc_private.h"
 
 static void
-plc_copy_free (gpointer data)
+plc_cached_copy_free (gpointer data)
 {
   struct plc_cached_copy *copy = data;
 
@@ -32,9 +32,10 @@
   engine = g_new0 (struct plc_engine, 1);
   engine->address = g_strdup (address);
   engine->pool = g_strdup ("");
-  engine->cached
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, plc_copy_free);
+  engine->cached = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                          plc_cached_copy_free);
   engine->slots = g_ptr_array_new ();
+  engine->copies = g_ptr_array_new ();
   g_hash_table_insert (plc->engines, engine->address, engine);
   g_ptr_array_add (plc->sorted, engine);
   g_ptr_array_sort (plc->sorted, plc_compare_engines);
@@ -51,6 +52,7 @@
   g_free (engine->pool);
   g_hash_table_destroy (engine->cached);
   g_ptr_array_free (engine->slots, TRUE);
+  g_ptr_array_free (engine->copies, TRUE);
   g_free (engine);
 }
 
@@ -145,6 +147,7 @@
 {
   slot->state = PLC_COLD;
   slot->bytes = 0;
+  slot->adapter_bytes = 0;
   g_free (slot->version);
   slot->version = NULL;
   g_hash_table_remove_all (slot->quiet);
--- a/libcowslip/plc_view.c
+++ b/libcowslip/plc_view.c
@@ -1,11 +1,12 @@
-#include "plc_private.h"
+#include "plc_adapter.h"
 
 #define PLC_FIRST_VIEW_MS 2000
 /* A smaller change of an expected time is not worth a message.  */
 #define PLC_READY_SLACK_US 200000
 #define PLC_COLD_SLACK_US  1000000
 
-static enum vw_state
+/* Return what instances are told about SLOT.  */
+enum vw_state
 plc_view_state (const struct plc *plc, const struct plc_slot *slot)
 {
   uint64_t fence;
@@ -66,6 +67,7 @@
       if (model->planned && model->budget > 0 && model->slots->len == 0)
         (void)vw_add (view, model->name, "", VW_BLOCKED, 0);
     }
+  plc_view_adapters (plc, view);
   return view;
 }
 
@@ -148,7 +150,9 @@
 {
   *status = (struct plc_status){ .waiting_loads = plc->waiting_loads,
                                  .store_in_use = plc_store_in_use (plc),
-                                 .store_slots = plc->weight_loads };
+                                 .store_slots = plc->weight_loads,
+                                 .adapters = plc_adapters_loaded (plc),
+                                 .adapter_loads = plc_adapter_loads (plc) };
   for (guint i = 0; i < plc->sorted->len; i++)
     {
       const struct plc_engine *engine = g_ptr_array_index (plc->sorted, i);
--- a/libcowslip/rt.h
+++ b/libcowslip/rt.h
@@ -81,6 +81,8 @@
 void rt_view_ready (struct rt_table *table, const char *model,
                     const char *address);
 void rt_view_end (struct rt_table *table);
+void rt_set_base (struct rt_table *table, const char *adapter,
+                  const char *model);
 uint32_t rt_quiesce (struct rt_table *table, const char *model,
                      const char *address);
 struct rt_replica *rt_pick (struct rt_table *table, const char *model,
--- a/libcowslip/rt_impl.h
+++ b/libcowslip/rt_impl.h
@@ -8,6 +8,7 @@
 struct rt_model
 {
   char *name;
+  struct rt_model *base;           /* of an adapter; NULL for a model */
   GPtrArray *ranks[RT_RANK_COUNT]; /* struct rt_replica */
   GPtrArray *sorted;               /* all ready replicas */
   bool changed;
--- a/libcowslip/rt_view.c
+++ b/libcowslip/rt_view.c
@@ -134,23 +134,46 @@
       rt_model_sort (value);
 }
 
-/* Stop using the replica of MODEL at ADDRESS; return its requests in flight.
- */
+/* ADAPTER is one of MODEL, or a model itself if MODEL is NULL.  */
+void
+rt_set_base (struct rt_table *table, const char *adapter, const char *model)
+{
+  rt_model (table, adapter)->base
+      = model == NULL ? NULL : rt_model (table, model);
+}
+
+/* A replica that the newest view does not show as ready needs no mark; with
+   one, it would stay unused when the controller changes its mind.  */
+static uint32_t
+rt_replica_quiesce (struct rt_table *table, struct rt_replica *replica)
+{
+  if (!replica->ready)
+    return replica->in_flight;
+  rt_set_ready (replica, false);
+  rt_model_sort (replica->model);
+  replica->quiesced = true;
+  replica->quiesced_fence = table->fence;
+  return replica->in_flight;
+}
+
+/* Stop using the replica of MODEL, with its adapters, or only the adapter of
+   that name at ADDRESS; return the requests in flight there.  */
 uint32_t
 rt_quiesce (struct rt_table *table, const char *model, const char *address)
 {
   struct rt_endpoint *endpoint = rt_endpoint (table, address);
-  struct rt_model *of = rt_model (table, model);
-  struct rt_replica *replica = rt_replica (endpoint, of);
+  const struct rt_model *of = rt_model (table, model);
+  uint32_t in_flight = 0;
 
-  if (replica == NULL)
+  /* Before the first view, the call is all that is known of the replica.  */
+  if (table->fence == 0)
+    rt_view_ready (table, model, address);
+  for (guint i = 0; i < endpoint->replicas->len; i++)
     {
-      rt_view_ready (table, model, address);
-      replica = rt_replica (endpoint, of);
+      struct rt_replica *replica = g_ptr_array_index (endpoint->replicas, i);
+
+      if (replica->model == of || replica->model->base == of)
+        in_flight += rt_replica_quiesce (table, replica);
     }
-  rt_set_ready (replica, false);
-  rt_model_sort (of);
-  replica->quiesced = true;
-  replica->quiesced_fence = table->fence;
-  return replica->in_flight;
+  return in_flight;
 }
--- a/regress/requests_test.c
+++ b/regress/requests_test.c
@@ -163,6 +163,7 @@
   for (int i = 0; i < ENGINES; i++)
     {
       vw_add (view, "m", addresses[i], VW_READY, 0);
+      vw_add (view, "a", addresses[i], VW_READY, 0);
       vw_add (view, "r", addresses[i], VW_READY, 0);
     }
   cd_publish (&daemon_parts, CD_VIEW, view);
@@ -183,6 +184,7 @@
         "\"q\":{\"memory_bytes\":1000,\"batch\":4,\"checks_fencing\":true,"
         "\"can_resume\":true,\"endpoints\":[{\"address\":\"%s\",\"zone\":"
         "\"z\"}]}},\"models\":{%s},\"adapters\":{\"a\":{\"model\":\"m\","
+        "\"version\":\"1\",\"bytes\":1},\"unloaded\":{\"model\":\"m\","
         "\"version\":\"1\",\"bytes\":1}},\"services\":{},\"limits\":{"
         "\"waiting_max\":10,\"retry_percent\":50,\"adapter_loads_max\":32,"
         "\"weight_loads_max\":4}}";
@@ -357,6 +359,10 @@
     { "{\"model\":\"cold\",\"prompt\":\"x\"}", "tight",
       "\"reason\":\"queue_deadline\",\"not_run\":true", DONE, 503,
       HTTP_COMPLETE },
+    /* An adapter that is not loaded is not routed to its model.  */
+    { "{\"model\":\"unloaded\",\"prompt\":\"x\"}", "tight",
+      "\"reason\":\"queue_deadline\",\"not_run\":true", DONE, 503,
+      HTTP_COMPLETE },
     { "{\"model\":\"away\",\"prompt\":\"x\"}", NULL,
       "\"reason\":\"no_endpoint\",\"not_run\":true", DONE, 503,
       HTTP_COMPLETE },
--- a/regress/rt_test.c
+++ b/regress/rt_test.c
@@ -227,13 +227,57 @@
   drop (table);
 }
 
+static void
+view_of (struct rt_table *table, bool ready)
+{
+  rt_view_begin (table, 1);
+  if (ready)
+    {
+      rt_view_ready (table, "m", "10.0.0.0:80");
+      rt_view_ready (table, "a", "10.0.0.0:80");
+    }
+  rt_view_end (table);
+}
+
+/* Guards against an unload that cuts off requests for adapters of the replica,
+   and against a replica that stays unused when the controller ends the
+   quiescence because of new demand.  */
+static void
+test_adapters (void)
+{
+  struct rt_table *table = table_of (1, 0);
+  struct rt_wish wish = { 0 };
+  struct rt_replica *r;
+
+  rt_set_base (table, "a", "m");
+  view_of (table, true);
+  r = rt_pick (table, "a", &wish);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (r);
+  rt_begin (table, r);
+  view_of (table, false);
+  CU_ASSERT_EQUAL (rt_quiesce (table, "m", "10.0.0.0:80"), 1);
+  CU_ASSERT_EQUAL (rt_quiesce (table, "a", "10.0.0.0:80"), 1);
+  rt_end (table, r);
+  CU_ASSERT_EQUAL (rt_quiesce (table, "m", "10.0.0.0:80"), 0);
+  view_of (table, true);
+  CU_ASSERT_PTR_NOT_NULL (rt_pick (table, "m", &wish));
+  CU_ASSERT_PTR_NOT_NULL (rt_pick (table, "a", &wish));
+  CU_ASSERT_EQUAL (rt_quiesce (table, "a", "10.0.0.0:80"), 0);
+  CU_ASSERT_PTR_NULL (rt_pick (table, "a", &wish));
+  CU_ASSERT_PTR_NOT_NULL (rt_pick (table, "m", &wish));
+  drop (table);
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[]
-      = { { "cost", test_cost },       { "prefix", test_prefix },
-          { "ranks", test_ranks },     { "score", test_score },
-          { "quiesce", test_quiesce }, { NULL, NULL } };
+  static const struct unit_test tests[] = { { "cost", test_cost },
+                                            { "prefix", test_prefix },
+                                            { "ranks", test_ranks },
+                                            { "score", test_score },
+                                            { "quiesce", test_quiesce },
+                                            { "adapters", test_adapters },
+                                            { NULL, NULL } };
 
   return unit_main ("rt", tests);
 }
