--- a/libcowslip/plc_account.c
+++ b/libcowslip/plc_account.c
@@ -10,12 +10,13 @@
   return slot->state != PLC_COLD || (!engine->sealed && !engine->departed);
 }
 
-/* Return whether ENGINE is in the document and stays.  */
+/* Return whether ENGINE is in the document and stays.  The instance list lags,
+   so an engine that answers is not gone.  */
 bool
 plc_engine_is_usable (const struct plc_engine *engine)
 {
   return engine->planned && !engine->leaving && !engine->says_leaving
-         && !engine->gone;
+         && (!engine->gone || engine->sealed);
 }
 
 /* Return whether SLOT has to be emptied and moved or removed.  */
