--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,8 @@
 
 CFLAGS = -O2 -g
 STRICT = -Wall -Wextra -Werror
-CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin
+CPPFLAGS = -D_GNU_SOURCE -Ilibcowslip -Iproto -Icowslipcoved -Istandin -Iregress \
+	-Icowslipload
 MODFLAGS = $(shell pkg-config --cflags $(MODULES))
 LIBS = $(shell pkg-config --libs $(MODULES)) -lm -lpthread
 COMPILE = @$(CC) -std=gnu11 $(CFLAGS) $(SANFLAGS) $(STRICT) $(CPPFLAGS) \
@@ -30,6 +31,8 @@
 DAEMON_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipcoved/*.c))
 CTL_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipctl/*.c))
 LOAD_OBJ = $(patsubst %.c,$(BUILD)/%.o,$(wildcard cowslipload/*.c))
+# The load tool knows what the stand-ins answer and how to read their records.
+LOAD_SHARED = $(BUILD)/standin/answer.o $(BUILD)/regress/invariants.o
 # Each standin/NAME/ is one program; standin/*.c is shared by all of them.
 STANDIN_DIRS = $(wildcard standin/*/)
 STANDINS = $(patsubst standin/%/,$(BUILD)/standin-%,$(STANDIN_DIRS))
@@ -41,6 +44,8 @@
 	$(filter-out %_test.c %_script.c,$(wildcard regress/*.c)))
 # Parts of the daemon that tests link: all but its main.
 DAEMON_PARTS = $(BUILD)/libcowslipcoved.a
+# Parts of the load tool that tests link.
+LOAD_PARTS = $(BUILD)/libcowslipload.a
 OUR_C = $(LIB_SRC) $(wildcard cowslipcoved/*.c cowslipctl/*.c \
 	cowslipload/*.c standin/*.c standin/*/*.c regress/*.c)
 OUR_H = $(filter-out proto/%,$(wildcard libcowslip/*.h cowslipcoved/*.h \
@@ -70,6 +75,10 @@
 	rm -f $@
 	ar rcs $@ $^
 
+$(LOAD_PARTS): $(filter-out %/main.o,$(LOAD_OBJ)) $(BUILD)/standin/answer.o
+	rm -f $@
+	ar rcs $@ $^
+
 $(BUILD)/cowslipcoved/cowslipcoved: $(BUILD)/cowslipcoved/main.o \
 		$(DAEMON_PARTS) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
@@ -77,7 +86,7 @@
 $(BUILD)/cowslipctl/cowslipctl: $(CTL_OBJ) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/cowslipload/cowslipload: $(LOAD_OBJ) $(LIB)
+$(BUILD)/cowslipload/cowslipload: $(LOAD_OBJ) $(LOAD_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
 .SECONDEXPANSION:
@@ -87,7 +96,16 @@
 		$(STANDIN_SHARED) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS)
 
-$(BUILD)/regress/%: $(BUILD)/regress/%.o $(TEST_SHARED) $(DAEMON_PARTS) $(LIB)
+$(BUILD)/libregress.a: $(filter-out $(BUILD)/regress/clm_sim%,$(TEST_SHARED))
+	rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/regress/clm_test: $(BUILD)/regress/clm_test.o \
+		$(filter $(BUILD)/regress/clm_sim%,$(TEST_SHARED)) $(BUILD)/libregress.a $(LIB)
+	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
+
+$(BUILD)/regress/%: $(BUILD)/regress/%.o $(BUILD)/libregress.a \
+		$(DAEMON_PARTS) $(LOAD_PARTS) $(LIB)
 	$(CC) $(CFLAGS) $(SANFLAGS) -o $@ $^ $(LIBS) -lcunit
 
 check: deps
@@ -100,6 +118,10 @@
 	$(MAKE) all
 	BUILD=$(BUILD) sh demo/run.sh
 
+# Draws the plot of a file that cowslipload -p wrote: make plot PLOT=FILE.gp
+plot:
+	gnuplot $(PLOT)
+
 format:
 	clang-format -i $(OUR_C) $(OUR_H)
 
@@ -133,7 +155,7 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all deps check tests demo format format-check tidy proto install clean
+.PHONY: all deps check tests demo plot format format-check tidy proto install clean
 .PRECIOUS: $(BUILD)/%.o
 
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/regress/clm_sim.h
+++ b/regress/clm_sim.h
@@ -7,12 +7,11 @@
    zones, callers that repeat their calls elsewhere, a service that records
    what it ran, and faults everywhere in between.  */
 
-struct sim_result
+struct clms_result
 {
   uint32_t calls;
   uint32_t runs;
-  uint32_t answers;    /* whole answers that callers received */
-  uint32_t repeats;    /* whole answers beyond the first of a key */
+  uint32_t repeats;    /* answers beyond the first of a key */
   uint32_t not_run;    /* refusals that say "not run" */
   uint32_t unknown;    /* refusals with outcome_unknown */
   uint32_t crashes;    /* of instances */
@@ -20,6 +19,6 @@
   char first[160];     /* the first violation */
 };
 
-struct sim_result sim_run (uint64_t seed);
+struct clms_result clms_run (uint64_t seed);
 
 #endif
