Take no round while another member has the same number

Cause: in a round of an outage the fencing number is told apart only by the member's number, which nothing checked; with the same number twice in a zone two instances could order an engine under one fencing number. Conclusion: wrong settings cost availability during an outage, not safety.

--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -1,5 +1,6 @@
 #include "control_impl.h"
 #include "env.h"
+#include "lg.h"
 #include "peers.h"
 
 static GArray *
@@ -110,6 +111,7 @@
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct plc_member));
   GArray *others = g_array_new (FALSE, FALSE, sizeof (struct own_member));
   struct plc_member self = { settings->instance, true, true };
+  bool shared;
 
   g_array_append_val (peers, self);
   for (guint i = 0; i < all->len; i++)
@@ -127,8 +129,11 @@
     }
   plc_set_members (control->plc, (struct plc_member *)(void *)peers->data,
                    peers->len);
+  shared = own_number_shared (control->own);
   own_set_members (control->own, (struct own_member *)(void *)others->data,
                    others->len);
+  if (!shared && own_number_shared (control->own))
+    lg_write (LG_NUMBER_SHARED, "number %u", settings->member_number);
   g_array_free (peers, TRUE);
   g_array_free (others, TRUE);
   control_push_views (control);
--- a/libcowslip/own.c
+++ b/libcowslip/own.c
@@ -133,10 +133,12 @@
       peer->recorded = false;
       peer->reachable = false;
     }
+  own->number_shared = false;
   for (uint32_t i = 0; i < count; i++)
     {
       struct own_peer *peer = own_peer_of (own, members[i].instance);
 
+      own->number_shared |= members[i].number == own->config.number;
       peer->number = members[i].number;
       peer->recorded = members[i].recorded;
       peer->reachable = members[i].reachable;
@@ -152,6 +154,8 @@
         peer->missed_us = own_now (own);
     }
   own->members_stale = true;
+  if (own->number_shared && own->by_round)
+    own_lose (own);
 }
 
 /* Note HOLDER as the last known controller; NULL: unknown.  */
@@ -245,6 +249,14 @@
   return own_all_promised (own);
 }
 
+/* Return whether another live member has the number of this instance, so that
+   both could use the same fencing number in a round.  */
+bool
+own_number_shared (const struct own *own)
+{
+  return own->number_shared;
+}
+
 /* Return whether this instance controls the zone.  */
 bool
 own_is_holder (const struct own *own)
--- a/libcowslip/own.h
+++ b/libcowslip/own.h
@@ -75,6 +75,7 @@
                            uint64_t fence, uint64_t asked_us, bool promised);
 void own_hand_over (struct own *own, own_done done, void *arg);
 
+bool own_number_shared (const struct own *own);
 bool own_is_holder (const struct own *own);
 const char *own_holder (const struct own *own);
 uint64_t own_fence (const struct own *own);
--- a/libcowslip/own_private.h
+++ b/libcowslip/own_private.h
@@ -53,6 +53,7 @@
   uint64_t next_renew_us;
 
   GPtrArray *members;   /* struct own_peer */
+  bool number_shared;   /* another live member has the same number */
   GHashTable *promises; /* instance -> time until which it promised */
   uint64_t next_ask_us;
   bool members_stale; /* the recorded list differs from the members */
--- a/libcowslip/own_promise.c
+++ b/libcowslip/own_promise.c
@@ -214,6 +214,10 @@
       own->holder_lost_us = 0;
       return;
     }
+  /* Epochs are given out by the key-value service, but a round is told apart
+     only by the member's number.  */
+  if (own->number_shared)
+    return;
   if (!own_holder_is_missing (own) || epoch == 0 || round == UINT16_MAX
       || own_now (own) < own->promised_until_us
       || !own_is_lowest_reachable (own))
