Ask every recorded instance whether a change is in force

Cause: apply asked one instance, which knows other zones only by one contact each, and reported "in force on 4 of 4" while six instances ran. Change: /admin/v1/members lists the member records of all zones; cowslipctl asks each instance for the generation that it has in force. Conclusion: an acceptance is reported from what each instance says itself.

--- a/cowslipcoved/admin.c
+++ b/cowslipcoved/admin.c
@@ -5,6 +5,7 @@
 
 #include "admin.h"
 #include "admin_env.h"
+#include "admin_members.h"
 #include "control.h"
 #include "drain.h"
 #include "peers.h"
@@ -201,6 +202,8 @@
                           path + strlen (ADMIN_ENVIRONMENTS));
   else if (get && strcmp (path, ADMIN_PREFIX "status") == 0)
     admin_status (daemon, exchange);
+  else if (get && strcmp (path, ADMIN_PREFIX "members") == 0)
+    cd_admin_recorded (daemon, exchange);
   else if (post && strcmp (path, ADMIN_PREFIX "drain") == 0)
     {
       cd_drain (daemon);
--- a/cowslipctl/call.c
+++ b/cowslipctl/call.c
@@ -8,6 +8,8 @@
 
 #define CALL_TIMEOUT_MS 10000
 
+static uv_loop_t call_loop;
+
 static void
 call_done (void *arg, const struct http_answer *answer)
 {
@@ -23,6 +25,22 @@
   result->object = jsn_parse (answer->body, answer->body_bytes, NULL);
 }
 
+/* Return the one client of this process, so that calls to the same instance
+   share a connection.  */
+static struct http_client *
+call_client (void)
+{
+  static struct http_client *client;
+  static struct tm_uv clock;
+
+  if (client != NULL)
+    return client;
+  uv_loop_init (&call_loop);
+  tm_uv_start (&clock, &call_loop);
+  client = http_client_new (&call_loop, clock.service);
+  return client;
+}
+
 /* Send one call to the instance of OPTIONS and wait for its answer, at most
    10 s.  The caller clears the answer.  */
 struct ctl_answer
@@ -40,16 +58,10 @@
                                   .body_bytes = body_bytes,
                                   .timeout_ms = CALL_TIMEOUT_MS };
   struct ctl_answer answer = { 0 };
-  struct http_client *client;
-  struct tm_uv clock;
-  uv_loop_t loop;
-
-  uv_loop_init (&loop);
-  tm_uv_start (&clock, &loop);
-  client = http_client_new (&loop, clock.service);
-  http_fetch (client, &request, call_done, &answer);
+
+  http_fetch (call_client (), &request, call_done, &answer);
   while (answer.body == NULL)
-    uv_run (&loop, UV_RUN_ONCE);
+    uv_run (&call_loop, UV_RUN_ONCE);
   g_free (bearer);
   return answer;
 }
--- a/cowslipctl/ctl.h
+++ b/cowslipctl/ctl.h
@@ -65,6 +65,8 @@
 enum ctl_status ctl_endpoints (const struct ctl_options *options, char **args);
 enum ctl_status ctl_drain (const struct ctl_options *options, char **args);
 enum ctl_status ctl_counters (const struct ctl_options *options, char **args);
+enum ctl_status ctl_await_in_force (const struct ctl_options *options,
+                                    int64_t generation);
 uint32_t ctl_print_diff (struct json_object *from, struct json_object *to);
 
 #endif
--- a/cowslipctl/documents.c
+++ b/cowslipctl/documents.c
@@ -1,7 +1,6 @@
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
-#include <unistd.h>
 
 #include <glib.h>
 
@@ -9,9 +8,7 @@
 #include "env.h"
 #include "jsn.h"
 
-#define DOCUMENTS_POLL_US   200000
-#define DOCUMENTS_US_PER_MS 1000
-#define DOCUMENTS_MS_PER_S  1000
+#define DOCUMENTS_MS_PER_S 1000
 
 static char *
 documents_path (const struct ctl_options *options, const char *rest)
@@ -95,69 +92,6 @@
   return CTL_OK;
 }
 
-/* Count the live members and those that have GENERATION in force.  */
-static bool
-documents_in_force (const struct ctl_options *options, int64_t generation,
-                    size_t *members, size_t *current)
-{
-  struct ctl_answer answer
-      = ctl_call (options, "GET", "/admin/v1/status", NULL, 0);
-  struct json_object *list = NULL;
-  bool same
-      = strcmp (ctl_text (answer.object, "environment"), options->environment)
-        == 0;
-
-  *members = 0;
-  *current = 0;
-  if (json_object_object_get_ex (answer.object, "members", &list))
-    for (size_t i = 0; i < json_object_array_length (list); i++)
-      {
-        struct json_object *member = json_object_array_get_idx (list, i);
-
-        if (!ctl_flag (member, "recorded") && !ctl_flag (member, "reachable"))
-          continue;
-        (*members)++;
-        *current += ctl_number (member, "generation") >= generation;
-      }
-  ctl_answer_clear (&answer);
-  return same;
-}
-
-/* Wait until every live member has GENERATION in force.  */
-static enum ctl_status
-documents_await (const struct ctl_options *options, int64_t generation)
-{
-  gint64 end_us = g_get_monotonic_time ()
-                  + (gint64)options->wait_ms * DOCUMENTS_US_PER_MS;
-  size_t members;
-  size_t current;
-
-  for (;;)
-    {
-      if (!documents_in_force (options, generation, &members, &current))
-        {
-          printf ("generation %lld accepted; the instance asked serves "
-                  "another environment\n",
-                  (long long)generation);
-          return CTL_OK;
-        }
-      if (members > 0 && current == members)
-        {
-          printf ("generation %lld in force on %zu of %zu instances\n",
-                  (long long)generation, current, members);
-          return CTL_OK;
-        }
-      if (g_get_monotonic_time () >= end_us)
-        break;
-      usleep (DOCUMENTS_POLL_US);
-    }
-  fprintf (stderr,
-           "cowslipctl: generation %lld accepted, in force on %zu of %zu "
-           "instances only\n",
-           (long long)generation, current, members);
-  return CTL_NOT_IN_FORCE;
-}
-
 static enum ctl_status
 documents_change_done (const struct ctl_options *options,
                        struct ctl_answer *answer)
@@ -170,8 +104,8 @@
     {
       if (options->json)
         ctl_print_json (answer->object);
-      status = documents_await (options,
-                                ctl_number (answer->object, "generation"));
+      status = ctl_await_in_force (options,
+                                   ctl_number (answer->object, "generation"));
     }
   ctl_answer_clear (answer);
   return status;
