Let the test of the key-value stand-in see lease expiry

Without the deletion of the keys of an expired lease, standin_kv_run still passed: it read neither the key nor the watch. Read both; with the deletion or the type of the event taken out (on a scratch copy) it now fails. cowslipload call prints what has arrived of an answer that was cut, so that a watch can be read.

--- a/cowslipload/call.c
+++ b/cowslipload/call.c
@@ -71,7 +71,7 @@
                 ld_single_send, single);
       return;
     }
-  if (answer->outcome == HTTP_COMPLETE)
+  if (answer->body_bytes > 0)
     printf ("%.*s\n", (int)answer->body_bytes, answer->body);
   if (!single->good)
     fprintf (stderr, "cowslipload: %s%s: %s, status %u\n", single->words[1],
--- a/regress/standin_kv_run.sh
+++ b/regress/standin_kv_run.sh
@@ -26,6 +26,8 @@
 watch=$!
 await "watch opens" '"watches":1' "$kv" /records
 await "lease expires" '"leases":0' "$kv" /records
+refuse "key of an expired lease" count \
+    "$(call "$kv" /v3/kv/range '{"key":"YWE="}')"
 expect "keepalive of an expired lease" '"ID":"1"}' \
     "$(call "$kv" /v3/lease/keepalive '{"ID":"1"}')"
 call "$kv" /fault '{"lose_answers":1}' >/dev/null
@@ -36,6 +38,9 @@
 
 call "$kv" /fault '{"outage":1}' >/dev/null
 wait $watch
+expect "watch of the past" '"version":"1","value":"YmI=","lease":"1"' \
+    "$(cat "$dir/watch")"
+expect "watch of the expiry" '"type":"DELETE"' "$(cat "$dir/watch")"
 expect "outage" "status 503" "$(call "$kv" /v3/kv/range '{"key":"YWE="}')"
 expect "unknown fault" "unknown fault" "$(call "$kv" /fault '{"x":1}')"
 call "$kv" /fault '{"outage":0}' >/dev/null
