Send patches of the environment document

Each change sent the whole document through the watch to two watchers of a zone and from them to each of their peers. At the target size that is far above what an instance may send.

The history entry of a change now carries the patch from the generation before, written in the same transaction. Watchers watch the history; an entry whose patch applies to the text in force is installed, and anything else (gap, no patch, digest differs) reads the whole document. GET_DOCUMENT names what the asker has in force and is answered with the entries of the generations since then, or with the whole document. A poll of a watcher reads the document only if its revision has changed.

Peers other than the watchers are preferred as soon as one of them shows the newest generation.

--- a/cowslipcoved/peers.c
+++ b/cowslipcoved/peers.c
@@ -1,13 +1,38 @@
-#include "peers_impl.h"
+#include <string.h>
 
 #include "lg.h"
+#include "peers_impl.h"
+
+/* Instances of a zone that watch the key-value service.  */
+#define CD_WATCHERS 2
+
+/* Tell the configuration which members watch the key-value service.  */
+static void
+cd_members_watchers (struct cd_peers *peers)
+{
+  const GPtrArray *members = mem_members (peers->table);
+  const char *addresses[CD_WATCHERS];
+  size_t count = 0;
+
+  for (guint i = 0; i < members->len && count < CD_WATCHERS; i++)
+    {
+      const struct mem_member *member = g_ptr_array_index (members, i);
+
+      if (strcmp (member->zone, peers->daemon->settings->zone) == 0
+          && (member->reachable || member == mem_self (peers->table))
+          && !member->draining)
+        addresses[count++] = member->rpc_address;
+    }
+  cfg_set_watchers (peers->cfg, addresses, count);
+}
 
 static void
 cd_members_changed (void *arg)
 {
   struct cd_peers *peers = arg;
 
-  cfg_set_watching (peers->cfg, mem_among_lowest (peers->table, 2));
+  cfg_set_watching (peers->cfg, mem_among_lowest (peers->table, CD_WATCHERS));
+  cd_members_watchers (peers);
   cd_publish (peers->daemon, CD_MEMBERS, peers->table);
 }
 
--- a/cowslipcoved/peers_document.c
+++ b/cowslipcoved/peers_document.c
@@ -1,3 +1,4 @@
+#include <assert.h>
 #include <inttypes.h>
 #include <string.h>
 
@@ -6,6 +7,10 @@
 
 #define CD_FETCH_TIMEOUT_MS 3000
 
+static_assert (CFG_KEPT_MAX_ENTRIES <= COWSLIP_ENTRIES_MAX
+                   && CFG_KEPT_ENTRY_MAX_BYTES <= COWSLIP_ENTRY_MAX,
+               "kept entries must fit into one answer");
+
 struct cd_document_call
 {
   struct cd_peers *peers;
@@ -41,6 +46,21 @@
   return true;
 }
 
+static void
+cd_document_patched (const struct cd_document_call *call,
+                     const cs_document *reply)
+{
+  struct cfg_entry entries[COWSLIP_ENTRIES_MAX];
+
+  for (u_int i = 0; i < reply->entries.entries_len; i++)
+    {
+      entries[i].value = reply->entries.entries_val[i].value.value_val;
+      entries[i].bytes = reply->entries.entries_val[i].value.value_len;
+    }
+  cfg_fetched_patches (call->peers->cfg, call->address, entries,
+                       reply->entries.entries_len);
+}
+
 static void
 cd_document_fetched (void *arg, enum rpc_outcome outcome, void *result)
 {
@@ -48,15 +68,18 @@
   const cs_document *reply = result;
   struct cfg_document document = { 0 };
 
-  if (outcome == RPC_OK && reply->generation > 0)
+  if (outcome == RPC_OK && reply->entries.entries_len > 0)
+    cd_document_patched (call, reply);
+  else if (outcome == RPC_OK && reply->text.text_len > 0)
     {
       document.generation = reply->generation;
       document.digest = reply->digest;
       document.text = reply->text.text_val;
       document.bytes = reply->text.text_len;
+      cfg_fetched (call->peers->cfg, call->address, &document);
     }
-  cfg_fetched (call->peers->cfg, call->address,
-               document.generation > 0 ? &document : NULL);
+  else
+    cfg_fetched (call->peers->cfg, call->address, NULL);
   cd_peers_call_free (call->peers, call);
 }
 
@@ -65,15 +88,19 @@
 {
   struct cd_peers *peers = arg;
   struct cd_document_call *call = cd_peers_call_new (peers, sizeof *call);
-  cs_name name = peers->daemon->settings->environment;
+  const char *digest;
+  cs_document_request request
+      = { .environment = peers->daemon->settings->environment,
+          .generation = cfg_base (peers->cfg, &digest) };
   struct rpc_call made = { .address = address,
                            .procedure = COWSLIP_GET_DOCUMENT,
-                           .encode_args = (xdrproc_t)xdr_cs_name,
-                           .args = &name,
+                           .encode_args = (xdrproc_t)xdr_cs_document_request,
+                           .args = &request,
                            .decode_result = (xdrproc_t)xdr_cs_document,
                            .result_bytes = sizeof (cs_document),
                            .timeout_ms = CD_FETCH_TIMEOUT_MS };
 
+  request.digest = (char *)digest;
   call->peers = peers;
   g_strlcpy (call->address, address, sizeof call->address);
   rpc_send (peers->daemon->rpc, &made, cd_document_fetched, call);
@@ -102,21 +129,58 @@
                   daemon->settings->environment, &callbacks, peers);
 }
 
+/* Answer with the entries that lead on from what the asker has.  Return false
+   if they are not known.  */
+static bool
+cd_document_answer_entries (const struct cd_peers *peers,
+                            const cs_document_request *asked,
+                            struct rpc_request *request, cs_document *reply)
+{
+  GArray *kept
+      = cfg_patches_since (peers->cfg, asked->generation, asked->digest);
+  cs_entry entries[COWSLIP_ENTRIES_MAX];
+
+  if (kept == NULL)
+    return false;
+  for (guint i = 0; i < kept->len; i++)
+    {
+      const struct cfg_entry *entry
+          = &g_array_index (kept, struct cfg_entry, i);
+
+      entries[i].value.value_val = (char *)entry->value;
+      entries[i].value.value_len = (u_int)entry->bytes;
+    }
+  reply->entries.entries_val = entries;
+  reply->entries.entries_len = kept->len;
+  rpc_answer (request, reply);
+  g_array_free (kept, TRUE);
+  return true;
+}
+
 static void
 cd_document_asked (void *arg, const struct rpc_origin *origin, void *args,
                    struct rpc_request *request)
 {
   const struct cd_peers *peers = arg;
-  const cs_name *name = args;
+  const cs_document_request *asked = args;
   cs_document reply = { .digest = (char *)"" };
   size_t bytes = 0;
 
   (void)origin;
   if (peers->document != NULL
-      && strcmp (*name, peers->daemon->settings->environment) == 0)
+      && strcmp (asked->environment, peers->daemon->settings->environment)
+             == 0)
     {
       reply.generation = peers->generation;
       reply.digest = (char *)env_digest (peers->document);
+      if (asked->generation == reply.generation
+          && strcmp (asked->digest, reply.digest) == 0)
+        {
+          rpc_answer (request, &reply);
+          return;
+        }
+      if (cd_document_answer_entries (peers, asked, request, &reply))
+        return;
       reply.text.text_val = (char *)env_text (peers->document, &bytes);
       reply.text.text_len = (u_int)bytes;
     }
@@ -128,8 +192,9 @@
 cd_document_serve (struct cd_peers *peers)
 {
   static const struct rpc_procedure procedure
-      = { COWSLIP_GET_DOCUMENT, (xdrproc_t)xdr_cs_name, sizeof (cs_name),
-          (xdrproc_t)xdr_cs_document, cd_document_asked };
+      = { COWSLIP_GET_DOCUMENT, (xdrproc_t)xdr_cs_document_request,
+          sizeof (cs_document_request), (xdrproc_t)xdr_cs_document,
+          cd_document_asked };
 
   cd_peers_serve (peers, &procedure);
 }
--- a/libcowslip/cfg.c
+++ b/libcowslip/cfg.c
@@ -1,12 +1,8 @@
 #include <string.h>
 
-#include <glib.h>
+#include "cfg_impl.h"
+#include "chg.h"
 
-#include "cfg.h"
-#include "cfg_record.h"
-#include "kv_backoff.h"
-
-#define CFG_US_PER_S 1000000
 /* At start the highest generation of all sources is taken; a source that has
    not answered by then is not waited for.  */
 #define CFG_START_LIMIT_US (3 * CFG_US_PER_S)
@@ -15,48 +11,6 @@
 #define CFG_FETCH_SPREAD_US CFG_US_PER_S
 /* A refused document is not asked for again for this long.  */
 #define CFG_REFUSED_HOLD_US (5 * CFG_US_PER_S)
-/* Reads that find what a dead watch or two cut-off watchers have missed.  */
-#define CFG_WATCHER_POLL_US (30 * CFG_US_PER_S)
-#define CFG_OTHER_POLL_US   (300 * CFG_US_PER_S)
-#define CFG_NONE_POLL_US    (2 * CFG_US_PER_S)
-
-/* A document that came before the start was over.  */
-struct cfg_held
-{
-  uint64_t generation;
-  char *digest;
-  char *text;
-  size_t bytes;
-};
-
-struct cfg_state
-{
-  struct tm_service *tm;
-  struct kv_store kv;
-  gsl_rng *random;
-  char *key;
-  const struct cfg_callbacks *callbacks;
-  void *arg;
-  uint64_t generation; /* in force; 0: none */
-  char *digest;
-  bool starting;
-  uint32_t start_waits; /* sources that have not answered yet */
-  struct cfg_held best; /* while starting */
-  GHashTable *peers;    /* addresses of the settings' peers */
-  GHashTable *offers;   /* address -> generation seen there */
-  char *fetching;       /* address; NULL: none */
-  uint64_t refused_generation;
-  uint64_t refused_us;
-  bool reading;
-  bool watching;
-  void *watch;
-  struct kv_backoff backoff;
-  struct tm_timer start_limit;
-  struct tm_timer fetch_delay;
-  struct tm_timer poll;
-};
-
-static void cfg_read (void *arg);
 
 /* Return the state of ENVIRONMENT's configuration; none is in force.
    CALLBACKS must stay valid and are called with ARG.  */
@@ -70,10 +24,14 @@
   cfg->tm = tm;
   cfg->kv = *kv;
   cfg->random = random;
-  cfg->key = g_strdup_printf ("cowslip/%s/document", environment);
+  cfg->key = chg_document_key (environment);
+  cfg->history_prefix = chg_history_prefix (environment);
+  cfg->kept = cfg_kept_new ();
   cfg->callbacks = callbacks;
   cfg->arg = arg;
   cfg->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  cfg->watchers
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cfg->offers
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return cfg;
@@ -101,9 +59,13 @@
   cfg_drop_held (&cfg->best);
   g_hash_table_destroy (cfg->peers);
   g_hash_table_destroy (cfg->offers);
+  g_hash_table_destroy (cfg->watchers);
+  cfg_kept_free (cfg->kept);
   g_free (cfg->fetching);
   g_free (cfg->digest);
+  g_free (cfg->text);
   g_free (cfg->key);
+  g_free (cfg->history_prefix);
   g_free (cfg);
 }
 
@@ -114,14 +76,41 @@
   return cfg->generation;
 }
 
-static uint64_t
-cfg_spread (struct cfg_state *cfg, uint64_t around_us)
+/* Return the generation in force and set DIGEST to its digest, for a peer that
+   is to answer with patches; 0 if the whole document is needed.  */
+uint64_t
+cfg_base (const struct cfg_state *cfg, const char **digest)
 {
-  return around_us / 2
-         + (uint64_t)(gsl_rng_uniform (cfg->random) * (double)around_us);
+  bool whole = cfg->starting || cfg->want_whole || cfg->generation == 0;
+
+  *digest = whole ? "" : cfg->digest;
+  return whole ? 0 : cfg->generation;
 }
 
-static void
+/* Return the history entries, struct cfg_entry, that lead from GENERATION with
+   DIGEST to the generation in force, or NULL if they are not known or are no
+   shorter than the document.  Their bytes are borrowed; the array is to be
+   freed.  */
+GArray *
+cfg_patches_since (const struct cfg_state *cfg, uint64_t generation,
+                   const char *digest)
+{
+  GArray *entries = cfg_kept_since (cfg->kept, generation, digest);
+  size_t bytes = 0;
+
+  if (entries == NULL)
+    return NULL;
+  for (guint i = 0; i < entries->len; i++)
+    bytes += g_array_index (entries, struct cfg_entry, i).bytes;
+  if (bytes < cfg->bytes)
+    return entries;
+  g_array_free (entries, TRUE);
+  return NULL;
+}
+
+/* Put DOCUMENT in force if it is newer than what is.  Return whether that was
+   done.  */
+bool
 cfg_install (struct cfg_state *cfg, const struct cfg_document *document)
 {
   if (document->generation <= cfg->generation)
@@ -130,18 +119,23 @@
           || strcmp (document->digest, cfg->digest) != 0)
         cfg->callbacks->ignored (cfg->arg, document,
                                  document->generation == cfg->generation);
-      return;
+      return false;
     }
   if (!cfg->callbacks->install (cfg->arg, document))
     {
       cfg->refused_generation = document->generation;
       cfg->refused_us = tm_now_us (cfg->tm);
       cfg->callbacks->ignored (cfg->arg, document, true);
-      return;
+      return false;
     }
   cfg->generation = document->generation;
   g_free (cfg->digest);
   cfg->digest = g_strdup (document->digest);
+  g_free (cfg->text);
+  cfg->text = g_memdup2 (document->text, document->bytes);
+  cfg->bytes = document->bytes;
+  cfg->want_whole = false;
+  return true;
 }
 
 static void
@@ -157,15 +151,16 @@
 }
 
 /* Take in a document from any source; NULL if the source has none.  */
-static void
+void
 cfg_take (struct cfg_state *cfg, const struct cfg_document *document)
 {
   if (document == NULL || document->generation == 0)
     return;
   if (cfg->starting)
     cfg_hold (cfg, document);
-  else
-    cfg_install (cfg, document);
+  else if (cfg_install (cfg, document))
+    /* The entries that are kept do not lead to this generation.  */
+    cfg_kept_clear (cfg->kept);
 }
 
 static void
@@ -183,91 +178,14 @@
   cfg_drop_held (&best);
 }
 
-static void
+/* One of the sources that were asked at start has answered or failed.  */
+void
 cfg_source_answered (struct cfg_state *cfg)
 {
   if (cfg->starting && --cfg->start_waits == 0)
     cfg_start_over (cfg);
 }
 
-static void
-cfg_value (struct cfg_state *cfg, const char *value, size_t bytes)
-{
-  struct cfg_document document = { .digest = "", .text = "" };
-  struct json_object *record = cfg_record_parse (value, bytes, &document);
-
-  if (record != NULL)
-    cfg_take (cfg, &document);
-  else
-    cfg->callbacks->ignored (cfg->arg, &document, true);
-  json_object_put (record);
-}
-
-static void
-cfg_changed (void *arg, const struct kv_change *change)
-{
-  struct cfg_state *cfg = arg;
-
-  if (change->value != NULL && strcmp (change->key, cfg->key) == 0)
-    cfg_value (cfg, change->value, change->value_bytes);
-}
-
-static void
-cfg_watch_ended (void *arg)
-{
-  struct cfg_state *cfg = arg;
-
-  cfg->watch = NULL;
-  tm_after (cfg->tm, &cfg->poll,
-            kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read, cfg);
-}
-
-static void
-cfg_plan_poll (struct cfg_state *cfg)
-{
-  uint64_t around_us = cfg->generation == 0 ? CFG_NONE_POLL_US
-                       : cfg->watching      ? CFG_WATCHER_POLL_US
-                                            : CFG_OTHER_POLL_US;
-
-  tm_after (cfg->tm, &cfg->poll, cfg_spread (cfg, around_us), cfg_read, cfg);
-}
-
-static void
-cfg_read_done (void *arg, const struct kv_result *result)
-{
-  struct cfg_state *cfg = arg;
-
-  cfg->reading = false;
-  if (result->outcome != KV_OK)
-    {
-      cfg_source_answered (cfg);
-      tm_after (cfg->tm, &cfg->poll,
-                kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read,
-                cfg);
-      return;
-    }
-  kv_backoff_reset (&cfg->backoff);
-  if (result->pair_count > 0)
-    cfg_value (cfg, result->pairs[0].value, result->pairs[0].value_bytes);
-  cfg_source_answered (cfg);
-  if (cfg->watching && cfg->watch == NULL)
-    cfg->watch = cfg->kv.methods->watch (cfg->kv.context, cfg->key,
-                                         result->revision + 1, cfg_changed,
-                                         cfg_watch_ended, cfg);
-  cfg_plan_poll (cfg);
-}
-
-static void
-cfg_read (void *arg)
-{
-  struct cfg_state *cfg = arg;
-
-  if (cfg->reading)
-    return;
-  cfg->reading = true;
-  kv_get (&cfg->kv, cfg->key, cfg_read_done, cfg);
-}
-
 static void
 cfg_ask_peers (struct cfg_state *cfg)
 {
@@ -294,21 +212,15 @@
   cfg_ask_peers (cfg);
 }
 
-/* Watch the key-value service, or stop it.  */
+/* Name the COUNT ADDRESSES of the instances of the zone that watch the
+   key-value service.  */
 void
-cfg_set_watching (struct cfg_state *cfg, bool watching)
+cfg_set_watchers (struct cfg_state *cfg, const char *const *addresses,
+                  size_t count)
 {
-  if (cfg->watching == watching)
-    return;
-  cfg->watching = watching;
-  if (watching)
-    {
-      cfg_read (cfg);
-      return;
-    }
-  if (cfg->watch != NULL)
-    cfg->kv.methods->unwatch (cfg->kv.context, cfg->watch);
-  cfg->watch = NULL;
+  g_hash_table_remove_all (cfg->watchers);
+  for (size_t i = 0; i < count; i++)
+    g_hash_table_add (cfg->watchers, g_strdup (addresses[i]));
 }
 
 static bool
@@ -320,12 +232,14 @@
          || tm_now_us (cfg->tm) - cfg->refused_us >= CFG_REFUSED_HOLD_US;
 }
 
-/* Choose at random among the peers that show the newest generation.  */
+/* Choose at random among the peers that show the newest generation, but ask a
+   watcher only if no other peer has it: two watchers serve a whole zone.  */
 static const char *
 cfg_best_peer (struct cfg_state *cfg)
 {
   const char *best = NULL;
   uint64_t newest = 0;
+  bool best_watches = false;
   uint32_t equals = 0;
   GHashTableIter iter;
   void *address;
@@ -335,11 +249,16 @@
   while (g_hash_table_iter_next (&iter, &address, &seen))
     {
       uint64_t generation = *(uint64_t *)seen;
+      bool watches = g_hash_table_contains (cfg->watchers, address);
 
-      if (!cfg_wants (cfg, generation) || generation < newest)
+      if (!cfg_wants (cfg, generation) || generation < newest
+          || (generation == newest && watches && !best_watches))
         continue;
-      equals = generation > newest ? 1 : equals + 1;
+      if (generation > newest || (best_watches && !watches))
+        equals = 0;
+      equals++;
       newest = generation;
+      best_watches = watches;
       if (gsl_rng_uniform (cfg->random) * equals < 1)
         best = address;
     }
@@ -377,20 +296,41 @@
             cfg_fetch_now, cfg);
 }
 
+/* The peer at ADDRESS has answered or failed.  Return whether it was asked
+   because of its heartbeat, and not at start.  */
+static bool
+cfg_fetch_over (struct cfg_state *cfg, const char *address)
+{
+  if (cfg->fetching == NULL || strcmp (cfg->fetching, address) != 0)
+    return false;
+  g_hash_table_remove (cfg->offers, address);
+  g_clear_pointer (&cfg->fetching, g_free);
+  return true;
+}
+
 /* Take in what the peer at ADDRESS answered; NULL if it did not answer.  A
    peer that failed is asked again only when its next heartbeat is seen.  */
 void
 cfg_fetched (struct cfg_state *cfg, const char *address,
              const struct cfg_document *document)
 {
-  bool planned = cfg->fetching != NULL && strcmp (cfg->fetching, address) == 0;
+  bool planned = cfg_fetch_over (cfg, address);
 
-  if (planned)
-    {
-      g_clear_pointer (&cfg->fetching, g_free);
-      g_hash_table_remove (cfg->offers, address);
-    }
   cfg_take (cfg, document);
   if (!planned && g_hash_table_contains (cfg->peers, address))
     cfg_source_answered (cfg);
 }
+
+/* Take in the COUNT history entries that the peer at ADDRESS answered.  If
+   they do not apply, the next peer is asked for the whole document.  */
+void
+cfg_fetched_patches (struct cfg_state *cfg, const char *address,
+                     const struct cfg_entry *entries, size_t count)
+{
+  bool planned = cfg_fetch_over (cfg, address);
+
+  if (!cfg_take_entries (cfg, entries, count))
+    cfg->want_whole = true;
+  if (!planned && g_hash_table_contains (cfg->peers, address))
+    cfg_source_answered (cfg);
+}
--- /dev/null
+++ b/libcowslip/cfg_kv.c
@@ -0,0 +1,168 @@
+#include <string.h>
+
+#include "cfg_impl.h"
+#include "cfg_record.h"
+
+/* Reads that find what a dead watch or two cut-off watchers have missed.  */
+#define CFG_WATCHER_POLL_US (30 * CFG_US_PER_S)
+#define CFG_OTHER_POLL_US   (300 * CFG_US_PER_S)
+#define CFG_NONE_POLL_US    (2 * CFG_US_PER_S)
+
+static void cfg_poll (void *arg);
+
+static uint64_t
+cfg_spread (struct cfg_state *cfg, uint64_t around_us)
+{
+  return around_us / 2
+         + (uint64_t)(gsl_rng_uniform (cfg->random) * (double)around_us);
+}
+
+static void
+cfg_value (struct cfg_state *cfg, const char *value, size_t bytes)
+{
+  struct cfg_document document = { .digest = "", .text = "" };
+  struct json_object *record = cfg_record_parse (value, bytes, &document);
+
+  if (record != NULL)
+    cfg_take (cfg, &document);
+  else
+    cfg->callbacks->ignored (cfg->arg, &document, true);
+  json_object_put (record);
+}
+
+/* Read the whole document.  A read that is under way may have begun before the
+   change that asks for this one.  */
+static void
+cfg_read_whole (struct cfg_state *cfg)
+{
+  if (cfg->reading)
+    cfg->read_again = true;
+  else
+    cfg_read (cfg);
+}
+
+/* A history entry was written, and the document in the same transaction.  */
+static void
+cfg_changed (void *arg, const struct kv_change *change)
+{
+  struct cfg_state *cfg = arg;
+  struct cfg_entry entry = { change->value, change->value_bytes };
+
+  if (change->value == NULL)
+    return;
+  if (cfg_take_entries (cfg, &entry, 1))
+    cfg->revision = change->revision;
+  else
+    cfg_read_whole (cfg);
+}
+
+static void
+cfg_watch_ended (void *arg)
+{
+  struct cfg_state *cfg = arg;
+
+  cfg->watch = NULL;
+  tm_after (cfg->tm, &cfg->poll,
+            kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read, cfg);
+}
+
+static void
+cfg_plan_poll (struct cfg_state *cfg)
+{
+  uint64_t around_us = cfg->generation == 0 ? CFG_NONE_POLL_US
+                       : cfg->watching      ? CFG_WATCHER_POLL_US
+                                            : CFG_OTHER_POLL_US;
+
+  tm_after (cfg->tm, &cfg->poll, cfg_spread (cfg, around_us), cfg_poll, cfg);
+}
+
+static void
+cfg_read_answered (struct cfg_state *cfg, const struct kv_result *result)
+{
+  if (result->pair_count > 0)
+    {
+      cfg->revision = result->pairs[0].revision;
+      cfg_value (cfg, result->pairs[0].value, result->pairs[0].value_bytes);
+    }
+  cfg_source_answered (cfg);
+  if (cfg->watching && cfg->watch == NULL)
+    cfg->watch = cfg->kv.methods->watch (cfg->kv.context, cfg->history_prefix,
+                                         result->revision + 1, cfg_changed,
+                                         cfg_watch_ended, cfg);
+}
+
+static void
+cfg_read_done (void *arg, const struct kv_result *result)
+{
+  struct cfg_state *cfg = arg;
+  bool again = cfg->read_again;
+
+  cfg->reading = false;
+  cfg->read_again = false;
+  if (result->outcome != KV_OK && result->outcome != KV_CONFLICT)
+    {
+      cfg_source_answered (cfg);
+      tm_after (cfg->tm, &cfg->poll,
+                kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read,
+                cfg);
+      return;
+    }
+  kv_backoff_reset (&cfg->backoff);
+  cfg_read_answered (cfg, result);
+  cfg_plan_poll (cfg);
+  if (again)
+    cfg_read (cfg);
+}
+
+/* Read the whole document, unless this is being done.  */
+void
+cfg_read (void *arg)
+{
+  struct cfg_state *cfg = arg;
+
+  if (cfg->reading)
+    return;
+  cfg->reading = true;
+  kv_get (&cfg->kv, cfg->key, cfg_read_done, cfg);
+}
+
+/* Read the document only if it is not the one that was last taken in.  At the
+   target size a whole document every 30 s would be half of what an instance
+   may send and receive.  */
+static void
+cfg_poll (void *arg)
+{
+  struct cfg_state *cfg = arg;
+  struct kv_compare compare = { cfg->key, cfg->revision };
+  struct kv_op op = { .kind = KV_GET, .key = cfg->key };
+  struct kv_txn txn = {
+    .compares = &compare, .compare_count = 1, .else_ops = &op, .else_count = 1
+  };
+
+  if (cfg->reading)
+    return;
+  if (cfg->revision == 0)
+    {
+      cfg_read (cfg);
+      return;
+    }
+  cfg->reading = true;
+  kv_txn (&cfg->kv, &txn, cfg_read_done, cfg);
+}
+
+/* Watch the key-value service, or stop it.  */
+void
+cfg_set_watching (struct cfg_state *cfg, bool watching)
+{
+  if (cfg->watching == watching)
+    return;
+  cfg->watching = watching;
+  if (watching)
+    {
+      cfg_read (cfg);
+      return;
+    }
+  if (cfg->watch != NULL)
+    cfg->kv.methods->unwatch (cfg->kv.context, cfg->watch);
+  cfg->watch = NULL;
+}
--- a/libcowslip/chg.c
+++ b/libcowslip/chg.c
@@ -20,8 +20,9 @@
   char *change_id;
   char *key;
   char *history_key;
+  char *text;
   char *value;
-  char *history;
+  struct json_object *history; /* the entry without its patch */
   uint64_t base;
   uint64_t generation;
   uint32_t tries;
@@ -37,12 +38,11 @@
 
 static void chg_try (void *arg);
 
-static char *
-chg_encode (const struct chg_change *change, uint64_t generation,
-            const char *text)
+/* Return what the document's record and its history entry have in common.  */
+static struct json_object *
+chg_describe (const struct chg_change *change, uint64_t generation)
 {
   struct json_object *object = json_object_new_object ();
-  char *value;
 
   json_object_object_add (object, "generation",
                           json_object_new_uint64 (generation));
@@ -56,14 +56,48 @@
                           json_object_new_string (change->change_id));
   json_object_object_add (object, "time_ms",
                           json_object_new_int64 (change->time_ms));
-  if (text != NULL)
-    json_object_object_add (object, "document", json_object_new_string (text));
-  value = g_strdup (json_object_to_json_string_ext (
-      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE));
+  return object;
+}
+
+static const char *
+chg_encode (struct json_object *object)
+{
+  return json_object_to_json_string_ext (
+      object, JSON_C_TO_STRING_PLAIN | JSON_C_TO_STRING_NOSLASHESCAPE);
+}
+
+static char *
+chg_value (const struct chg_change *change, uint64_t generation)
+{
+  struct json_object *object = chg_describe (change, generation);
+  char *value;
+
+  json_object_object_add (object, "document",
+                          json_object_new_string (change->text));
+  value = g_strdup (chg_encode (object));
   json_object_put (object);
   return value;
 }
 
+/* Return the patch from the text of BASE to TEXT, or NULL if it is too long or
+   BASE has no text.  */
+static struct json_object *
+chg_patch (const struct chg_record *base, const char *text)
+{
+  struct json_object *object;
+  struct pch_patch *patch;
+
+  if (base->text == NULL)
+    return NULL;
+  patch = pch_diff (base->text, strlen (base->text), text, strlen (text));
+  object = pch_encode (patch);
+  pch_free (patch);
+  if (strlen (chg_encode (object)) <= CHG_PATCH_MAX_BYTES)
+    return object;
+  json_object_put (object);
+  return NULL;
+}
+
 static void
 chg_finish (struct chg_operation *operation, enum chg_outcome outcome,
             const struct chg_record *record)
@@ -74,8 +108,9 @@
   g_free (operation->change_id);
   g_free (operation->key);
   g_free (operation->history_key);
+  g_free (operation->text);
   g_free (operation->value);
-  g_free (operation->history);
+  json_object_put (operation->history);
   g_free (operation);
 }
 
@@ -104,23 +139,25 @@
   chg_again (operation);
 }
 
-/* Write over REVISION of the document, 0 for none.  */
+/* Write over BASE, whose revision is 0 if there is no document.  */
 static void
-chg_write (struct chg_operation *operation, int64_t revision)
+chg_write (struct chg_operation *operation, const struct chg_record *base)
 {
-  struct kv_compare compare = { operation->key, revision };
+  struct json_object *patch = chg_patch (base, operation->text);
+  struct kv_compare compare = { operation->key, base->revision };
   struct kv_op ops[2] = { { .kind = KV_PUT,
                             .key = operation->key,
                             .value = operation->value,
                             .value_bytes = strlen (operation->value) },
-                          { .kind = KV_PUT,
-                            .key = operation->history_key,
-                            .value = operation->history,
-                            .value_bytes = strlen (operation->history) } };
+                          { .kind = KV_PUT, .key = operation->history_key } };
   struct kv_txn txn = {
     .compares = &compare, .compare_count = 1, .then_ops = ops, .then_count = 2
   };
 
+  if (patch != NULL)
+    json_object_object_add (operation->history, "patch", patch);
+  ops[1].value = chg_encode (operation->history);
+  ops[1].value_bytes = strlen (ops[1].value);
   kv_txn (operation->kv, &txn, chg_written, operation);
 }
 
@@ -156,7 +193,7 @@
       && strcmp (record->change_id, operation->change_id) == 0)
     chg_finish (operation, CHG_ACCEPTED, record);
   else if (record->generation == operation->base)
-    chg_write (operation, record->revision);
+    chg_write (operation, record);
   /* A later generation may have been built on this change, then the history
      says so.  */
   else if (operation->may_have_written
@@ -196,8 +233,9 @@
   operation->key = chg_document_key (change->environment);
   operation->history_key
       = chg_history_key (change->environment, operation->generation);
-  operation->value = chg_encode (change, operation->generation, change->text);
-  operation->history = chg_encode (change, operation->generation, NULL);
+  operation->text = g_strdup (change->text);
+  operation->value = chg_value (change, operation->generation);
+  operation->history = chg_describe (change, operation->generation);
   if (strlen (operation->value) > CHG_VALUE_MAX_BYTES)
     chg_finish (operation, CHG_TOO_LARGE, NULL);
   else
--- a/libcowslip/chg.h
+++ b/libcowslip/chg.h
@@ -6,11 +6,16 @@
 #include <stdint.h>
 
 #include "kv.h"
+#include "pch.h"
 #include "tm.h"
 
 /* Changes of an environment's document in the key-value service.  */
 
-/* One stored generation of a document.  TEXT is NULL in a history entry.  */
+/* A history entry carries no longer patch than this, as JSON.  */
+#define CHG_PATCH_MAX_BYTES 65536
+
+/* One stored generation of a document.  TEXT is NULL in a history entry, and
+   PATCH is NULL elsewhere and in an entry whose patch would be too long.  */
 struct chg_record
 {
   uint64_t generation; /* 0: the environment has no document */
@@ -20,6 +25,7 @@
   char *change_id;
   int64_t time_ms;
   char *text;
+  struct pch_patch *patch; /* from the generation before */
   int64_t revision;
 };
 
--- a/libcowslip/chg_record.c
+++ b/libcowslip/chg_record.c
@@ -28,6 +28,19 @@
                           generation);
 }
 
+/* A patch that cannot be used makes the record malformed.  */
+static struct pch_patch *
+chg_record_patch (struct jsn_reader *reader)
+{
+  struct json_object *object
+      = jsn_get (reader, "patch", json_type_object, false);
+  struct pch_patch *patch = object == NULL ? NULL : pch_decode (object);
+
+  if (object != NULL && patch == NULL)
+    jsn_fail (reader, "patch", "malformed");
+  return patch;
+}
+
 /* Return the record in the BYTES at VALUE, or NULL if they are not one.  */
 struct chg_record *
 chg_record_parse (const char *value, size_t bytes)
@@ -48,6 +61,7 @@
   record->comment = jsn_string (&reader, "comment", false);
   record->change_id = jsn_string (&reader, "change_id", true);
   record->text = jsn_string (&reader, "document", false);
+  record->patch = chg_record_patch (&reader);
   if (!jsn_close (&reader, NULL))
     {
       chg_record_free (record);
@@ -68,5 +82,6 @@
   g_free (record->comment);
   g_free (record->change_id);
   g_free (record->text);
+  pch_free (record->patch);
   g_free (record);
 }
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -17,6 +17,8 @@
 #define COWSLIP_LIST_MAX 4096
 #define COWSLIP_DOCUMENT_MAX 1000000
 #define COWSLIP_BODY_MAX 65536
+#define COWSLIP_ENTRY_MAX 131072
+#define COWSLIP_ENTRIES_MAX 64
 
 typedef char *cs_name;
 
@@ -80,9 +82,28 @@
 };
 typedef struct cs_heartbeat_reply cs_heartbeat_reply;
 
+struct cs_entry {
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct cs_entry cs_entry;
+
+struct cs_document_request {
+	cs_name environment;
+	u_quad_t generation;
+	cs_name digest;
+};
+typedef struct cs_document_request cs_document_request;
+
 struct cs_document {
 	u_quad_t generation;
 	cs_name digest;
+	struct {
+		u_int entries_len;
+		cs_entry *entries_val;
+	} entries;
 	struct {
 		u_int text_len;
 		char *text_val;
@@ -206,8 +227,8 @@
 extern  cs_heartbeat_reply * cowslip_heartbeat_1(cs_heartbeat *, CLIENT *);
 extern  cs_heartbeat_reply * cowslip_heartbeat_1_svc(cs_heartbeat *, struct svc_req *);
 #define COWSLIP_GET_DOCUMENT 2
-extern  cs_document * cowslip_get_document_1(cs_name *, CLIENT *);
-extern  cs_document * cowslip_get_document_1_svc(cs_name *, struct svc_req *);
+extern  cs_document * cowslip_get_document_1(cs_document_request *, CLIENT *);
+extern  cs_document * cowslip_get_document_1_svc(cs_document_request *, struct svc_req *);
 #define COWSLIP_DEMAND 3
 extern  void * cowslip_demand_1(cs_demand_report *, CLIENT *);
 extern  void * cowslip_demand_1_svc(cs_demand_report *, struct svc_req *);
@@ -266,6 +287,8 @@
 extern  bool_t xdr_cs_demand (XDR *, cs_demand*);
 extern  bool_t xdr_cs_heartbeat (XDR *, cs_heartbeat*);
 extern  bool_t xdr_cs_heartbeat_reply (XDR *, cs_heartbeat_reply*);
+extern  bool_t xdr_cs_entry (XDR *, cs_entry*);
+extern  bool_t xdr_cs_document_request (XDR *, cs_document_request*);
 extern  bool_t xdr_cs_document (XDR *, cs_document*);
 extern  bool_t xdr_cs_demand_report (XDR *, cs_demand_report*);
 extern  bool_t xdr_cs_replica (XDR *, cs_replica*);
@@ -288,6 +311,8 @@
 extern bool_t xdr_cs_demand ();
 extern bool_t xdr_cs_heartbeat ();
 extern bool_t xdr_cs_heartbeat_reply ();
+extern bool_t xdr_cs_entry ();
+extern bool_t xdr_cs_document_request ();
 extern bool_t xdr_cs_document ();
 extern bool_t xdr_cs_demand_report ();
 extern bool_t xdr_cs_replica ();
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -4,6 +4,8 @@
 const COWSLIP_LIST_MAX = 4096;
 const COWSLIP_DOCUMENT_MAX = 1000000;
 const COWSLIP_BODY_MAX = 65536;
+const COWSLIP_ENTRY_MAX = 131072;
+const COWSLIP_ENTRIES_MAX = 64;
 
 typedef string cs_name<COWSLIP_NAME_MAX>;
 
@@ -59,10 +61,28 @@
   unsigned hyper generation;
 };
 
+/* A history entry as it stands in the key-value service.  */
+struct cs_entry
+{
+  opaque value<COWSLIP_ENTRY_MAX>;
+};
+
+/* GENERATION and DIGEST are in force at the asker; 0: the whole document is
+   wanted.  */
+struct cs_document_request
+{
+  cs_name environment;
+  unsigned hyper generation;
+  cs_name digest;
+};
+
+/* Either the entries that lead from the asker's generation to GENERATION, or
+   the whole text; neither if the asker has it already.  */
 struct cs_document
 {
   unsigned hyper generation; /* 0: none known */
   cs_name digest;
+  cs_entry entries<COWSLIP_ENTRIES_MAX>;
   opaque text<COWSLIP_DOCUMENT_MAX>;
 };
 
@@ -164,7 +184,7 @@
   version COWSLIP_VERSION
   {
     cs_heartbeat_reply COWSLIP_HEARTBEAT (cs_heartbeat) = 1;
-    cs_document COWSLIP_GET_DOCUMENT (cs_name) = 2;
+    cs_document COWSLIP_GET_DOCUMENT (cs_document_request) = 2;
     void COWSLIP_DEMAND (cs_demand_report) = 3;
     void COWSLIP_VIEW (cs_view) = 4;
     cs_quiesce_reply COWSLIP_QUIESCE (cs_quiesce) = 5;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -163,6 +163,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_entry (XDR *xdrs, cs_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, COWSLIP_ENTRY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_document_request (XDR *xdrs, cs_document_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->environment))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_cs_name (xdrs, &objp->digest))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_document (XDR *xdrs, cs_document *objp)
 {
@@ -172,6 +196,9 @@
 		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, COWSLIP_ENTRIES_MAX,
+		sizeof (cs_entry), (xdrproc_t) xdr_cs_entry))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, COWSLIP_DOCUMENT_MAX))
 		 return FALSE;
 	return TRUE;
--- a/regress/chg_test.c
+++ b/regress/chg_test.c
@@ -194,6 +194,55 @@
   race_close (&race);
 }
 
+static struct pch_patch *
+stored_patch (const struct race *race, uint64_t generation)
+{
+  char *key = chg_history_key ("e", generation);
+  const char *value = fake_kv_value (race->fake, key);
+  struct chg_record *entry
+      = value == NULL ? NULL : chg_record_parse (value, strlen (value));
+  struct pch_patch *patch = NULL;
+
+  CU_ASSERT_PTR_NOT_NULL (entry);
+  if (entry != NULL)
+    patch = g_steal_pointer (&entry->patch);
+  chg_record_free (entry);
+  g_free (key);
+  return patch;
+}
+
+/* Guards against a history entry whose patch is missing, does not lead from
+   the generation before, or is too long for the watchers.  */
+static void
+test_patch (void)
+{
+  struct race race;
+  struct told told = { 0 };
+  char *longer = g_strnfill (CHG_PATCH_MAX_BYTES, 'x');
+  struct pch_patch *patch;
+  size_t bytes = 0;
+  char *text;
+
+  race_open (&race);
+  apply (&race, "first text", 0, &told);
+  tm_advance (race.tm, 10000000);
+  apply (&race, "second text", 1, &told);
+  tm_advance (race.tm, 20000000);
+  apply (&race, longer, 2, &told);
+  tm_advance (race.tm, 30000000);
+  CU_ASSERT_EQUAL (told.generation, 3);
+  CU_ASSERT_PTR_NULL (stored_patch (&race, 1));
+  CU_ASSERT_PTR_NULL (stored_patch (&race, 3));
+  patch = stored_patch (&race, 2);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (patch);
+  text = pch_apply (patch, "first text", strlen ("first text"), &bytes);
+  CU_ASSERT_STRING_EQUAL (text, "second text");
+  pch_free (patch);
+  g_free (text);
+  g_free (longer);
+  race_close (&race);
+}
+
 int
 main (void)
 {
@@ -201,6 +250,7 @@
       = { { "outcome under each fault", test_faults },
           { "racing operators", test_races },
           { "superseded after a lost answer", test_superseded },
+          { "patch in the history", test_patch },
           { NULL, NULL } };
 
   return unit_main ("chg", tests);
--- a/regress/mem_script.c
+++ b/regress/mem_script.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "cfg.h"
+#include "chg.h"
 #include "fake_kv.h"
 #include "mem.h"
 #include "mem_beat.h"
@@ -26,6 +27,10 @@
 #define LATENCY_US     1000
 #define FETCH_LIMIT_US 1000000
 #define WORDS_MAX      16
+/* What a change writes beside the document; without a patch.  */
+#define CHANGE_ENTRY                                                          \
+  "{\"generation\":%s,\"digest\":\"d\",\"author\":\"a\",\"change_id\":\"i\"," \
+  "\"time_ms\":1}"
 
 struct node
 {
@@ -363,7 +368,13 @@
       "{\"generation\":%s,\"digest\":\"d\",\"document\":\"%s\"}", words[1],
       words[2]);
 
+  char *key = chg_history_key ("e", g_ascii_strtoull (words[1], NULL, 10));
+  char *entry = g_strdup_printf (CHANGE_ENTRY, words[1]);
+
   fake_kv_put (kv, "cowslip/e/document", value);
+  fake_kv_put (kv, key, entry);
+  g_free (key);
+  g_free (entry);
   g_free (value);
 }
 
--- a/regress/peers_test.c
+++ b/regress/peers_test.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "chg.h"
 #include "control.h"
 #include "fake_kv.h"
 #include "peers_impl.h"
@@ -14,7 +15,9 @@
   "{\"name\":\"e\",\"classes\":{\"c\":{\"deadline_ms\":1000,"                 \
   "\"expected_ms\":100,\"priority\":1}},\"pools\":{\"p\":{\"memory_bytes\":"  \
   "1000,\"batch\":2,\"checks_fencing\":true,\"can_resume\":true,"             \
-  "\"endpoints\":[{\"address\":\"%s\",\"zone\":\"z\"}]}},\"models\":{},"      \
+  "\"endpoints\":[{\"address\":\"%s\",\"zone\":\"z\"},"                       \
+  "{\"address\":\"127.0.0.1:8\",\"zone\":\"y\",\"environment\":\"other\"}"    \
+  "]}},\"models\":{},"                                                        \
   "\"adapters\":{},\"services\":{},\"limits\":{\"waiting_max\":10,"           \
   "\"retry_percent\":%u,\"adapter_loads_max\":4,\"weight_loads_max\":2}}"
 
@@ -43,6 +46,8 @@
   struct cd_daemon nodes[NODES];
   struct seen seen[NODES];
   char engine_address[32];
+  char *text;    /* of the last document written */
+  bool no_patch; /* a change is written without its patch */
   bool engine_leaves;
   bool listed_leaving;
   uint32_t done;
@@ -173,6 +178,32 @@
   g_free (settings);
 }
 
+/* Write the history entry of a change to TEXT, with a patch unless it is the
+   first or the test leaves it out.  */
+static void
+put_entry (struct rig *rig, uint64_t generation, const char *digest,
+           const char *text)
+{
+  struct pch_patch *patch
+      = rig->text == NULL || rig->no_patch
+            ? NULL
+            : pch_diff (rig->text, strlen (rig->text), text, strlen (text));
+  struct json_object *encoded = patch == NULL ? NULL : pch_encode (patch);
+  char *key = chg_history_key ("e", generation);
+  char *entry = g_strdup_printf (
+      "{\"generation\":%" G_GUINT64_FORMAT ",\"digest\":\"%s\","
+      "\"author\":\"a\",\"change_id\":\"i\",\"time_ms\":1%s%s}",
+      generation, digest, encoded == NULL ? "" : ",\"patch\":",
+      encoded == NULL ? "" : json_object_to_json_string (encoded));
+
+  fake_kv_put (rig->kv, key, entry);
+  json_object_put (encoded);
+  pch_free (patch);
+  g_free (entry);
+  g_free (key);
+}
+
+/* Write the document and its history entry as a change does.  */
 static void
 put_document (struct rig *rig, uint64_t generation, uint32_t percent)
 {
@@ -189,10 +220,12 @@
                                generation, env_digest (document), escaped);
       fake_kv_put (rig->kv, "cowslip/e/document", value);
       g_free (value);
+      put_entry (rig, generation, env_digest (document), text);
     }
   env_unref (document);
   g_free (escaped);
-  g_free (text);
+  g_free (rig->text);
+  rig->text = text;
 }
 
 static void
@@ -327,6 +360,7 @@
   for (int i = 0; i < 100 && uv_run (&rig->loop, UV_RUN_NOWAIT) != 0; i++)
     ;
   fake_kv_free (rig->kv);
+  g_free (rig->text);
   tm_free (rig->tm);
   ctr_free (rig->counters);
 }
@@ -354,6 +388,49 @@
   rig_stop (&rig);
 }
 
+/* Return how many instances hold the entries that lead on from GENERATION with
+   DIGEST: they came there by patches.  */
+static uint32_t
+patched (const struct rig *rig, uint64_t generation, const char *digest)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      GArray *entries
+          = cfg_patches_since (rig->nodes[i].peers->cfg, generation, digest);
+
+      count += entries != NULL;
+      if (entries != NULL)
+        g_array_free (entries, TRUE);
+    }
+  return count;
+}
+
+/* Guards against a patch that is not used, a change without a patch that does
+   not arrive, and endpoints of another environment that are used here.  */
+static void
+test_patches (void)
+{
+  static struct rig rig;
+  char *digest;
+
+  rig_start (&rig);
+  digest = g_strdup (env_digest (cd_document (&rig.nodes[0])));
+  put_document (&rig, 2, 2);
+  CU_ASSERT_TRUE (run_until (&rig, all_at_two) < 16000000);
+  CU_ASSERT_EQUAL (patched (&rig, 1, digest), NODES);
+  CU_ASSERT_EQUAL (env_zones (cd_document (&rig.nodes[2]))->len, 1);
+  g_free (digest);
+  digest = g_strdup (env_digest (cd_document (&rig.nodes[0])));
+  rig.no_patch = true;
+  put_document (&rig, 3, 3);
+  CU_ASSERT_TRUE (run_until (&rig, all_at_three) < 16000000);
+  CU_ASSERT_EQUAL (patched (&rig, 2, digest), 0);
+  g_free (digest);
+  rig_stop (&rig);
+}
+
 /* Guards against loads and leaving signs that do not reach every instance in
    time: 3 s after the first sign no new work may go to the endpoint.  */
 static void
@@ -418,6 +495,7 @@
 {
   static const struct unit_test tests[]
       = { { "configuration", test_configuration },
+          { "patches", test_patches },
           { "signals", test_signals },
           { "suspects", test_suspects },
           { NULL, NULL } };
