--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -1,5 +1,6 @@
 #include "control_impl.h"
 #include "env.h"
+#include "lg.h"
 #include "peers.h"
 
 static GArray *
@@ -54,6 +55,25 @@
   return specs;
 }
 
+static GArray *
+control_adapters (const struct env_document *document)
+{
+  const GPtrArray *adapters = env_adapters (document);
+  GArray *specs = g_array_new (FALSE, FALSE, sizeof (struct plc_adapter_spec));
+
+  for (guint i = 0; i < adapters->len; i++)
+    {
+      const struct env_adapter *adapter = g_ptr_array_index (adapters, i);
+      struct plc_adapter_spec spec = { .name = adapter->name,
+                                       .version = adapter->version,
+                                       .model = adapter->model->name,
+                                       .bytes = adapter->bytes };
+
+      g_array_append_val (specs, spec);
+    }
+  return specs;
+}
+
 /* Put the part of the document WHAT that concerns the own zone in force.  */
 void
 control_on_document (void *arg, const void *what)
@@ -63,6 +83,7 @@
   const char *zone = control->daemon->settings->zone;
   GArray *models = control_models (document, zone);
   GArray *engines = control_engines (document, zone);
+  GArray *adapters = control_adapters (document);
   guint zones = MAX (env_zones (document)->len, 1);
   struct plc_plan plan
       = { .models = (const struct plc_model_spec *)(void *)models->data,
@@ -72,8 +93,12 @@
           .weight_loads = env_limits (document)->weight_loads_max / zones };
 
   plc_set_plan (control->plc, &plan);
+  plc_set_adapters (
+      control->plc, (const struct plc_adapter_spec *)(void *)adapters->data,
+      adapters->len, env_limits (document)->adapter_loads_max / zones);
   g_array_free (models, TRUE);
   g_array_free (engines, TRUE);
+  g_array_free (adapters, TRUE);
 }
 
 /* Note the members of the own zone in the table WHAT.  */
@@ -86,6 +111,7 @@
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct plc_member));
   GArray *others = g_array_new (FALSE, FALSE, sizeof (struct own_member));
   struct plc_member self = { settings->instance, true, true };
+  bool shared;
 
   g_array_append_val (peers, self);
   for (guint i = 0; i < all->len; i++)
@@ -103,8 +129,11 @@
     }
   plc_set_members (control->plc, (struct plc_member *)(void *)peers->data,
                    peers->len);
+  shared = own_number_shared (control->own);
   own_set_members (control->own, (struct own_member *)(void *)others->data,
                    others->len);
+  if (!shared && own_number_shared (control->own))
+    lg_write (LG_NUMBER_SHARED, "number %u", settings->member_number);
   g_array_free (peers, TRUE);
   g_array_free (others, TRUE);
   control_push_views (control);
--- a/libcowslip/own_private.h
+++ b/libcowslip/own_private.h
@@ -27,6 +27,7 @@
 
   int64_t lease;
   int64_t controller_revision;
+  int64_t seen_revision; /* of the controller key, with the placement */
   int64_t placement_revision;
   struct own_placement *placement; /* last read or written */
   uint64_t lease_safe_us;          /* orders are safe before this time */
@@ -52,6 +53,7 @@
   uint64_t next_renew_us;
 
   GPtrArray *members;   /* struct own_peer */
+  bool number_shared;   /* another live member has the same number */
   GHashTable *promises; /* instance -> time until which it promised */
   uint64_t next_ask_us;
   bool members_stale; /* the recorded list differs from the members */
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -1,5 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "http_client.h"
 #include "http_server.h"
@@ -220,11 +222,77 @@
   CU_ASSERT_FALSE (seen.sent);
 }
 
+/* Guards against an endpoint whose packets vanish and that uses up the whole
+   time limit of a call, and against calling such a request sent.  */
+static void
+test_unreachable (void)
+{
+  struct sockaddr_in local;
+  socklen_t bytes = sizeof local;
+  int listener = socket (AF_INET, SOCK_STREAM, 0);
+  int filler[4];
+  char address[32];
+  struct seen seen = { 0 };
+  struct http_request request
+      = { .method = "GET", .address = address, .path = "/" };
+  uint64_t start_us = tm_now_us (clock_driver.service);
+
+  /* The kernel drops connections beyond the backlog of a server that does not
+     accept.  */
+  uv_ip4_addr ("127.0.0.1", 0, &local);
+  bind (listener, (struct sockaddr *)&local, sizeof local);
+  listen (listener, 0);
+  getsockname (listener, (struct sockaddr *)&local, &bytes);
+  for (size_t i = 0; i < G_N_ELEMENTS (filler); i++)
+    {
+      filler[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      (void)connect (filler[i], (struct sockaddr *)&local, sizeof local);
+    }
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (local.sin_port));
+  http_start (client, &request, &seen_handlers, &seen);
+  while (seen.done == 0
+         && tm_now_us (clock_driver.service) < start_us + 10000000)
+    uv_run (&loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (seen.done, 1);
+  CU_ASSERT_EQUAL (seen.outcome, HTTP_CONNECT_FAILED);
+  CU_ASSERT_FALSE (seen.sent);
+  for (size_t i = 0; i < G_N_ELEMENTS (filler); i++)
+    close (filler[i]);
+  close (listener);
+}
+
+/* Guards against a HEAD answer that is taken for cut because its body never
+   comes.  */
+static void
+test_head (void)
+{
+  struct canned canned
+      = { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n" };
+  struct seen seen = { 0 };
+  char address[32];
+  struct http_request request = {
+    .method = "HEAD", .address = address, .path = "/", .timeout_ms = LIMIT_MS
+  };
+
+  canned_open (&canned);
+  g_snprintf (address, sizeof address, "127.0.0.1:%u", canned.port);
+  http_start (client, &request, &seen_handlers, &seen);
+  while (seen.done == 0)
+    uv_run (&loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (seen.outcome, HTTP_COMPLETE);
+  CU_ASSERT_EQUAL (seen.status, 200);
+  uv_close ((uv_handle_t *)&canned.listener, NULL);
+  if (!uv_is_closing ((uv_handle_t *)&canned.connection))
+    uv_close ((uv_handle_t *)&canned.connection, NULL);
+  uv_run (&loop, UV_RUN_NOWAIT);
+}
+
 /* A server whose answers the test writes, and what it knows of callers.  */
 struct echo
 {
   struct http_exchange *held;
   uint32_t gone;
+  bool connected;
 };
 
 static void
@@ -319,6 +387,59 @@
   http_server_free (server);
 }
 
+static void
+slow_connected (uv_connect_t *connect, int status)
+{
+  (void)status;
+  ((struct echo *)connect->data)->connected = true;
+}
+
+static void
+slow_written (uv_write_t *write, int status)
+{
+  (void)write;
+  (void)status;
+}
+
+/* Guards against a caller that never reads and keeps its connection and the
+   bytes for it until the process ends.  */
+static void
+test_slow_caller (void)
+{
+  static char block[65536];
+  struct echo echo = { 0 };
+  char address[32];
+  struct http_server *server = echo_open (&echo, address, sizeof address);
+  char request[] = "GET /hold HTTP/1.1\r\nhost: a\r\n\r\n";
+  uv_buf_t buffer = uv_buf_init (request, sizeof request - 1);
+  struct sockaddr_in peer;
+  uv_connect_t connect = { .data = &echo };
+  uv_write_t write;
+  uv_tcp_t slow;
+
+  uv_ip4_addr ("127.0.0.1", http_server_port (server), &peer);
+  uv_tcp_init (&loop, &slow);
+  uv_tcp_connect (&connect, &slow, (struct sockaddr *)&peer, slow_connected);
+  while (!echo.connected)
+    uv_run (&loop, UV_RUN_ONCE);
+  uv_write (&write, (uv_stream_t *)&slow, &buffer, 1, slow_written);
+  while (echo.held == NULL)
+    uv_run (&loop, UV_RUN_ONCE);
+  for (int i = 0; i < 1000 && http_stream_pending_bytes (echo.held) == 0; i++)
+    {
+      http_stream_write (echo.held, block, sizeof block);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+  CU_ASSERT_TRUE (http_stream_pending_bytes (echo.held) > 0);
+  http_stream_abort (echo.held);
+  for (int i = 0; i < 1000 && http_server_active (server) > 0; i++)
+    uv_run (&loop, UV_RUN_NOWAIT);
+  CU_ASSERT_EQUAL (http_server_active (server), 0);
+  uv_close ((uv_handle_t *)&slow, NULL);
+  uv_run (&loop, UV_RUN_NOWAIT);
+  http_server_free (server);
+}
+
 /* Guards against bodies beyond the limit that reach a handler.  */
 static void
 test_limits (void)
@@ -352,8 +473,11 @@
   static const struct unit_test tests[]
       = { { "answers whole and cut", test_answers },
           { "connection refused", test_refused },
+          { "unreachable", test_unreachable },
+          { "HEAD", test_head },
           { "end of a stream", test_stream_end },
           { "cancel", test_cancel },
+          { "slow caller", test_slow_caller },
           { "limits", test_limits },
           { NULL, NULL } };
 
