--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -3,8 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "baseline.h"
 #include "call.h"
 #include "check.h"
+#include "figures.h"
 #include "run.h"
 #include "slopes.h"
 
@@ -13,7 +15,8 @@
 enum option_key
 {
   OPTION_RESEND = 256,
-  OPTION_KEYS
+  OPTION_KEYS,
+  OPTION_TRACE
 };
 
 /* What the command line says.  */
@@ -23,6 +26,7 @@
   const char *csv;
   const char *png;
   const char *keys;
+  const char *trace;
   GPtrArray *targets;
   const char *seed;
   const char *duration;
@@ -43,6 +47,8 @@
           "write gnuplot commands for FILE.png to FILE.gp", 0 },
         { "keys", OPTION_KEYS, "FILE", 0,
           "write what is known about each idempotency key to FILE", 0 },
+        { "trace", OPTION_TRACE, "FILE", 0,
+          "write one line per request to FILE, for cowslipload figures", 0 },
         { 0 } };
 
 static error_t
@@ -76,6 +82,9 @@
     case OPTION_KEYS:
       arguments->keys = arg;
       return 0;
+    case OPTION_TRACE:
+      arguments->trace = arg;
+      return 0;
     case ARGP_KEY_ARG:
       if (arguments->experiment != NULL)
         argp_usage (state);
@@ -175,16 +184,22 @@
 {
   GPtrArray *tallies = g_ptr_array_new_with_free_func (ld_tally_free);
   FILE *keys = NULL;
+  FILE *trace = NULL;
   GError *error = NULL;
   bool good;
 
   if (arguments->keys != NULL
       && (keys = open_output (arguments->keys)) == NULL)
     return false;
+  if (arguments->trace != NULL
+      && (trace = open_output (arguments->trace)) == NULL)
+    return false;
   printf (LD_TABLE_TITLE, experiment->seed);
-  good = ld_run (experiment, tallies, keys, &error);
+  good = ld_run (experiment, tallies, keys, trace, &error);
   if (keys != NULL && fclose (keys) != 0)
     good = false;
+  if (trace != NULL && fclose (trace) != 0)
+    good = false;
   if (error != NULL)
     {
       fprintf (stderr, "cowslipload: %s\n", error->message);
@@ -212,7 +227,8 @@
           "EXPERIMENT",
           "Send the requests of an experiment and report what became of them."
           "\vSee also: cowslipload check --help, cowslipload call --help, "
-          "cowslipload slopes --help",
+          "cowslipload slopes --help, cowslipload baseline --help, "
+          "cowslipload figures --help",
           NULL,
           NULL,
           NULL };
@@ -225,6 +241,10 @@
     return ld_check (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "slopes") == 0)
     return ld_slopes (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "baseline") == 0)
+    return bl_main (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "figures") == 0)
+    return fig_main (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "call") == 0)
     return ld_call (argc - 1, argv + 1);
   arguments.targets = g_ptr_array_new_with_free_func (g_free);
--- a/cowslipload/request.c
+++ b/cowslipload/request.c
@@ -83,7 +83,10 @@
                     + (uint32_t)gsl_rng_uniform_int (
                         run->random, mix->tokens_max - mix->tokens_min + 1);
   if (ld_chance (run, mix->long_percent))
-    request->tokens *= mix->long_factor;
+    {
+      request->tokens *= mix->long_factor;
+      request->is_long = true;
+    }
   json_object_object_add (body, "model",
                           json_object_new_string (request->name));
   ld_put_prompt (body, mix, prompt);
@@ -174,11 +177,32 @@
   return request;
 }
 
+static double
+ld_elapsed_ms (const struct ld_request *request)
+{
+  return (double)(tm_now_us (request->run->tm) - request->due_us)
+         / LD_US_PER_MS;
+}
+
+static void
+ld_trace (const struct ld_request *request)
+{
+  if (request->run->trace == NULL)
+    return;
+  fprintf (request->run->trace, "%" PRIu64 ",%s,%s,%d,%s,%.3f,%.3f,%u\n",
+           request->due_us, request->tally->name, request->name,
+           request->is_long,
+           request->outcome == NULL ? "lost" : request->outcome,
+           request->first_token_ms, ld_elapsed_ms (request),
+           request->mix->deadline_ms);
+}
+
 static void
 ld_request_end (struct ld_request *request)
 {
   struct ld_run *run = request->run;
 
+  ld_trace (request);
   ld_reply_clear (&request->reply);
   g_free (request->path);
   g_free (request->body);
@@ -187,13 +211,6 @@
   ld_run_done (run);
 }
 
-static double
-ld_elapsed_ms (const struct ld_request *request)
-{
-  return (double)(tm_now_us (request->run->tm) - request->due_us)
-         / LD_US_PER_MS;
-}
-
 static struct ld_second *
 ld_second_of (const struct ld_request *request)
 {
@@ -310,6 +327,7 @@
 ld_on_refused (struct ld_request *request)
 {
   ld_tally_refusal (request->tally, request->reply.reason);
+  request->outcome = request->reply.reason;
   ld_second_of (request)->refused++;
   /* After a broken connection, "not run" speaks of the last attempt only.  */
   if (request->key != NULL && request->reply.not_run && request->attempts == 1)
@@ -330,10 +348,12 @@
         tally->doubled++;
       else
         tally->wrong++;
+      request->outcome = verdict;
       ld_request_end (request);
       return;
     }
   tally->whole++;
+  request->outcome = "whole";
   ld_tally_value (tally->total_ms, total_ms);
   if (request->tokens_seen > 0)
     ld_tally_value (tally->first_token_ms, request->first_token_ms);
--- a/cowslipload/run.c
+++ b/cowslipload/run.c
@@ -201,11 +201,12 @@
 }
 
 /* Run EXPERIMENT, add one tally per class to TALLIES and write what is known
-   about each idempotency key to KEYS, if it is not NULL.  Return false and set
+   about each idempotency key to KEYS and a line per request to TRACE, unless
+   they are NULL.  Return false and set
    ERROR if the experiment cannot run.  */
 bool
 ld_run (const struct ld_experiment *experiment, GPtrArray *tallies, FILE *keys,
-        GError **error)
+        FILE *trace, GError **error)
 {
   static struct ld_run run;
 
@@ -213,6 +214,10 @@
   run.arrivals = ld_arrivals_new (experiment, run.random, error);
   if (run.arrivals == NULL)
     return false;
+  run.trace = trace;
+  if (trace != NULL)
+    fputs ("due_us,class,model,long,outcome,first_ms,total_ms,deadline_ms\n",
+           trace);
   run.start_us = tm_now_us (run.tm);
   ld_plan_next (&run);
   tm_after (run.tm, &run.arrival, 0, ld_arrive, &run);
--- a/cowslipload/run.h
+++ b/cowslipload/run.h
@@ -34,6 +34,7 @@
   gsl_rng *random;
   struct ld_arrivals *arrivals;
   GPtrArray *tallies;
+  FILE *trace;      /* may be NULL */
   GHashTable *keys; /* struct ld_key by text */
   uint64_t start_us;
   uint64_t next_us;
@@ -58,8 +59,10 @@
   char *body;
   uint64_t seed; /* of the expected text */
   uint32_t tokens;
-  struct ld_key *key; /* NULL: none */
-  uint64_t due_us;    /* when it arrived */
+  bool is_long;        /* runs long_factor times longer */
+  const char *outcome; /* NULL: lost */
+  struct ld_key *key;  /* NULL: none */
+  uint64_t due_us;     /* when it arrived */
   uint64_t last_token_us;
   double first_token_ms;
   uint32_t tokens_seen;
@@ -70,7 +73,7 @@
 };
 
 bool ld_run (const struct ld_experiment *experiment, GPtrArray *tallies,
-             FILE *keys, GError **error);
+             FILE *keys, FILE *trace, GError **error);
 void ld_run_done (struct ld_run *run);
 
 struct ld_request *ld_request_new (struct ld_run *run,
