--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -3,8 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "baseline.h"
 #include "call.h"
 #include "check.h"
+#include "figures.h"
 #include "run.h"
 #include "slopes.h"
 
@@ -16,7 +18,8 @@
   OPTION_KEYS,
   OPTION_NOT_RUN,
   OPTION_BROKEN,
-  OPTION_FOLLOW_READY
+  OPTION_FOLLOW_READY,
+  OPTION_TRACE
 };
 
 /* What the command line says.  */
@@ -28,6 +31,7 @@
   const char *keys;
   const char *not_run;
   const char *broken;
+  const char *trace;
   bool follow_ready;
   GPtrArray *targets;
   const char *seed;
@@ -53,6 +57,8 @@
     "write the seeds of requests that were refused as not run to FILE", 0 },
   { "broken", OPTION_BROKEN, "FILE", 0,
     "write time (us) and target of each broken connection to FILE", 0 },
+  { "trace", OPTION_TRACE, "FILE", 0,
+    "write one line per request to FILE, for cowslipload figures", 0 },
   { "follow-ready", OPTION_FOLLOW_READY, NULL, 0,
     "send only to targets whose /readyz answers 200, as a balancer does", 0 },
   { 0 }
@@ -98,6 +104,9 @@
     case OPTION_FOLLOW_READY:
       arguments->follow_ready = true;
       return 0;
+    case OPTION_TRACE:
+      arguments->trace = arg;
+      return 0;
     case ARGP_KEY_ARG:
       if (arguments->experiment != NULL)
         argp_usage (state);
@@ -158,7 +167,8 @@
 {
   return open_wanted (arguments->keys, &outputs->keys)
          && open_wanted (arguments->not_run, &outputs->not_run)
-         && open_wanted (arguments->broken, &outputs->broken);
+         && open_wanted (arguments->broken, &outputs->broken)
+         && open_wanted (arguments->trace, &outputs->trace);
 }
 
 static bool
@@ -230,6 +240,7 @@
   good = close_output (outputs.keys) && good;
   good = close_output (outputs.not_run) && good;
   good = close_output (outputs.broken) && good;
+  good = close_output (outputs.trace) && good;
   if (error != NULL)
     {
       fprintf (stderr, "cowslipload: %s\n", error->message);
@@ -257,7 +268,8 @@
           "EXPERIMENT",
           "Send the requests of an experiment and report what became of them."
           "\vSee also: cowslipload check --help, cowslipload call --help, "
-          "cowslipload slopes --help",
+          "cowslipload slopes --help, cowslipload baseline --help, "
+          "cowslipload figures --help",
           NULL,
           NULL,
           NULL };
@@ -270,6 +282,10 @@
     return ld_check (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "slopes") == 0)
     return ld_slopes (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "baseline") == 0)
+    return bl_main (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "figures") == 0)
+    return fig_main (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "call") == 0)
     return ld_call (argc - 1, argv + 1);
   arguments.targets = g_ptr_array_new_with_free_func (g_free);
--- a/cowslipload/run.c
+++ b/cowslipload/run.c
@@ -214,6 +214,9 @@
   if (run.arrivals == NULL)
     return false;
   run.outputs = outputs;
+  if (outputs->trace != NULL)
+    fputs ("due_us,class,model,long,outcome,first_ms,total_ms,deadline_ms\n",
+           outputs->trace);
   run.targets = ld_targets_new (run.client, run.tm, experiment->targets,
                                 experiment->follow_ready);
   run.start_us = tm_now_us (run.tm);
--- a/cowslipload/run.h
+++ b/cowslipload/run.h
@@ -29,6 +29,7 @@
   FILE *keys;    /* what is known about each idempotency key */
   FILE *not_run; /* seeds of model requests refused as not run */
   FILE *broken;  /* time and target of each broken connection */
+  FILE *trace;   /* one line per request */
 };
 
 /* One experiment under way.  */
@@ -69,8 +70,10 @@
   char *body;
   uint64_t seed; /* of the expected text */
   uint32_t tokens;
-  struct ld_key *key; /* NULL: none */
-  uint64_t due_us;    /* when it arrived */
+  bool is_long;        /* runs long_factor times longer */
+  const char *outcome; /* NULL: lost */
+  struct ld_key *key;  /* NULL: none */
+  uint64_t due_us;     /* when it arrived */
   uint64_t last_token_us;
   double first_token_ms;
   uint32_t tokens_seen;
