--- a/cowslipload/check.c
+++ b/cowslipload/check.c
@@ -243,7 +243,10 @@
     case OPTION_ENGINE_LOG:
       at = strrchr (arg, '@');
       if (at == NULL)
-        argp_error (state, "no zone: %s", arg);
+        {
+          argp_error (state, "no zone: %s", arg);
+          return 0;
+        }
       *at = '\0';
       read_engine_log (check, arg, at + 1);
       return 0;
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -240,9 +240,11 @@
   /* The kernel drops connections beyond the backlog of a server that does not
      accept.  */
   uv_ip4_addr ("127.0.0.1", 0, &local);
-  bind (listener, (struct sockaddr *)&local, sizeof local);
-  listen (listener, 0);
-  getsockname (listener, (struct sockaddr *)&local, &bytes);
+  CU_ASSERT_EQUAL_FATAL (
+      bind (listener, (struct sockaddr *)&local, sizeof local), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (listener, 0), 0);
+  CU_ASSERT_EQUAL_FATAL (
+      getsockname (listener, (struct sockaddr *)&local, &bytes), 0);
   for (size_t i = 0; i < G_N_ELEMENTS (filler); i++)
     {
       filler[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
