--- a/libcowslip/plc_adapter_load.c
+++ b/libcowslip/plc_adapter_load.c
@@ -75,8 +75,39 @@
          && plc_copy_on (slot->engine, adapter->name) == NULL;
 }
 
+static uint32_t
+plc_adapter_loaded (const struct plc_adapter *adapter)
+{
+  uint32_t loaded = 0;
+
+  for (guint i = 0; i < adapter->copies->len; i++)
+    {
+      const struct plc_adapter_copy *copy
+          = g_ptr_array_index (adapter->copies, i);
+
+      loaded += copy->state == PLC_LOADED;
+    }
+  return loaded;
+}
+
+/* Return whether COPY may make room: nobody waits for its adapter, and it was
+   not used lately or, for a load that is URGENT, another engine has it too. */
+static bool
+plc_copy_is_spare (const struct plc *plc, const struct plc_adapter_copy *copy,
+                   bool urgent)
+{
+  const struct plc_adapter *adapter = copy->adapter;
+
+  if (copy->state != PLC_LOADED || adapter->need.waiting > 0)
+    return false;
+  return plc_now (plc)
+             >= adapter->last_used_us + PLC_ADAPTER_REST_MS * PLC_US_PER_MS
+         || (urgent && plc_adapter_loaded (adapter) > 1);
+}
+
 static GPtrArray *
-plc_adapter_victims (const struct plc *plc, const struct plc_slot *slot)
+plc_adapter_victims (const struct plc *plc, const struct plc_slot *slot,
+                     bool urgent)
 {
   GPtrArray *victims = g_ptr_array_new ();
 
@@ -84,26 +115,23 @@
     {
       struct plc_adapter_copy *copy
           = g_ptr_array_index (slot->engine->copies, i);
-      const struct plc_adapter *adapter = copy->adapter;
 
-      if (copy->model == slot->model && copy->state == PLC_LOADED
-          && adapter->need.waiting == 0
-          && plc_now (plc) >= adapter->last_used_us
-                                  + PLC_ADAPTER_REST_MS * PLC_US_PER_MS)
+      if (copy->model == slot->model && plc_copy_is_spare (plc, copy, urgent))
         g_ptr_array_add (victims, copy);
     }
   g_ptr_array_sort (victims, plc_compare_copies);
   return victims;
 }
 
-/* Return whether SLOT will have BYTES free once adapters that are not used are
-   unloaded, and begin with those that were not used for longest.  */
+/* Return whether SLOT will have room for ADAPTER once others are unloaded, and
+   begin with those that were not used for longest.  URGENT as for
+   plc_copy_is_spare.  */
 static bool
 plc_adapter_evict (struct plc *plc, const struct plc_slot *slot,
-                   uint64_t bytes)
+                   const struct plc_adapter *adapter, bool urgent)
 {
   uint64_t room = plc_slot_room (slot);
-  GPtrArray *victims = plc_adapter_victims (plc, slot);
+  GPtrArray *victims = plc_adapter_victims (plc, slot, urgent);
   guint count = 0;
 
   for (guint i = 0; i < slot->engine->copies->len; i++)
@@ -115,13 +143,13 @@
           && (copy->state == PLC_QUIESCING || copy->state == PLC_UNLOADING))
         room += copy->bytes;
     }
-  for (; room < bytes && count < victims->len; count++)
+  for (; room < adapter->bytes && count < victims->len; count++)
     room += ((struct plc_adapter_copy *)g_ptr_array_index (victims, count))
                 ->bytes;
-  for (guint i = 0; room >= bytes && i < count; i++)
+  for (guint i = 0; room >= adapter->bytes && i < count; i++)
     plc_copy_quiesce (plc, g_ptr_array_index (victims, i));
   g_ptr_array_unref (victims);
-  return room >= bytes;
+  return room >= adapter->bytes;
 }
 
 static void
@@ -142,6 +170,26 @@
   plc_note_event (plc, PLC_NOTE_ADAPTER_LOAD, slot->engine, adapter->name);
 }
 
+static bool
+plc_adapter_make_room (struct plc *plc, const struct plc_adapter *adapter,
+                       GHashTable *held, bool urgent)
+{
+  const GPtrArray *slots = adapter->model->slots;
+
+  for (guint i = 0; i < slots->len; i++)
+    {
+      struct plc_slot *slot = g_ptr_array_index (slots, i);
+
+      if (!plc_slot_takes (plc, slot, adapter)
+          || g_hash_table_contains (held, slot)
+          || !plc_adapter_evict (plc, slot, adapter, urgent))
+        continue;
+      g_hash_table_add (held, slot);
+      return true;
+    }
+  return false;
+}
+
 /* Load ADAPTER on the replica with the most room, or make room on one.  HELD
    are the slots whose room an adapter that goes first waits for.  */
 static void
@@ -166,17 +214,9 @@
       plc_adapter_start (plc, adapter, best);
       return;
     }
-  for (guint i = 0; i < slots->len; i++)
-    {
-      struct plc_slot *slot = g_ptr_array_index (slots, i);
-
-      if (!plc_slot_takes (plc, slot, adapter)
-          || g_hash_table_contains (held, slot)
-          || !plc_adapter_evict (plc, slot, adapter->bytes))
-        continue;
-      g_hash_table_add (held, slot);
-      return;
-    }
+  if (!plc_adapter_make_room (plc, adapter, held, false)
+      && plc_adapter_loaded (adapter) == 0)
+    (void)plc_adapter_make_room (plc, adapter, held, true);
 }
 
 static GPtrArray *
--- a/libcowslip/plc_adapter_order.c
+++ b/libcowslip/plc_adapter_order.c
@@ -158,11 +158,16 @@
          && engine->order_sent_us >= copy->clear_us;
 }
 
-/* Take over the adapters of the STATE that ENGINE answered.  */
+/* Take over the adapters of the STATE that ENGINE answered.  An unload that an
+   earlier controller ordered may still be under way to an engine that is not
+   sealed, so what it shows is not used before that order has ended.  */
 void
 plc_adapters_apply (struct plc *plc, struct plc_engine *engine,
                     const struct plc_state *state)
 {
+  if (!engine->sealed
+      && engine->order_sent_us < plc->started_us + PLC_ORDER_MAX_US)
+    return;
   for (guint i = engine->copies->len; i > 0; i--)
     {
       struct plc_adapter_copy *copy
