--- a/libcowslip/cfg.c
+++ b/libcowslip/cfg.c
@@ -24,6 +24,7 @@
   cfg->tm = tm;
   cfg->kv = *kv;
   cfg->random = random;
+  cfg->environment = g_strdup (environment);
   cfg->key = chg_document_key (environment);
   cfg->history_prefix = chg_history_prefix (environment);
   cfg->kept = cfg_kept_new ();
@@ -64,6 +65,7 @@
   g_free (cfg->fetching);
   g_free (cfg->digest);
   g_free (cfg->text);
+  g_free (cfg->environment);
   g_free (cfg->key);
   g_free (cfg->history_prefix);
   g_free (cfg);
--- a/libcowslip/cfg_impl.h
+++ b/libcowslip/cfg_impl.h
@@ -22,6 +22,7 @@
   struct tm_service *tm;
   struct kv_store kv;
   gsl_rng *random;
+  char *environment;
   char *key;
   char *history_prefix;
   const struct cfg_callbacks *callbacks;
--- a/libcowslip/cfg_kv.c
+++ b/libcowslip/cfg_kv.c
@@ -1,7 +1,7 @@
-#include <string.h>
 
 #include "cfg_impl.h"
 #include "cfg_record.h"
+#include "chg.h"
 
 /* Reads that find what a dead watch or two cut-off watchers have missed.  */
 #define CFG_WATCHER_POLL_US (30 * CFG_US_PER_S)
@@ -76,45 +76,55 @@
   tm_after (cfg->tm, &cfg->poll, cfg_spread (cfg, around_us), cfg_poll, cfg);
 }
 
+/* Watch what is written after REVISION.  */
 static void
-cfg_read_answered (struct cfg_state *cfg, const struct kv_result *result)
+cfg_watch_from (struct cfg_state *cfg, int64_t revision)
 {
-  if (result->pair_count > 0)
-    {
-      cfg->revision = result->pairs[0].revision;
-      cfg_value (cfg, result->pairs[0].value, result->pairs[0].value_bytes);
-    }
-  cfg_source_answered (cfg);
   if (cfg->watching && cfg->watch == NULL)
     cfg->watch = cfg->kv.methods->watch (cfg->kv.context, cfg->history_prefix,
-                                         result->revision + 1, cfg_changed,
+                                         revision + 1, cfg_changed,
                                          cfg_watch_ended, cfg);
 }
 
+/* Return whether the service has answered; if not, another read follows.  */
+static bool
+cfg_answered (struct cfg_state *cfg, const struct kv_result *result)
+{
+  cfg->reading = false;
+  if (result->outcome == KV_OK || result->outcome == KV_CONFLICT)
+    {
+      kv_backoff_reset (&cfg->backoff);
+      return true;
+    }
+  cfg->read_again = false;
+  tm_after (cfg->tm, &cfg->poll,
+            kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read, cfg);
+  return false;
+}
+
 static void
 cfg_read_done (void *arg, const struct kv_result *result)
 {
   struct cfg_state *cfg = arg;
-  bool again = cfg->read_again;
 
-  cfg->reading = false;
-  cfg->read_again = false;
-  if (result->outcome != KV_OK && result->outcome != KV_CONFLICT)
+  if (!cfg_answered (cfg, result))
     {
       cfg_source_answered (cfg);
-      tm_after (cfg->tm, &cfg->poll,
-                kv_backoff_next_us (&cfg->backoff, cfg->random), cfg_read,
-                cfg);
       return;
     }
-  kv_backoff_reset (&cfg->backoff);
-  cfg_read_answered (cfg, result);
+  if (result->pair_count > 0)
+    {
+      cfg->revision = result->pairs[0].revision;
+      cfg_value (cfg, result->pairs[0].value, result->pairs[0].value_bytes);
+    }
+  cfg_source_answered (cfg);
+  cfg_watch_from (cfg, result->revision);
   cfg_plan_poll (cfg);
-  if (again)
+  if (cfg->read_again)
     cfg_read (cfg);
 }
 
-/* Read the whole document, unless this is being done.  */
+/* Read the whole document, unless something is being read.  */
 void
 cfg_read (void *arg)
 {
@@ -123,31 +133,69 @@
   if (cfg->reading)
     return;
   cfg->reading = true;
+  cfg->read_again = false;
   kv_get (&cfg->kv, cfg->key, cfg_read_done, cfg);
 }
 
-/* Read the document only if it is not the one that was last taken in.  At the
-   target size a whole document every 30 s would be half of what an instance
-   may send and receive.  */
+/* Learn from PAIR, the last history entry of those that the poll asked for.
+   Return whether another poll goes on from there.  */
+static bool
+cfg_polled (struct cfg_state *cfg, const struct kv_pair *pair)
+{
+  struct cfg_entry entry = { pair->value, pair->value_bytes };
+
+  if (pair->revision == cfg->revision || !cfg_take_entries (cfg, &entry, 1))
+    return false;
+  cfg->revision = pair->revision;
+  return true;
+}
+
+static void
+cfg_poll_done (void *arg, const struct kv_result *result)
+{
+  struct cfg_state *cfg = arg;
+
+  if (!cfg_answered (cfg, result))
+    return;
+  if (!cfg->read_again && result->outcome == KV_OK)
+    {
+      cfg_watch_from (cfg, result->revision);
+      cfg_plan_poll (cfg);
+    }
+  else if (!cfg->read_again && result->pair_count > 0
+           && cfg_polled (cfg, &result->pairs[result->pair_count - 1]))
+    cfg_poll (cfg);
+  else
+    cfg_read (cfg);
+}
+
+/* Ask whether the document is still the one that was last taken in.  If not,
+   the entry of the generation in force, which was written with it, may show
+   that it came from a peer, and the next entry may lead on; otherwise the
+   whole document is read.  At the target size reading it every 30 s would be
+   half of what an instance may send and receive.  */
 static void
 cfg_poll (void *arg)
 {
   struct cfg_state *cfg = arg;
+  char *current = chg_history_key (cfg->environment, cfg->generation);
+  char *next = chg_history_key (cfg->environment, cfg->generation + 1);
   struct kv_compare compare = { cfg->key, cfg->revision };
-  struct kv_op op = { .kind = KV_GET, .key = cfg->key };
+  struct kv_op ops[2] = { { .kind = KV_GET, .key = current },
+                          { .kind = KV_GET, .key = next } };
   struct kv_txn txn = {
-    .compares = &compare, .compare_count = 1, .else_ops = &op, .else_count = 1
+    .compares = &compare, .compare_count = 1, .else_ops = ops, .else_count = 2
   };
 
-  if (cfg->reading)
-    return;
-  if (cfg->revision == 0)
+  if (cfg->generation == 0)
+    cfg_read (cfg);
+  else if (!cfg->reading)
     {
-      cfg_read (cfg);
-      return;
+      cfg->reading = true;
+      kv_txn (&cfg->kv, &txn, cfg_poll_done, cfg);
     }
-  cfg->reading = true;
-  kv_txn (&cfg->kv, &txn, cfg_read_done, cfg);
+  g_free (current);
+  g_free (next);
 }
 
 /* Watch the key-value service, or stop it.  */
--- a/regress/mutate_test.c
+++ b/regress/mutate_test.c
@@ -24,7 +24,9 @@
 
 static const char record[]
     = "{\"generation\":3,\"digest\":\"00ff\",\"author\":\"a\",\"comment\":"
-      "\"\",\"change_id\":\"1\",\"time_ms\":5,\"document\":\"{}\"}";
+      "\"\",\"change_id\":\"1\",\"time_ms\":5,\"document\":\"{}\","
+      "\"patch\":{\"base\":\"0123456789abcdef\",\"digest\":"
+      "\"fedcba9876543210\",\"hunks\":[[3,1,\"x\"],[4,0,\"y\"]]}}";
 
 static void
 decode_document (const char *data, size_t bytes)
--- a/regress/pch_test.c
+++ b/regress/pch_test.c
@@ -171,6 +171,7 @@
     { "[4,3,", "[4,4,", false },
     { "[4,3,", "[5,3,", false },
     { "[4,3,", "[15,0,", false },
+    { "[4,3,", "[900000,3,", false },
     { "[4,3,", "[14,1,", false },
     { "[4,3,", "[4,999999,", false },
     { "[4,3,", "[-1,3,", false },
@@ -211,11 +212,14 @@
       g_free (changed);
       g_strfreev (parts);
     }
-  /* The wrong base, longer and shorter.  */
+  /* The wrong base: longer, shorter, and one of which nothing is kept.  */
   CU_ASSERT_PTR_NULL (pch_apply (patch, text, strlen (text), &bytes));
   CU_ASSERT_PTR_NULL (pch_apply (patch, base, strlen (base) - 1, &bytes));
   json_object_put (object);
   pch_free (patch);
+  patch = pch_diff ("aaa", 3, "bbb", 3);
+  CU_ASSERT_PTR_NULL (pch_apply (patch, "ccc", 3, &bytes));
+  pch_free (patch);
 }
 
 int
