Push only the changes of a view

The controller sent its whole view to every member at each change. A view message now carries the replicas changed and removed since the newest view that the member has acknowledged.

--- a/cowslipcoved/control.c
+++ b/cowslipcoved/control.c
@@ -23,6 +23,7 @@
   lg_write (LG_CONTROL_LOST, "highest fence %" G_GUINT64_FORMAT,
             own_fence (control->own));
   ctr_add (control->daemon->counters, "control_lost", 1);
+  vwp_stop (control->pushes);
   plc_stop (control->plc);
 }
 
@@ -140,11 +141,11 @@
   static const struct plc_callbacks callbacks
       = { control_may_order,   control_order, control_save,
           control_ask_quiesce, control_view,  control_note };
+  static const struct vwp_callbacks push_callbacks = { control_push };
   struct cd_control *control = g_new0 (struct cd_control, 1);
 
   control->daemon = daemon;
-  control->pushed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  control->pushes = vwp_new (daemon->tm, &push_callbacks, control);
   control->calls = g_hash_table_new (NULL, NULL);
   control->listed
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -173,7 +174,6 @@
 
   if (control == NULL)
     return;
-  tm_cancel (control->daemon->tm, &control->retry);
   tm_cancel (control->daemon->tm, &control->list_timer);
   tm_cancel (control->daemon->tm, &control->quiet_timer);
   g_hash_table_iter_init (&iter, control->calls);
@@ -184,8 +184,8 @@
     }
   own_free (control->own);
   plc_free (control->plc);
+  vwp_free (control->pushes);
   vw_free (control->view);
-  g_hash_table_destroy (control->pushed);
   g_hash_table_destroy (control->calls);
   g_hash_table_destroy (control->listed);
   g_free (control);
--- a/cowslipcoved/control_impl.h
+++ b/cowslipcoved/control_impl.h
@@ -5,6 +5,7 @@
 #include "mem.h"
 #include "own.h"
 #include "plc.h"
+#include "vwp.h"
 
 #define CONTROL_US_PER_MS UINT64_C (1000)
 #define CONTROL_RPC_MS    2000
@@ -14,11 +15,10 @@
   struct cd_daemon *daemon;
   struct own *own;
   struct plc *plc;
-  struct vw_view *view;  /* newest of the own zone */
-  GHashTable *pushed;    /* instance -> struct control_push */
-  GHashTable *calls;     /* struct control_call: under way */
-  GHashTable *listed;    /* endpoints that the instance list named */
-  struct tm_timer retry; /* views that did not arrive */
+  struct vw_view *view; /* newest of the own zone */
+  struct vwp *pushes;   /* of the own view to the members */
+  GHashTable *calls;    /* struct control_call: under way */
+  GHashTable *listed;   /* endpoints that the instance list named */
   struct tm_timer list_timer;
   struct tm_timer quiet_timer;
   bool reading_list;
@@ -38,7 +38,6 @@
   char *model;
   char *endpoint;
   uint64_t fence;
-  uint64_t sequence;
   uint64_t asked_us;
 };
 
@@ -61,9 +60,13 @@
                           const cs_demand *demands, uint32_t count);
 
 void control_view (void *arg, const struct vw_view *view);
-void control_push_views (struct cd_control *control);
-void control_take_view (struct cd_control *control, struct vw_view *view,
-                        const char *holder);
+bool control_push (void *arg, const char *instance,
+                   const struct vw_update *update, uint64_t id);
+void control_take_update (struct cd_control *control,
+                          const struct vw_update *update, const char *holder);
+cs_view control_encode_update (const struct vw_update *update,
+                               uint64_t now_us);
+struct vw_update *control_decode_update (const cs_view *in, uint64_t now_us);
 
 void control_on_document (void *arg, const void *what);
 void control_on_members (void *arg, const void *what);
--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -108,6 +108,7 @@
   const struct set_settings *settings = control->daemon->settings;
   const GPtrArray *all = mem_members (what);
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct plc_member));
+  GArray *receivers = g_array_new (FALSE, FALSE, sizeof (struct vwp_member));
   GArray *others = g_array_new (FALSE, FALSE, sizeof (struct own_member));
   struct plc_member self = { settings->instance, true, true };
 
@@ -118,18 +119,24 @@
       struct plc_member peer = { m->instance, m->recorded, m->reachable };
       struct own_member other
           = { m->instance, m->number, m->recorded, m->reachable, m->draining };
+      struct vwp_member receiver
+          = { m->instance, m->incarnation, m->reachable };
 
       if (!g_str_equal (m->zone, settings->zone)
           || g_str_equal (m->instance, settings->instance))
         continue;
       g_array_append_val (peers, peer);
       g_array_append_val (others, other);
+      g_array_append_val (receivers, receiver);
     }
   plc_set_members (control->plc, (struct plc_member *)(void *)peers->data,
                    peers->len);
   own_set_members (control->own, (struct own_member *)(void *)others->data,
                    others->len);
+  vwp_set_members (control->pushes,
+                   (struct vwp_member *)(void *)receivers->data,
+                   receivers->len);
+  g_array_free (receivers, TRUE);
   g_array_free (peers, TRUE);
   g_array_free (others, TRUE);
-  control_push_views (control);
 }
--- a/cowslipcoved/control_rpc.c
+++ b/cowslipcoved/control_rpc.c
@@ -25,20 +25,18 @@
 {
   struct cd_control *control = arg;
   const cs_view *in = args;
-  uint64_t now_us = tm_now_us (control->daemon->tm);
-  struct vw_view *view = vw_new (in->zone, in->fence, in->sequence);
+  struct vw_update *update
+      = control_decode_update (in, tm_now_us (control->daemon->tm));
+  cs_view_reply held = { 0 };
 
-  for (u_int i = 0; i < in->replicas.replicas_len; i++)
+  control_take_update (control, update, origin->instance);
+  vw_update_free (update);
+  if (control->view != NULL)
     {
-      const cs_replica *r = &in->replicas.replicas_val[i];
-
-      if (r->state <= VW_BLOCKED)
-        (void)vw_add (
-            view, r->model, r->endpoint, (enum vw_state)r->state,
-            r->ready_ms == 0 ? 0 : now_us + r->ready_ms * CONTROL_US_PER_MS);
+      held.fence = control->view->fence;
+      held.sequence = control->view->sequence;
     }
-  control_take_view (control, view, origin->instance);
-  rpc_answer (request, NULL);
+  rpc_answer (request, &held);
 }
 
 static void
@@ -52,33 +50,14 @@
   rpc_answer (request, NULL);
 }
 
-static bool
-control_is_ready (const struct vw_view *view, const char *model,
-                  const char *endpoint)
-{
-  for (guint i = 0; i < view->replicas->len; i++)
-    {
-      const struct vw_replica *r = g_ptr_array_index (view->replicas, i);
-
-      if (r->state == VW_READY && g_str_equal (r->model, model)
-          && g_str_equal (r->endpoint, endpoint))
-        return true;
-    }
-  return false;
-}
-
-/* Stop using a replica.  A view in which it is still ready could be put in
-   force again, so the question is accepted only when the newest view, by the
-   same controller, shows that it is not.  */
+/* Stop using a replica if the newest view allows that.  */
 static cs_quiesce_reply
-control_quiesce (struct cd_control *control, uint64_t fence, const char *model,
-                 const char *endpoint)
+control_quiesce (struct cd_control *control, uint64_t fence, uint64_t sequence,
+                 const char *model, const char *endpoint)
 {
-  const struct vw_view *view = control->view;
   cs_quiesce_reply reply = { 0 };
 
-  if (view == NULL || view->fence != fence
-      || control_is_ready (view, model, endpoint))
+  if (!vw_is_quiet (control->view, fence, sequence, model, endpoint))
     return reply;
   reply.accepted = TRUE;
   reply.in_flight = cd_requests_quiesce (control->daemon, model, endpoint);
@@ -90,8 +69,8 @@
                        struct rpc_request *request)
 {
   const cs_quiesce *in = args;
-  cs_quiesce_reply reply
-      = control_quiesce (arg, in->fence, in->model, in->endpoint);
+  cs_quiesce_reply reply = control_quiesce (arg, in->fence, in->sequence,
+                                            in->model, in->endpoint);
 
   (void)origin;
   rpc_answer (request, &reply);
@@ -117,7 +96,7 @@
 {
   static const struct rpc_procedure procedures[]
       = { { COWSLIP_VIEW, (xdrproc_t)xdr_cs_view, sizeof (cs_view),
-            control_xdr_nothing, control_serve_view },
+            (xdrproc_t)xdr_cs_view_reply, control_serve_view },
           { COWSLIP_DEMAND, (xdrproc_t)xdr_cs_demand_report,
             sizeof (cs_demand_report), control_xdr_nothing,
             control_serve_demand },
@@ -245,9 +224,11 @@
   struct cd_control *control = arg;
   struct cd_daemon *daemon = control->daemon;
   const struct mem_member *member;
-  cs_quiesce quiesce = { .fence = own_fence (control->own),
-                         .model = (char *)model,
-                         .endpoint = (char *)endpoint };
+  cs_quiesce quiesce
+      = { .fence = own_fence (control->own),
+          .sequence = vwp_changed (control->pushes, model, endpoint),
+          .model = (char *)model,
+          .endpoint = (char *)endpoint };
   struct rpc_call send = { .procedure = COWSLIP_QUIESCE,
                            .encode_args = (xdrproc_t)xdr_cs_quiesce,
                            .args = &quiesce,
@@ -258,8 +239,8 @@
 
   if (g_str_equal (instance, daemon->settings->instance))
     {
-      cs_quiesce_reply reply
-          = control_quiesce (control, quiesce.fence, model, endpoint);
+      cs_quiesce_reply reply = control_quiesce (
+          control, quiesce.fence, quiesce.sequence, model, endpoint);
 
       plc_quiesced (control->plc, instance, model, endpoint, reply.accepted,
                     reply.in_flight);
--- a/cowslipcoved/control_view.c
+++ b/cowslipcoved/control_view.c
@@ -1,153 +1,145 @@
 #include "control_impl.h"
 #include "peers.h"
 
-#define CONTROL_PUSH_RETRY_MS 500
+/* Short enough for a push that got lost to be repeated within 2 s.  */
+#define CONTROL_PUSH_MS 1000
 
-/* The newest view that a member has confirmed.  */
-struct control_push
-{
-  uint64_t incarnation;
-  uint64_t fence;
-  uint64_t sequence;
-  bool under_way;
-};
-
-/* Take VIEW, which HOLDER pushed, if it is newer than the one known; VIEW is
-   owned by this function.  */
-void
-control_take_view (struct cd_control *control, struct vw_view *view,
-                   const char *holder)
+/* Put VIEW, which is newer than the one known, in force; it is owned by this
+   function.  */
+static void
+control_use_view (struct cd_control *control, struct vw_view *view)
 {
-  own_saw_fence (control->own, view->fence, holder);
-  if (!g_str_equal (view->zone, control->daemon->settings->zone)
-      || !vw_newer (view, control->view))
-    {
-      vw_free (view);
-      return;
-    }
   vw_free (control->view);
   control->view = view;
   cd_publish (control->daemon, CD_VIEW, view);
 }
 
+/* Take UPDATE, which HOLDER pushed, if it leads from the view known to a newer
+   one.  */
+void
+control_take_update (struct cd_control *control,
+                     const struct vw_update *update, const char *holder)
+{
+  struct vw_view *view;
+
+  own_saw_fence (control->own, update->view->fence, holder);
+  if (!g_str_equal (update->view->zone, control->daemon->settings->zone))
+    return;
+  view = vw_apply (control->view, update);
+  if (view != NULL)
+    control_use_view (control, view);
+}
+
 static void
 control_pushed (void *arg, enum rpc_outcome outcome, void *result)
 {
   struct control_call *call = arg;
-  struct cd_control *control = call->control;
-  struct control_push *push;
-
-  (void)result;
-  push = control == NULL
-             ? NULL
-             : g_hash_table_lookup (control->pushed, call->instance);
-  if (push != NULL)
-    {
-      push->under_way = false;
-      if (outcome == RPC_OK)
-        {
-          push->fence = call->fence;
-          push->sequence = call->sequence;
-        }
-    }
+  const cs_view_reply *held = result;
+
+  if (call->control != NULL && outcome == RPC_OK)
+    vwp_answered (call->control->pushes, call->instance, call->id, true,
+                  held->fence, held->sequence);
+  else if (call->control != NULL)
+    vwp_answered (call->control->pushes, call->instance, call->id, false, 0,
+                  0);
   control_call_free (call);
 }
 
-static cs_view
-control_encode (const struct cd_control *control, cs_replica *replicas)
+static u_int
+control_wait_ms (uint64_t ready_us, uint64_t now_us)
 {
-  const struct vw_view *view = control->view;
-  uint64_t now_us = tm_now_us (control->daemon->tm);
-  cs_view out = { .zone = view->zone,
-                  .fence = view->fence,
-                  .sequence = view->sequence };
-
-  out.replicas.replicas_len = MIN (view->replicas->len, COWSLIP_LIST_MAX);
-  out.replicas.replicas_val = replicas;
+  uint64_t wait_us = ready_us > now_us ? ready_us - now_us : 0;
+
+  return ready_us == 0
+             ? 0
+             : (u_int)MIN (wait_us / CONTROL_US_PER_MS + 1, UINT32_MAX);
+}
+
+/* Return the message for UPDATE, which has to outlive it; the caller frees the
+   two lists.  Times are relative to NOW_US.  */
+cs_view
+control_encode_update (const struct vw_update *update, uint64_t now_us)
+{
+  const GPtrArray *replicas = update->view->replicas;
+  cs_view out = { .zone = update->view->zone,
+                  .fence = update->view->fence,
+                  .base = update->base,
+                  .sequence = update->view->sequence };
+
+  out.replicas.replicas_len = MIN (replicas->len, COWSLIP_LIST_MAX);
+  out.replicas.replicas_val = g_new0 (cs_replica, replicas->len + 1);
   for (guint i = 0; i < out.replicas.replicas_len; i++)
     {
-      const struct vw_replica *replica = g_ptr_array_index (view->replicas, i);
-      uint64_t wait_us
-          = replica->ready_us > now_us ? replica->ready_us - now_us : 0;
-
-      replicas[i]
-          = (cs_replica){ .model = replica->model,
-                          .endpoint = replica->endpoint,
-                          .state = replica->state,
-                          .ready_ms
-                          = replica->ready_us == 0
-                                ? 0
-                                : (u_int)MIN (wait_us / CONTROL_US_PER_MS + 1,
-                                              UINT32_MAX) };
+      const struct vw_replica *r = g_ptr_array_index (replicas, i);
+
+      out.replicas.replicas_val[i]
+          = (cs_replica){ .model = r->model,
+                          .endpoint = r->endpoint,
+                          .state = r->state,
+                          .ready_ms = control_wait_ms (r->ready_us, now_us) };
+    }
+  out.removed.removed_len = MIN (update->removed->len, COWSLIP_LIST_MAX);
+  out.removed.removed_val = g_new0 (cs_removed, update->removed->len + 1);
+  for (guint i = 0; i < out.removed.removed_len; i++)
+    {
+      const struct vw_replica *r = g_ptr_array_index (update->removed, i);
+
+      out.removed.removed_val[i] = (cs_removed){ r->model, r->endpoint };
     }
   return out;
 }
 
-static void
-control_push (struct cd_control *control, const struct mem_member *member,
-              cs_view *view)
+/* Return the update in the message IN, which came at NOW_US; the caller frees
+   it.  */
+struct vw_update *
+control_decode_update (const cs_view *in, uint64_t now_us)
 {
-  struct control_push *push
-      = g_hash_table_lookup (control->pushed, member->instance);
-  struct rpc_call send = { .address = member->rpc_address,
-                           .procedure = COWSLIP_VIEW,
-                           .encode_args = (xdrproc_t)xdr_cs_view,
-                           .args = view,
-                           .decode_result = control_xdr_nothing,
-                           .timeout_ms = CONTROL_RPC_MS };
-  struct control_call *call;
+  struct vw_update *update
+      = vw_update_new (in->zone, in->fence, in->base, in->sequence);
 
-  if (push == NULL)
+  for (u_int i = 0; i < in->replicas.replicas_len; i++)
     {
-      push = g_new0 (struct control_push, 1);
-      g_hash_table_insert (control->pushed, g_strdup (member->instance), push);
+      const cs_replica *r = &in->replicas.replicas_val[i];
+
+      if (r->state <= VW_BLOCKED)
+        (void)vw_add (
+            update->view, r->model, r->endpoint, (enum vw_state)r->state,
+            r->ready_ms == 0 ? 0 : now_us + r->ready_ms * CONTROL_US_PER_MS);
     }
-  if (push->incarnation != member->incarnation)
-    *push = (struct control_push){ .incarnation = member->incarnation };
-  if (push->under_way
-      || (push->fence == view->fence && push->sequence == view->sequence))
-    return;
-  push->under_way = true;
-  call = control_call_new (control);
-  call->instance = g_strdup (member->instance);
-  call->fence = view->fence;
-  call->sequence = view->sequence;
-  rpc_send (control->daemon->rpc, &send, control_pushed, call);
+  for (u_int i = 0; i < in->removed.removed_len; i++)
+    vw_update_remove (update, in->removed.removed_val[i].model,
+                      in->removed.removed_val[i].endpoint);
+  return update;
 }
 
-static void
-control_push_again (void *arg)
+/* Send UPDATE to INSTANCE as the push ID.  */
+bool
+control_push (void *arg, const char *instance, const struct vw_update *update,
+              uint64_t id)
 {
-  control_push_views (arg);
-}
+  struct cd_control *control = arg;
+  const struct mem_member *member = control_member (control, instance);
+  cs_view view
+      = control_encode_update (update, tm_now_us (control->daemon->tm));
+  struct rpc_call send = { .procedure = COWSLIP_VIEW,
+                           .encode_args = (xdrproc_t)xdr_cs_view,
+                           .args = &view,
+                           .decode_result = (xdrproc_t)xdr_cs_view_reply,
+                           .result_bytes = sizeof (cs_view_reply),
+                           .timeout_ms = CONTROL_PUSH_MS };
+  struct control_call *call;
 
-/* Push the own view to all reachable members of the zone that have not
-   confirmed it, and look again later.  */
-void
-control_push_views (struct cd_control *control)
-{
-  const struct mem_table *table = cd_members (control->daemon);
-  const struct set_settings *settings = control->daemon->settings;
-  cs_replica *replicas;
-  cs_view view;
-
-  tm_after (control->daemon->tm, &control->retry,
-            CONTROL_PUSH_RETRY_MS * CONTROL_US_PER_MS, control_push_again,
-            control);
-  if (table == NULL || control->view == NULL || !own_is_holder (control->own))
-    return;
-  replicas = g_new0 (cs_replica, control->view->replicas->len + 1);
-  view = control_encode (control, replicas);
-  for (guint i = 0; i < mem_members (table)->len; i++)
+  if (member != NULL)
     {
-      const struct mem_member *member
-          = g_ptr_array_index (mem_members (table), i);
-
-      if (member->reachable && g_str_equal (member->zone, settings->zone)
-          && !g_str_equal (member->instance, settings->instance))
-        control_push (control, member, &view);
+      call = control_call_new (control);
+      call->instance = g_strdup (instance);
+      call->id = id;
+      send.address = member->rpc_address;
+      rpc_send (control->daemon->rpc, &send, control_pushed, call);
     }
-  g_free (replicas);
+  g_free (view.replicas.replicas_val);
+  g_free (view.removed.removed_val);
+  return member != NULL;
 }
 
 /* Placement has made VIEW: use it here and push it.  */
@@ -155,14 +147,16 @@
 control_view (void *arg, const struct vw_view *view)
 {
   struct cd_control *control = arg;
-  struct vw_view *copy = vw_new (view->zone, view->fence, view->sequence);
+  struct vw_update *all
+      = vw_update_new (view->zone, view->fence, 0, view->sequence);
 
   for (guint i = 0; i < view->replicas->len; i++)
     {
       const struct vw_replica *r = g_ptr_array_index (view->replicas, i);
 
-      (void)vw_add (copy, r->model, r->endpoint, r->state, r->ready_us);
+      (void)vw_add (all->view, r->model, r->endpoint, r->state, r->ready_us);
     }
-  control_take_view (control, copy, control->daemon->settings->instance);
-  control_push_views (control);
+  control_take_update (control, all, control->daemon->settings->instance);
+  vw_update_free (all);
+  vwp_view (control->pushes, view);
 }
--- a/libcowslip/plc_view.c
+++ b/libcowslip/plc_view.c
@@ -1,9 +1,6 @@
 #include "plc_adapter.h"
 
 #define PLC_FIRST_VIEW_MS 2000
-/* A smaller change of an expected time is not worth a message.  */
-#define PLC_READY_SLACK_US 200000
-#define PLC_COLD_SLACK_US  1000000
 
 /* Return what instances are told about SLOT.  */
 enum vw_state
@@ -72,25 +69,22 @@
 }
 
 static bool
-plc_replicas_equal (const struct vw_replica *x, const struct vw_replica *y)
+plc_replicas_equal (const struct vw_replica *x, const struct vw_replica *y,
+                    uint64_t now_us)
 {
-  uint64_t apart_us = x->ready_us > y->ready_us ? x->ready_us - y->ready_us
-                                                : y->ready_us - x->ready_us;
-
-  return x->state == y->state && g_str_equal (x->model, y->model)
-         && g_str_equal (x->endpoint, y->endpoint)
-         && apart_us < (x->state == VW_COLD ? PLC_COLD_SLACK_US
-                                            : PLC_READY_SLACK_US);
+  return g_str_equal (x->model, y->model)
+         && g_str_equal (x->endpoint, y->endpoint) && vw_same (x, y, now_us);
 }
 
 static bool
-plc_views_equal (const struct vw_view *a, const struct vw_view *b)
+plc_views_equal (const struct vw_view *a, const struct vw_view *b,
+                 uint64_t now_us)
 {
   if (a == NULL || a->replicas->len != b->replicas->len)
     return false;
   for (guint i = 0; i < a->replicas->len; i++)
     if (!plc_replicas_equal (g_ptr_array_index (a->replicas, i),
-                             g_ptr_array_index (b->replicas, i)))
+                             g_ptr_array_index (b->replicas, i), now_us))
       return false;
   return true;
 }
@@ -123,7 +117,7 @@
   if (!plc_view_is_due (plc))
     return;
   view = plc_build_view (plc);
-  if (plc_views_equal (plc->view, view))
+  if (plc_views_equal (plc->view, view, plc_now (plc)))
     {
       vw_free (view);
       return;
--- a/libcowslip/vw.c
+++ b/libcowslip/vw.c
@@ -1,5 +1,10 @@
 #include "vw.h"
 
+/* An expected time that moves by less than this, or by less than a tenth of
+   the time that remains, is not worth a message.  */
+#define VW_READY_SLACK_US  200000
+#define VW_READY_SLACK_DIV 10
+
 static void
 vw_replica_free (gpointer data)
 {
@@ -61,6 +66,57 @@
   return view->sequence > than->sequence;
 }
 
+static bool
+vw_ready_same (uint64_t a_us, uint64_t b_us, uint64_t now_us)
+{
+  uint64_t late_us = MAX (a_us, b_us);
+  uint64_t left_us = late_us > now_us ? late_us - now_us : 0;
+
+  if ((a_us == 0) != (b_us == 0))
+    return false;
+  return late_us - MIN (a_us, b_us)
+         <= MAX (VW_READY_SLACK_US, left_us / VW_READY_SLACK_DIV);
+}
+
+/* Return whether instances need not be told of the difference between X and
+   Y, both replicas of one model or adapter on one endpoint, at NOW_US.  */
+bool
+vw_same (const struct vw_replica *x, const struct vw_replica *y,
+         uint64_t now_us)
+{
+  return x->state == y->state
+         && vw_ready_same (x->ready_us, y->ready_us, now_us);
+}
+
+/* Return whether a member that holds VIEW (may be NULL) can promise the
+   controller with FENCE not to use MODEL on ENDPOINT any more.  A view in
+   which it is ready could be put in force again.  One from before SEQUENCE, in
+   which the controller took the replica out of use, may show an earlier
+   quiescence that ends in a view under way.  */
+bool
+vw_is_quiet (const struct vw_view *view, uint64_t fence, uint64_t sequence,
+             const char *model, const char *endpoint)
+{
+  if (view == NULL || view->fence != fence || view->sequence < sequence)
+    return false;
+  for (guint i = 0; i < view->replicas->len; i++)
+    {
+      const struct vw_replica *r = g_ptr_array_index (view->replicas, i);
+
+      if (r->state == VW_READY && g_str_equal (r->model, model)
+          && g_str_equal (r->endpoint, endpoint))
+        return false;
+    }
+  return true;
+}
+
+/* Return a new string that names the model and endpoint of REPLICA.  */
+char *
+vw_key (const struct vw_replica *replica)
+{
+  return g_strconcat (replica->model, "\n", replica->endpoint, NULL);
+}
+
 /* Return the name of STATE in operators' output.  */
 const char *
 vw_state_text (enum vw_state state)
--- a/libcowslip/vw.h
+++ b/libcowslip/vw.h
@@ -42,6 +42,11 @@
                            uint64_t ready_us);
 void vw_free (struct vw_view *view);
 bool vw_newer (const struct vw_view *view, const struct vw_view *than);
+bool vw_same (const struct vw_replica *x, const struct vw_replica *y,
+              uint64_t now_us);
+bool vw_is_quiet (const struct vw_view *view, uint64_t fence,
+                  uint64_t sequence, const char *model, const char *endpoint);
+char *vw_key (const struct vw_replica *replica);
 const char *vw_state_text (enum vw_state state);
 
 #endif
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -108,19 +108,37 @@
 };
 typedef struct cs_replica cs_replica;
 
+struct cs_removed {
+	cs_name model;
+	cs_name endpoint;
+};
+typedef struct cs_removed cs_removed;
+
 struct cs_view {
 	cs_name zone;
 	u_quad_t fence;
+	u_quad_t base;
 	u_quad_t sequence;
 	struct {
 		u_int replicas_len;
 		cs_replica *replicas_val;
 	} replicas;
+	struct {
+		u_int removed_len;
+		cs_removed *removed_val;
+	} removed;
 };
 typedef struct cs_view cs_view;
 
+struct cs_view_reply {
+	u_quad_t fence;
+	u_quad_t sequence;
+};
+typedef struct cs_view_reply cs_view_reply;
+
 struct cs_quiesce {
 	u_quad_t fence;
+	u_quad_t sequence;
 	cs_name model;
 	cs_name endpoint;
 };
@@ -212,8 +230,8 @@
 extern  void * cowslip_demand_1(cs_demand_report *, CLIENT *);
 extern  void * cowslip_demand_1_svc(cs_demand_report *, struct svc_req *);
 #define COWSLIP_VIEW 4
-extern  void * cowslip_view_1(cs_view *, CLIENT *);
-extern  void * cowslip_view_1_svc(cs_view *, struct svc_req *);
+extern  cs_view_reply * cowslip_view_1(cs_view *, CLIENT *);
+extern  cs_view_reply * cowslip_view_1_svc(cs_view *, struct svc_req *);
 #define COWSLIP_QUIESCE 5
 extern  cs_quiesce_reply * cowslip_quiesce_1(cs_quiesce *, CLIENT *);
 extern  cs_quiesce_reply * cowslip_quiesce_1_svc(cs_quiesce *, struct svc_req *);
@@ -239,8 +257,8 @@
 extern  void * cowslip_demand_1();
 extern  void * cowslip_demand_1_svc();
 #define COWSLIP_VIEW 4
-extern  void * cowslip_view_1();
-extern  void * cowslip_view_1_svc();
+extern  cs_view_reply * cowslip_view_1();
+extern  cs_view_reply * cowslip_view_1_svc();
 #define COWSLIP_QUIESCE 5
 extern  cs_quiesce_reply * cowslip_quiesce_1();
 extern  cs_quiesce_reply * cowslip_quiesce_1_svc();
@@ -269,7 +287,9 @@
 extern  bool_t xdr_cs_document (XDR *, cs_document*);
 extern  bool_t xdr_cs_demand_report (XDR *, cs_demand_report*);
 extern  bool_t xdr_cs_replica (XDR *, cs_replica*);
+extern  bool_t xdr_cs_removed (XDR *, cs_removed*);
 extern  bool_t xdr_cs_view (XDR *, cs_view*);
+extern  bool_t xdr_cs_view_reply (XDR *, cs_view_reply*);
 extern  bool_t xdr_cs_quiesce (XDR *, cs_quiesce*);
 extern  bool_t xdr_cs_quiesce_reply (XDR *, cs_quiesce_reply*);
 extern  bool_t xdr_cs_promise (XDR *, cs_promise*);
@@ -291,7 +311,9 @@
 extern bool_t xdr_cs_document ();
 extern bool_t xdr_cs_demand_report ();
 extern bool_t xdr_cs_replica ();
+extern bool_t xdr_cs_removed ();
 extern bool_t xdr_cs_view ();
+extern bool_t xdr_cs_view_reply ();
 extern bool_t xdr_cs_quiesce ();
 extern bool_t xdr_cs_quiesce_reply ();
 extern bool_t xdr_cs_promise ();
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -81,17 +81,33 @@
   unsigned int ready_ms;
 };
 
+struct cs_removed
+{
+  cs_name model;
+  cs_name endpoint;
+};
+
 struct cs_view
 {
   cs_name zone;
   unsigned hyper fence;
+  unsigned hyper base; /* changes since then; 0: everything */
   unsigned hyper sequence;
   cs_replica replicas<COWSLIP_LIST_MAX>;
+  cs_removed removed<COWSLIP_LIST_MAX>;
+};
+
+/* The view that the receiver holds now.  */
+struct cs_view_reply
+{
+  unsigned hyper fence; /* 0: none */
+  unsigned hyper sequence;
 };
 
 struct cs_quiesce
 {
   unsigned hyper fence;
+  unsigned hyper sequence; /* of the oldest view that may answer */
   cs_name model;
   cs_name endpoint;
 };
@@ -166,7 +182,7 @@
     cs_heartbeat_reply COWSLIP_HEARTBEAT (cs_heartbeat) = 1;
     cs_document COWSLIP_GET_DOCUMENT (cs_name) = 2;
     void COWSLIP_DEMAND (cs_demand_report) = 3;
-    void COWSLIP_VIEW (cs_view) = 4;
+    cs_view_reply COWSLIP_VIEW (cs_view) = 4;
     cs_quiesce_reply COWSLIP_QUIESCE (cs_quiesce) = 5;
     cs_promise_reply COWSLIP_PROMISE (cs_promise) = 6;
     cs_claim_reply COWSLIP_CLAIM (cs_claim) = 7;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -208,6 +208,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_removed (XDR *xdrs, cs_removed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_cs_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_view (XDR *xdrs, cs_view *objp)
 {
@@ -217,11 +229,28 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, COWSLIP_LIST_MAX,
 		sizeof (cs_replica), (xdrproc_t) xdr_cs_replica))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed.removed_val, (u_int *) &objp->removed.removed_len, COWSLIP_LIST_MAX,
+		sizeof (cs_removed), (xdrproc_t) xdr_cs_removed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_view_reply (XDR *xdrs, cs_view_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -232,6 +261,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->model))
 		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->endpoint))
