--- a/libcowslip/set.c
+++ b/libcowslip/set.c
@@ -133,32 +133,22 @@
   set_read_limits (reader, settings);
 }
 
-/* Read and check the settings in FILE.  Return NULL and set ERROR, naming the
-   file and the line or key, if they cannot be used.  */
+/* Parse and check the BYTES at TEXT, which stand in FILE.  Return NULL and set
+   ERROR, naming the line or key, if they cannot be used.  */
 struct set_settings *
-set_load (const char *file, GError **error)
+set_parse (const char *text, size_t bytes, const char *file, GError **error)
 {
+  struct json_object *object = jsn_parse (text, bytes, error);
   struct set_settings *settings;
-  struct json_object *object;
   struct jsn_reader reader;
-  char *text;
-  size_t bytes;
 
-  if (!g_file_get_contents (file, &text, &bytes, error))
-    return NULL;
-  object = jsn_parse (text, bytes, error);
-  g_free (text);
   if (object == NULL)
-    {
-      g_prefix_error (error, "%s: ", file);
-      return NULL;
-    }
+    return NULL;
   settings = g_new0 (struct set_settings, 1);
   jsn_open (&reader, object, "");
   set_read (&reader, file, settings);
   if (!jsn_close (&reader, error))
     {
-      g_prefix_error (error, "%s: ", file);
       set_free (settings);
       settings = NULL;
     }
@@ -166,6 +156,24 @@
   return settings;
 }
 
+/* Read and check the settings in FILE.  Return NULL and set ERROR, naming the
+   file and the line or key, if they cannot be used.  */
+struct set_settings *
+set_load (const char *file, GError **error)
+{
+  struct set_settings *settings;
+  char *text;
+  size_t bytes;
+
+  if (!g_file_get_contents (file, &text, &bytes, error))
+    return NULL;
+  settings = set_parse (text, bytes, file, error);
+  g_free (text);
+  if (settings == NULL)
+    g_prefix_error (error, "%s: ", file);
+  return settings;
+}
+
 /* Free SETTINGS and clear the secrets from memory.  */
 void
 set_free (struct set_settings *settings)
--- a/libcowslip/set.h
+++ b/libcowslip/set.h
@@ -31,6 +31,8 @@
   uint32_t log_level; /* syslog severity */
 };
 
+struct set_settings *set_parse (const char *text, size_t bytes,
+                                const char *file, GError **error);
 struct set_settings *set_load (const char *file, GError **error);
 void set_free (struct set_settings *settings);
 
