Add one-way RPC calls

An instance's heartbeat need not be answered: the peer's own heartbeat says what the answer said. The RPC module knew only calls with an answer.

A procedure without an encoder of results is one-way (batching, RFC 5531 section 8.2), and rpc_send_one_way makes such a call. It is authenticated and checked against replay like any other. rpc_connection numbers connections, so that a caller sees that earlier one-way calls may have been lost. No missing answer shows a dead connection, so TCP_USER_TIMEOUT ends a connection whose data is not acknowledged for 3 s.

--- a/libcowslip/rpc.c
+++ b/libcowslip/rpc.c
@@ -21,6 +21,7 @@
   node->accepted = g_hash_table_new (NULL, NULL);
   node->next_xid = 1;
   node->next_sequence = 1;
+  node->next_connection = 1;
   if (rpc_server_listen (node, config->address, error))
     return node;
   rpc_node_free (node);
--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -37,7 +37,8 @@
 };
 
 /* How one procedure is decoded and served.  SERVE must call rpc_answer once,
-   now or later.  */
+   now or later, unless ENCODE_RESULT is NULL: the procedure is one-way then
+   and REQUEST is NULL.  */
 struct rpc_procedure
 {
   uint32_t number;
@@ -82,6 +83,8 @@
 void rpc_answer (struct rpc_request *request, void *result);
 void rpc_send (struct rpc_node *node, const struct rpc_call *call,
                rpc_done done, void *arg);
+void rpc_send_one_way (struct rpc_node *node, const struct rpc_call *call);
+uint64_t rpc_connection (const struct rpc_node *node, const char *address);
 const char *rpc_address (const struct rpc_node *node);
 uint64_t rpc_bytes_sent (const struct rpc_node *node);
 uint64_t rpc_bytes_received (const struct rpc_node *node);
--- a/libcowslip/rpc_impl.h
+++ b/libcowslip/rpc_impl.h
@@ -51,6 +51,7 @@
   GHashTable *accepted; /* set of struct rpc_conn */
   uint32_t next_xid;
   uint64_t next_sequence;
+  uint64_t next_connection;
   uint64_t bytes_sent;
   uint64_t bytes_received;
   uint64_t next_log_us;
--- a/libcowslip/rpc_peer.c
+++ b/libcowslip/rpc_peer.c
@@ -1,40 +1,17 @@
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
-#include "rpc_impl.h"
+#include "rpc_peer.h"
 
 #define RPC_CONNECT_LIMIT_US 3000000
 /* Calls to a peer that refused a connection fail at once for this time, so
    that many callers do not connect again and again.  */
 #define RPC_RECONNECT_US 100000
-
-/* The other end of calls that this process makes.  */
-struct rpc_peer
-{
-  struct rpc_node *node;
-  char *address;
-  struct rpc_conn *conn; /* NULL: none */
-  uint8_t hello_mac[RPC_AUTH_MAC_BYTES];
-  uint64_t incarnation; /* 0: not known yet; calls wait */
-  uint64_t retry_us;    /* no connection attempt before */
-  struct tm_timer start;
-  GQueue waiting;   /* struct rpc_pending, not sent */
-  GHashTable *sent; /* xid -> struct rpc_pending */
-};
-
-struct rpc_pending
-{
-  struct rpc_peer *peer;
-  uint32_t xid;
-  uint32_t procedure;
-  GByteArray *body; /* NULL: cannot be encoded */
-  uint8_t mac[RPC_AUTH_MAC_BYTES];
-  xdrproc_t decode_result;
-  size_t result_bytes;
-  struct tm_timer limit;
-  uint64_t sent_us; /* 0: not sent */
-  rpc_done done;
-  void *arg;
-};
+/* One-way calls have no answer whose absence shows a dead connection, so the
+   kernel ends a connection whose data is not acknowledged for this time.  */
+#define RPC_UNACKNOWLEDGED_MS 3000
 
 static void
 rpc_pending_free (struct rpc_pending *call)
@@ -45,7 +22,8 @@
   g_free (call);
 }
 
-static void
+/* End CALL, which is in no queue or table of its peer, and free it.  */
+void
 rpc_pending_end (struct rpc_pending *call, enum rpc_outcome outcome,
                  void *result)
 {
@@ -57,7 +35,8 @@
           [RPC_REFUSED] = "rpc_calls_total{outcome=\"refused\"}" };
 
   ctr_add (call->peer->node->counters, names[outcome], 1);
-  call->done (call->arg, outcome, result);
+  if (call->done != NULL)
+    call->done (call->arg, outcome, result);
   rpc_pending_free (call);
 }
 
@@ -120,6 +99,12 @@
       rpc_pending_end (call, RPC_CONNECT_FAILED, NULL);
       return;
     }
+  if (call->done == NULL)
+    {
+      ctr_add (peer->node->counters, "rpc_one_way_total", 1);
+      rpc_pending_free (call);
+      return;
+    }
   call->sent_us = tm_now_us (peer->node->tm);
   g_hash_table_insert (peer->sent, &call->xid, call);
 }
@@ -158,6 +143,7 @@
       return false;
     }
   peer->incarnation = incarnation;
+  peer->connection = peer->node->next_connection++;
   tm_cancel (peer->node->tm, &conn->limit);
   rpc_send_waiting (peer);
   return true;
@@ -224,6 +210,8 @@
 {
   struct rpc_conn *conn = request->handle->data;
   struct rpc_peer *peer = conn->peer;
+  const int limit_ms = RPC_UNACKNOWLEDGED_MS;
+  uv_os_fd_t fd;
 
   if (conn->closing)
     return;
@@ -232,6 +220,9 @@
       rpc_conn_close (conn);
       return;
     }
+  if (uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0)
+    (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms,
+                      sizeof limit_ms);
   rpc_conn_read (conn);
   (void)rpc_conn_write (
       conn, rpc_peer_call (peer, 0, NULLPROC, NULL, peer->hello_mac));
@@ -275,28 +266,10 @@
     rpc_conn_close (peer->conn);
 }
 
-/* A connection that has been silent since the call was sent may be dead
-   without a packet that says so; the next call opens a new one.  */
-static void
-rpc_pending_late (void *arg)
-{
-  struct rpc_pending *call = arg;
-  struct rpc_conn *conn = call->peer->conn;
-  bool sent = call->sent_us != 0;
-  bool silent = sent && conn != NULL && conn->last_input_us < call->sent_us;
-
-  if (sent)
-    g_hash_table_remove (call->peer->sent, &call->xid);
-  else
-    g_queue_remove (&call->peer->waiting, call);
-  rpc_pending_end (call, sent ? RPC_TIMEOUT : RPC_CONNECT_FAILED, NULL);
-  if (silent)
-    rpc_conn_close (conn);
-}
-
-/* Calls start from the timer service, so that no caller is answered from
-   within rpc_send.  */
-static void
+/* Send the waiting calls of a struct rpc_peer, or connect for them.  Calls
+   start from the timer service, so that no caller is answered from within
+   rpc_send.  */
+void
 rpc_peer_start (void *arg)
 {
   struct rpc_peer *peer = arg;
@@ -307,22 +280,6 @@
     rpc_send_waiting (peer);
 }
 
-static struct rpc_peer *
-rpc_peer_find (struct rpc_node *node, const char *address)
-{
-  struct rpc_peer *peer = g_hash_table_lookup (node->peers, address);
-
-  if (peer != NULL)
-    return peer;
-  peer = g_new0 (struct rpc_peer, 1);
-  peer->node = node;
-  peer->address = g_strdup (address);
-  peer->sent = g_hash_table_new (g_int_hash, g_int_equal);
-  g_queue_init (&peer->waiting);
-  g_hash_table_insert (node->peers, peer->address, peer);
-  return peer;
-}
-
 /* Free PEER.  Its calls end without a report.  */
 void
 rpc_peer_free (void *arg)
@@ -345,27 +302,3 @@
   g_free (peer->address);
   g_free (peer);
 }
-
-/* Make CALL and report its result once to DONE with ARG, never from within
-   this function.  CALL and what it points to are used only during this
-   function.  Arguments that cannot be encoded end as RPC_CONNECT_FAILED.  */
-void
-rpc_send (struct rpc_node *node, const struct rpc_call *call, rpc_done done,
-          void *arg)
-{
-  struct rpc_pending *pending = g_new0 (struct rpc_pending, 1);
-
-  pending->peer = rpc_peer_find (node, call->address);
-  pending->xid = node->next_xid++;
-  pending->procedure = call->procedure;
-  pending->body = rpc_message_encode (call->encode_args, call->args);
-  pending->decode_result = call->decode_result;
-  pending->result_bytes = call->result_bytes;
-  pending->done = done;
-  pending->arg = arg;
-  g_queue_push_tail (&pending->peer->waiting, pending);
-  tm_after (node->tm, &pending->limit,
-            (uint64_t)call->timeout_ms * RPC_US_PER_MS, rpc_pending_late,
-            pending);
-  tm_after (node->tm, &pending->peer->start, 0, rpc_peer_start, pending->peer);
-}
--- a/libcowslip/rpc_server.c
+++ b/libcowslip/rpc_server.c
@@ -95,13 +95,19 @@
       rpc_conn_bad (conn, "arguments");
       return false;
     }
+  g_strlcpy (origin.instance, call->credential.instance,
+             sizeof origin.instance);
+  if (entry->procedure.encode_result == NULL)
+    {
+      entry->procedure.serve (entry->arg, &origin, request->args, NULL);
+      rpc_request_free (request);
+      return true;
+    }
   request->conn = conn;
   request->auth = conn->node->auth;
   request->xid = call->xid;
   memcpy (request->mac, call->mac, sizeof request->mac);
   g_hash_table_add (conn->requests, request);
-  g_strlcpy (origin.instance, call->credential.instance,
-             sizeof origin.instance);
   request->serving = true;
   entry->procedure.serve (entry->arg, &origin, request->args, request);
   request->serving = false;
--- a/regress/rpc_test.c
+++ b/regress/rpc_test.c
@@ -12,6 +12,8 @@
 
 #define PROC_ADD  1
 #define PROC_HOLD 2
+#define PROC_TELL 3
+#define BULK      65536
 #define KEY       "0123456789abcdef0123456789abcdef"
 #define OTHER_KEY "0123456789abcdef0123456789abcdeX"
 
@@ -54,6 +56,18 @@
   rig->held = request;
 }
 
+static void
+serve_tell (void *arg, const struct rpc_origin *origin, void *args,
+            struct rpc_request *request)
+{
+  struct rig *rig = arg;
+
+  CU_ASSERT_PTR_NULL (request);
+  CU_ASSERT_STRING_EQUAL (origin->instance, "a");
+  rig->served++;
+  rig->result = *(u_int64_t *)args;
+}
+
 static void
 on_guard (uv_timer_t *timer)
 {
@@ -74,10 +88,14 @@
   static const struct rpc_procedure hold
       = { PROC_HOLD, (xdrproc_t)xdr_u_int64_t, sizeof (u_int64_t),
           (xdrproc_t)xdr_u_int64_t, serve_hold };
+  static const struct rpc_procedure tell
+      = { PROC_TELL, (xdrproc_t)xdr_u_int64_t, sizeof (u_int64_t), NULL,
+          serve_tell };
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (node);
   rpc_serve (node, &add, rig);
   rpc_serve (node, &hold, rig);
+  rpc_serve (node, &tell, rig);
   return node;
 }
 
@@ -296,11 +314,8 @@
   rig_stop (&rig);
 }
 
-/* Guards against authenticated bytes that are played again, to another
-   address, to a later incarnation or from an earlier one, and against changed
-   ones.  */
 static void
-test_replay (void)
+run_replay (uint32_t procedure)
 {
   static const struct
   {
@@ -345,7 +360,7 @@
                  cases[i].to_address != NULL ? cases[i].to_address
                                              : rig.address,
                  sizeof credential.to_address);
-      record = rpc_message_call (auth, &credential, 1, PROC_ADD, body, mac);
+      record = rpc_message_call (auth, &credential, 1, procedure, body, mac);
       record->data[record->len - 1] ^= cases[i].flip;
       (void)!write (fd, record->data, record->len);
       g_byte_array_free (record, TRUE);
@@ -368,6 +383,194 @@
   rig_stop (&rig);
 }
 
+/* Guards against authenticated bytes that are played again, to another
+   address, to a later incarnation or from an earlier one, and against changed
+   ones.  */
+static void
+test_replay (void)
+{
+  run_replay (PROC_ADD);
+  run_replay (PROC_TELL);
+}
+
+static void
+tell (struct rig *rig, u_int64_t value)
+{
+  struct rpc_call made = { .address = rig->address,
+                           .procedure = PROC_TELL,
+                           .encode_args = (xdrproc_t)xdr_u_int64_t,
+                           .args = &value,
+                           .timeout_ms = 5000 };
+
+  rpc_send_one_way (rig->client, &made);
+}
+
+static void
+run_until_served (struct rig *rig, uint32_t wanted)
+{
+  while (rig->served < wanted)
+    uv_run (&rig->loop, UV_RUN_ONCE);
+}
+
+/* Guards against one-way calls that are answered, served out of order, or lost
+   for good with their connection, and against a connection made anew that
+   cannot be told from the one before.  */
+static void
+test_one_way (void)
+{
+  uint64_t answered;
+  uint64_t connection;
+  struct rig rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (rpc_connection (rig.client, rig.address), 0);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  connection = rpc_connection (rig.client, rig.address);
+  answered = rpc_bytes_sent (rig.server);
+  for (u_int64_t i = 1; i <= 5; i++)
+    {
+      tell (&rig, i);
+      run_until_served (&rig, 1 + (uint32_t)i);
+      CU_ASSERT_EQUAL (rig.result, i);
+    }
+  CU_ASSERT_EQUAL (rpc_bytes_sent (rig.server), answered);
+  CU_ASSERT_EQUAL (rpc_connection (rig.client, rig.address), connection);
+  rpc_node_free (rig.server);
+  rig.server = node_new (&rig, "b", 21, rig.address, KEY);
+  while (rpc_connection (rig.client, rig.address) != 0)
+    uv_run (&rig.loop, UV_RUN_ONCE);
+  tell (&rig, 8);
+  run_until_served (&rig, 7);
+  CU_ASSERT_EQUAL (rig.result, 8);
+  CU_ASSERT_TRUE (rpc_connection (rig.client, rig.address) > connection);
+  rpc_node_free (rig.server);
+  rig.server = NULL;
+  while (rpc_connection (rig.client, rig.address) != 0)
+    uv_run (&rig.loop, UV_RUN_ONCE);
+  tell (&rig, 9);
+  run_until_counted (&rig, "rpc_calls_total{outcome=\"connect_failed\"}", 1);
+  rig_stop (&rig);
+}
+
+/* Guards against arguments of a one-way call that are not what the procedure
+   takes, but hold the key.  */
+static void
+test_one_way_garbage (void)
+{
+  static const uint8_t space[24] = { 0 };
+  struct rpc_auth *auth = rpc_auth_new (KEY, 32);
+  struct rig rig;
+
+  rig_start (&rig);
+  for (guint bytes = 0; bytes <= sizeof space; bytes += 4)
+    {
+      struct rpc_credential credential = { "a", 10, 1 + bytes, "", 20 };
+      GByteArray *body = g_byte_array_new ();
+      uint64_t before
+          = ctr_get (rig.counters, "rpc_bad_total{reason=\"arguments\"}");
+      uint8_t mac[RPC_AUTH_MAC_BYTES];
+      GByteArray *record;
+      int fd;
+
+      if (bytes == sizeof (u_int64_t))
+        {
+          g_byte_array_free (body, TRUE);
+          continue;
+        }
+      g_byte_array_append (body, space, bytes);
+      g_strlcpy (credential.to_address, rig.address,
+                 sizeof credential.to_address);
+      record = rpc_message_call (auth, &credential, 1, PROC_TELL, body, mac);
+      fd = raw_connect (&rig);
+      (void)!write (fd, record->data, record->len);
+      run_until_counted (&rig, "rpc_bad_total{reason=\"arguments\"}",
+                         before + 1);
+      CU_ASSERT_TRUE (raw_closed (fd));
+      g_byte_array_free (record, TRUE);
+      g_byte_array_free (body, TRUE);
+    }
+  CU_ASSERT_EQUAL (rig.served, 0);
+  rpc_auth_free (auth);
+  rig_stop (&rig);
+}
+
+static bool_t
+xdr_bulk (XDR *xdr, void *value)
+{
+  return xdr_opaque (xdr, value, BULK);
+}
+
+/* Accept the client's connection on LISTENER and answer its null call.  */
+static int
+raw_accept (struct rig *rig, int listener)
+{
+  struct rpc_auth *auth = rpc_auth_new (KEY, 32);
+  u_int64_t incarnation = 20;
+  GByteArray *body
+      = rpc_message_encode ((xdrproc_t)xdr_u_int64_t, &incarnation);
+  uint8_t record[512];
+  struct rpc_incoming hello;
+  GByteArray *answer;
+  ssize_t got;
+  int fd;
+
+  while ((fd = accept (listener, NULL, NULL)) < 0)
+    uv_run (&rig->loop, UV_RUN_NOWAIT);
+  while ((got = recv (fd, record, sizeof record, MSG_DONTWAIT)) <= 0)
+    uv_run (&rig->loop, UV_RUN_NOWAIT);
+  CU_ASSERT_EQUAL (rpc_message_open_call (auth, record + RPC_RECORD_HEAD_BYTES,
+                                          (size_t)got - RPC_RECORD_HEAD_BYTES,
+                                          &hello),
+                   RPC_MESSAGE_GOOD);
+  answer = rpc_message_reply (auth, hello.mac, hello.xid, SUCCESS, body);
+  (void)!write (fd, answer->data, answer->len);
+  g_byte_array_free (answer, TRUE);
+  g_byte_array_free (body, TRUE);
+  rpc_auth_free (auth);
+  return fd;
+}
+
+/* Guards against one-way calls that go for ever into a connection whose other
+   end takes nothing, without a packet that says so.  */
+static void
+test_one_way_stuck (void)
+{
+  static char bulk[BULK];
+  struct sockaddr_in local = { .sin_family = AF_INET };
+  socklen_t bytes = sizeof local;
+  int listener
+      = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  struct rpc_call made = { .procedure = PROC_TELL,
+                           .encode_args = (xdrproc_t)xdr_bulk,
+                           .args = bulk,
+                           .timeout_ms = 5000 };
+  struct rig rig;
+  int fd;
+
+  rig_start (&rig);
+  local.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  CU_ASSERT_EQUAL (bind (listener, (struct sockaddr *)&local, bytes), 0);
+  CU_ASSERT_EQUAL (listen (listener, 4), 0);
+  (void)getsockname (listener, (struct sockaddr *)&local, &bytes);
+  g_snprintf (rig.address, sizeof rig.address, "127.0.0.1:%u",
+              ntohs (local.sin_port));
+  made.address = rig.address;
+  rpc_send_one_way (rig.client, &made);
+  fd = raw_accept (&rig, listener);
+  while (rpc_connection (rig.client, rig.address) == 0)
+    uv_run (&rig.loop, UV_RUN_ONCE);
+  for (int i = 0; i < 120; i++)
+    rpc_send_one_way (rig.client, &made);
+  while (rpc_connection (rig.client, rig.address) != 0)
+    uv_run (&rig.loop, UV_RUN_ONCE);
+  close (fd);
+  rpc_send_one_way (rig.client, &made);
+  fd = raw_accept (&rig, listener);
+  close (fd);
+  close (listener);
+  rig_stop (&rig);
+}
+
 /* Guards against a peer that sends a record over the limit after it has proved
    itself.  */
 static void
@@ -397,13 +600,17 @@
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "calls", test_calls },
-                                            { "restart", test_restart },
-                                            { "wrong_key", test_wrong_key },
-                                            { "garbage", test_garbage },
-                                            { "replay", test_replay },
-                                            { "oversize", test_oversize },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "calls", test_calls },
+          { "restart", test_restart },
+          { "wrong_key", test_wrong_key },
+          { "garbage", test_garbage },
+          { "replay", test_replay },
+          { "one_way", test_one_way },
+          { "one_way_garbage", test_one_way_garbage },
+          { "one_way_stuck", test_one_way_stuck },
+          { "oversize", test_oversize },
+          { NULL, NULL } };
 
   return unit_main ("rpc", tests);
 }
