Make heartbeats compact

Heartbeats repeated the sender's names and every load each second, and each was answered.

HEARTBEAT stays the whole, answered heartbeat. It goes out until one was answered over the present connection, and every 5 s; its answer also shows a dead connection. Between two of them the one-way BEAT names no sender (the credential does) and carries only loads that changed: 12 bytes each, with the XXH3 hash of the endpoint's address, 12 bits for running and for waiting and 8 bits for the age. An age that shifts by up to 500 ms is no change, since reports and heartbeats are sent once a second each. A load that its sender no longer reads is taken back. Each BEAT names the heartbeat that it changes; what does not follow counts as heard, but its loads wait for the next whole heartbeat. A BEAT of an unknown incarnation is ignored. Heartbeats between zones and to the settings' peers stay answered.

--- a/cowslipcoved/daemon.h
+++ b/cowslipcoved/daemon.h
@@ -22,7 +22,7 @@
 {
   CD_DOCUMENT, /* struct env_document: now in force */
   CD_MEMBERS,  /* struct mem_table: changed */
-  CD_LOAD,     /* cs_load: load of one engine */
+  CD_LOAD,     /* struct cd_load */
   CD_LEAVING,  /* struct cd_leaving */
   CD_VIEW,     /* struct vw_view: newest view of the own zone */
   CD_SUSPECTS, /* cs_suspects: heard from a peer */
@@ -30,6 +30,15 @@
   CD_EVENT_COUNT
 };
 
+/* Load of one engine as its reader saw it AGE_MS ago.  */
+struct cd_load
+{
+  const char *endpoint;
+  uint32_t running;
+  uint32_t waiting;
+  uint32_t age_ms;
+};
+
 struct cd_leaving
 {
   const char *endpoint;
--- a/cowslipcoved/peers.c
+++ b/cowslipcoved/peers.c
@@ -7,6 +7,7 @@
 {
   struct cd_peers *peers = arg;
 
+  cd_loads_prune (peers);
   cfg_set_watching (peers->cfg, mem_among_lowest (peers->table, 2));
   cd_publish (peers->daemon, CD_MEMBERS, peers->table);
 }
@@ -111,12 +112,14 @@
   peers->daemon = daemon;
   peers->loads
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cd_loads_start (peers);
   peers->fetches = g_hash_table_new (g_str_hash, g_str_equal);
   peers->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   peers->suspicions = g_array_new (FALSE, FALSE, sizeof (struct cd_suspicion));
   peers->table = mem_table_new (daemon->tm, &self, &members, peers);
   peers->leaving = mem_leaving_new (daemon->tm, cd_leaving_changed, peers);
   cd_heartbeats_serve (peers);
+  cd_beats_serve (peers);
   cd_document_serve (peers);
   cd_suspects_serve (peers);
   cd_subscribe (daemon, CD_DRAIN, cd_peers_drain, peers);
@@ -140,6 +143,7 @@
   mem_table_free (peers->table);
   env_unref (peers->document);
   g_hash_table_destroy (peers->loads);
+  cd_loads_free (peers);
   g_hash_table_destroy (peers->calls);
   g_array_free (peers->suspicions, TRUE);
   g_free (peers);
--- a/cowslipcoved/peers_document.c
+++ b/cowslipcoved/peers_document.c
@@ -33,6 +33,7 @@
   env_unref (peers->document);
   peers->document = document;
   peers->generation = offered->generation;
+  cd_loads_map (peers);
   lg_write (LG_CONFIG_INSTALLED, "generation=%" PRIu64 " digest=%s",
             offered->generation, offered->digest);
   mem_set_self (peers->table, offered->generation,
--- a/cowslipcoved/peers_heartbeat.c
+++ b/cowslipcoved/peers_heartbeat.c
@@ -3,9 +3,6 @@
 #include "control.h"
 #include "peers_impl.h"
 
-/* Reports older than this say nothing any more: after five half-lives their
-   weight is below a thirtieth.  */
-#define CD_LOAD_AGE_MAX_US 10000000
 /* Suspicions are repeated for this long; a member that was just met hears all
    that are valid.  */
 #define CD_SUSPICION_REPEAT_US 10000000
@@ -28,50 +25,48 @@
   if (outcome == RPC_OK)
     {
       if (call->instance[0] != '\0')
-        mem_answered (peers->table, call->instance, reply->incarnation,
-                      reply->generation);
+        {
+          mem_answered (peers->table, call->instance, reply->incarnation,
+                        reply->generation);
+          mem_told_confirmed (
+              cd_told (peers, call->instance),
+              rpc_connection (peers->daemon->rpc, call->address));
+        }
       cfg_seen (peers->cfg, call->address, reply->generation);
     }
   cd_peers_call_free (peers, call);
 }
 
-static cs_load *
-cd_heartbeat_loads (const struct cd_peers *peers, u_int *count)
+static void
+cd_beat_fill (struct cd_peers *peers, cs_beat *beat)
 {
-  uint64_t now_us = tm_now_us (peers->daemon->tm);
-  cs_load *loads = g_new0 (cs_load, g_hash_table_size (peers->loads) + 1);
-  GHashTableIter iter;
-  void *endpoint;
-  void *value;
-
-  *count = 0;
-  g_hash_table_iter_init (&iter, peers->loads);
-  while (g_hash_table_iter_next (&iter, &endpoint, &value)
-         && *count < COWSLIP_LIST_MAX)
-    {
-      const struct cd_load_seen *seen = value;
-      uint64_t age_us = now_us - seen->true_us;
-
-      if (age_us > CD_LOAD_AGE_MAX_US)
-        continue;
-      loads[*count].endpoint = endpoint;
-      loads[*count].running = seen->running;
-      loads[*count].waiting = seen->waiting;
-      loads[(*count)++].age_ms = (u_int)(age_us / CD_US_PER_MS);
-    }
-  return loads;
+  uint64_t control
+      = peers->daemon->control != NULL ? cd_control_fence (peers->daemon) : 0;
+
+  beat->number = ++peers->beats;
+  beat->generation = peers->generation;
+  beat->draining = mem_self (peers->table)->draining;
+  beat->fence = MAX (peers->fence, control);
 }
 
+/* Send a whole heartbeat, which is answered.  */
 static void
 cd_heartbeat_call (struct cd_peers *peers, const char *address,
-                   const char *instance, cs_heartbeat *heartbeat)
+                   const char *instance, const cs_beat *beat)
 {
   struct cd_heartbeat_call *call = cd_peers_call_new (peers, sizeof *call);
   const struct mem_member *self = mem_self (peers->table);
+  cs_heartbeat heartbeat = { .sender = { .instance = self->instance,
+                                         .zone = self->zone,
+                                         .rpc_address = self->rpc_address,
+                                         .http_address = self->http_address,
+                                         .number = self->number,
+                                         .incarnation = self->incarnation },
+                             .beat = *beat };
   struct rpc_call made = { .address = address,
                            .procedure = COWSLIP_HEARTBEAT,
                            .encode_args = (xdrproc_t)xdr_cs_heartbeat,
-                           .args = heartbeat,
+                           .args = &heartbeat,
                            .decode_result = (xdrproc_t)xdr_cs_heartbeat_reply,
                            .result_bytes = sizeof (cs_heartbeat_reply),
                            .timeout_ms = CD_RPC_TIMEOUT_MS };
@@ -80,37 +75,65 @@
   g_strlcpy (call->address, address, sizeof call->address);
   if (instance != NULL)
     g_strlcpy (call->instance, instance, sizeof call->instance);
-  heartbeat->sender = (cs_member){ .instance = self->instance,
-                                   .zone = self->zone,
-                                   .rpc_address = self->rpc_address,
-                                   .http_address = self->http_address,
-                                   .number = self->number,
-                                   .incarnation = self->incarnation };
-  heartbeat->generation = peers->generation;
-  heartbeat->draining = self->draining;
-  heartbeat->fence = MAX (peers->fence, peers->daemon->control != NULL
-                                            ? cd_control_fence (peers->daemon)
-                                            : 0);
   rpc_send (peers->daemon->rpc, &made, cd_heartbeat_answered, call);
 }
 
+/* Send the short heartbeat BEAT, to which there is no answer: the peer's own
+   heartbeats say that it lives.  */
+static void
+cd_beat_call (const struct cd_peers *peers, const char *address, cs_beat *beat)
+{
+  struct rpc_call made = { .address = address,
+                           .procedure = COWSLIP_BEAT,
+                           .encode_args = (xdrproc_t)xdr_cs_beat,
+                           .args = beat,
+                           .timeout_ms = CD_RPC_TIMEOUT_MS };
+
+  rpc_send_one_way (peers->daemon->rpc, &made);
+}
+
+static void
+cd_heartbeat_loads (struct cd_peers *peers, const char *address,
+                    const char *instance, cs_beat *beat)
+{
+  uint64_t now_us = tm_now_us (peers->daemon->tm);
+  struct mem_told *told = cd_told (peers, instance);
+  GArray *loads = cd_loads_now (peers);
+  GArray *sent = loads;
+  bool whole = mem_told_is_whole (
+      told, rpc_connection (peers->daemon->rpc, address), now_us);
+
+  if (whole)
+    mem_told_whole (told, beat->number, loads, now_us);
+  else
+    sent = mem_told_changes (told, beat->number, loads, &beat->previous);
+  beat->loads.loads_val = (cs_load *)(void *)sent->data;
+  beat->loads.loads_len = sent->len;
+  if (whole)
+    cd_heartbeat_call (peers, address, instance, beat);
+  else
+    {
+      cd_beat_call (peers, address, beat);
+      g_array_free (sent, TRUE);
+    }
+  g_array_free (loads, TRUE);
+}
+
 /* What concerns the engines of this zone goes only to its members.  */
 static void
 cd_heartbeat_local (struct cd_peers *peers, const char *address,
                     const char *instance, uint64_t suspicions_us)
 {
-  cs_heartbeat heartbeat = { 0 };
+  cs_beat beat = { 0 };
   GPtrArray *leaving = mem_leaving_own (peers->leaving);
 
-  heartbeat.loads.loads_val
-      = cd_heartbeat_loads (peers, &heartbeat.loads.loads_len);
-  heartbeat.leaving.leaving_val = (cs_name *)(void *)leaving->pdata;
-  heartbeat.leaving.leaving_len = MIN (leaving->len, COWSLIP_LIST_MAX);
-  heartbeat.suspects.suspects_val = cd_suspects_said (
-      peers, suspicions_us, &heartbeat.suspects.suspects_len);
-  cd_heartbeat_call (peers, address, instance, &heartbeat);
-  g_free (heartbeat.loads.loads_val);
-  g_free (heartbeat.suspects.suspects_val);
+  cd_beat_fill (peers, &beat);
+  beat.leaving.leaving_val = (cs_name *)(void *)leaving->pdata;
+  beat.leaving.leaving_len = MIN (leaving->len, COWSLIP_LIST_MAX);
+  beat.suspects.suspects_val
+      = cd_suspects_said (peers, suspicions_us, &beat.suspects.suspects_len);
+  cd_heartbeat_loads (peers, address, instance, &beat);
+  g_free (beat.suspects.suspects_val);
   g_ptr_array_free (leaving, TRUE);
 }
 
@@ -127,12 +150,15 @@
   struct cd_peers *peers = arg;
   const struct mem_member *member
       = instance != NULL ? mem_find (peers->table, instance) : NULL;
-  cs_heartbeat heartbeat = { 0 };
+  cs_beat beat = { 0 };
 
   if (member != NULL && cd_is_local (peers, member->zone))
-    cd_heartbeat_local (peers, address, instance, CD_SUSPICION_REPEAT_US);
-  else
-    cd_heartbeat_call (peers, address, instance, &heartbeat);
+    {
+      cd_heartbeat_local (peers, address, instance, CD_SUSPICION_REPEAT_US);
+      return;
+    }
+  cd_beat_fill (peers, &beat);
+  cd_heartbeat_call (peers, address, instance, &beat);
 }
 
 /* Send MEMBER, which was just met, everything that is valid.  */
@@ -147,19 +173,18 @@
 }
 
 static void
-cd_heartbeat_news (struct cd_peers *peers, cs_heartbeat *heartbeat)
+cd_heartbeat_news (struct cd_peers *peers, const struct rpc_origin *origin,
+                   cs_beat *beat)
 {
   cs_suspects suspects;
 
-  peers->fence = MAX (peers->fence, heartbeat->fence);
-  for (u_int i = 0; i < heartbeat->loads.loads_len; i++)
-    cd_publish (peers->daemon, CD_LOAD, &heartbeat->loads.loads_val[i]);
-  mem_leaving_peer (
-      peers->leaving, heartbeat->sender.instance,
-      (const char *const *)(void *)heartbeat->leaving.leaving_val,
-      heartbeat->leaving.leaving_len);
-  suspects.suspects.suspects_len = heartbeat->suspects.suspects_len;
-  suspects.suspects.suspects_val = heartbeat->suspects.suspects_val;
+  peers->fence = MAX (peers->fence, beat->fence);
+  cd_beat_take (peers, origin->instance, origin->incarnation, beat);
+  mem_leaving_peer (peers->leaving, origin->instance,
+                    (const char *const *)(void *)beat->leaving.leaving_val,
+                    beat->leaving.leaving_len);
+  suspects.suspects.suspects_len = beat->suspects.suspects_len;
+  suspects.suspects.suspects_val = beat->suspects.suspects_val;
   if (suspects.suspects.suspects_len > 0)
     cd_publish (peers->daemon, CD_SUSPECTS, &suspects);
 }
@@ -187,16 +212,16 @@
                               .http_address = sender->http_address,
                               .number = sender->number,
                               .incarnation = sender->incarnation,
-                              .generation = heartbeat->generation,
-                              .draining = heartbeat->draining };
+                              .generation = heartbeat->beat.generation,
+                              .draining = heartbeat->beat.draining };
   cs_heartbeat_reply reply
       = { mem_self (peers->table)->incarnation, peers->generation };
 
   if (cd_heartbeat_valid (origin, sender) && mem_heard (peers->table, &heard))
     {
-      cfg_seen (peers->cfg, sender->rpc_address, heartbeat->generation);
+      cfg_seen (peers->cfg, sender->rpc_address, heartbeat->beat.generation);
       if (cd_is_local (peers, sender->zone))
-        cd_heartbeat_news (peers, heartbeat);
+        cd_heartbeat_news (peers, origin, &heartbeat->beat);
     }
   rpc_answer (request, &reply);
 }
@@ -212,3 +237,32 @@
 
   cd_peers_serve (peers, &procedure);
 }
+
+static void
+cd_beat_received (void *arg, const struct rpc_origin *origin, void *args,
+                  struct rpc_request *request)
+{
+  struct cd_peers *peers = arg;
+  cs_beat *beat = args;
+  const struct mem_member *member;
+
+  (void)request;
+  if (!mem_heard_again (peers->table, origin->instance, origin->incarnation,
+                        beat->generation, beat->draining))
+    return;
+  member = mem_find (peers->table, origin->instance);
+  cfg_seen (peers->cfg, member->rpc_address, beat->generation);
+  if (cd_is_local (peers, member->zone))
+    cd_heartbeat_news (peers, origin, beat);
+}
+
+/* Serve the short heartbeats of others.  */
+void
+cd_beats_serve (struct cd_peers *peers)
+{
+  static const struct rpc_procedure procedure
+      = { COWSLIP_BEAT, (xdrproc_t)xdr_cs_beat, sizeof (cs_beat), NULL,
+          cd_beat_received };
+
+  cd_peers_serve (peers, &procedure);
+}
--- a/cowslipcoved/peers_impl.h
+++ b/cowslipcoved/peers_impl.h
@@ -4,7 +4,9 @@
 #include "cfg.h"
 #include "mem_beat.h"
 #include "mem_leaving.h"
+#include "mem_loads.h"
 #include "mem_register.h"
+#include "mem_told.h"
 #include "peers.h"
 
 /* Shared by the parts that carry membership and configuration.  */
@@ -40,12 +42,16 @@
   struct cfg_state *cfg;
   struct env_document *document; /* NULL: none in force */
   GHashTable *loads;             /* endpoint -> struct cd_load_seen */
+  GHashTable *told;              /* instance -> struct mem_told */
+  GHashTable *heard;             /* instance -> struct mem_loads */
+  GHashTable *endpoints;         /* mem_load_hash -> address in DOCUMENT */
   GHashTable *fetches;           /* address -> struct cd_fetch under way */
   GArray *suspicions;            /* struct cd_suspicion */
   GHashTable *calls;             /* set of contexts of calls under way */
   struct tm_timer poll;
   uint64_t generation; /* of DOCUMENT */
   uint64_t fence;      /* highest in the zone's heartbeats */
+  uint32_t beats;      /* heartbeats sent */
   bool kv_reachable;
   bool list_read; /* this instance has read the instance list */
 };
@@ -54,6 +60,15 @@
 void cd_heartbeat_send (void *arg, const char *address, const char *instance);
 void cd_heartbeat_greet (struct cd_peers *peers,
                          const struct mem_member *member);
+void cd_beats_serve (struct cd_peers *peers);
+void cd_beat_take (struct cd_peers *peers, const char *instance,
+                   uint64_t incarnation, const cs_beat *beat);
+GArray *cd_loads_now (const struct cd_peers *peers);
+void cd_loads_map (struct cd_peers *peers);
+void cd_loads_prune (struct cd_peers *peers);
+void cd_loads_start (struct cd_peers *peers);
+void cd_loads_free (struct cd_peers *peers);
+struct mem_told *cd_told (struct cd_peers *peers, const char *instance);
 void cd_document_serve (struct cd_peers *peers);
 struct cfg_state *cd_document_start (struct cd_peers *peers);
 void cd_suspects_serve (struct cd_peers *peers);
--- a/cowslipcoved/peers_reports.c
+++ b/cowslipcoved/peers_reports.c
@@ -86,7 +86,7 @@
   struct json_object *report = cd_answer_json (answer);
   struct cd_load_seen seen;
   struct json_object *leaving;
-  cs_load load;
+  struct cd_load load;
 
   if (answer->outcome == HTTP_CONNECT_FAILED)
     mem_leaving_refused (peers->leaving, fetch->address, true);
@@ -95,10 +95,10 @@
       json_object_put (report);
       return;
     }
-  load = (cs_load){ .endpoint = fetch->address,
-                    .running = cd_report_number (report, "running"),
-                    .waiting = cd_report_number (report, "waiting"),
-                    .age_ms = cd_report_number (report, "age_ms") };
+  load = (struct cd_load){ .endpoint = fetch->address,
+                           .running = cd_report_number (report, "running"),
+                           .waiting = cd_report_number (report, "waiting"),
+                           .age_ms = cd_report_number (report, "age_ms") };
   seen.running = load.running;
   seen.waiting = load.waiting;
   seen.true_us = tm_now_us (peers->daemon->tm)
--- a/cowslipcoved/requests_zone.c
+++ b/cowslipcoved/requests_zone.c
@@ -200,7 +200,7 @@
 cd_requests_on_load (void *arg, const void *what)
 {
   const struct cd_requests *requests = arg;
-  const cs_load *load = what;
+  const struct cd_load *load = what;
 
   dsp_load (requests->dsp, load->endpoint, load->running, load->waiting,
             load->age_ms);
--- a/libcowslip/mem.c
+++ b/libcowslip/mem.c
@@ -217,6 +217,24 @@
   return true;
 }
 
+/* Take in a heartbeat of INCARNATION of INSTANCE that does not say who its
+   sender is.  Return false if it is to be ignored, because this incarnation is
+   not known.  */
+bool
+mem_heard_again (struct mem_table *table, const char *instance,
+                 uint64_t incarnation, uint64_t generation, bool draining)
+{
+  const struct mem_member *member = mem_find (table, instance);
+  struct mem_member heard;
+
+  if (member == NULL || member->incarnation != incarnation)
+    return false;
+  heard = *member;
+  heard.generation = generation;
+  heard.draining = draining;
+  return mem_heard (table, &heard);
+}
+
 /* Take in the answer of INSTANCE to a heartbeat.  An answer from another
    incarnation than the known one says nothing about either.  */
 void
--- a/libcowslip/mem.h
+++ b/libcowslip/mem.h
@@ -52,6 +52,9 @@
 void mem_set_self (struct mem_table *table, uint64_t generation,
                    bool draining);
 bool mem_heard (struct mem_table *table, const struct mem_member *heard);
+bool mem_heard_again (struct mem_table *table, const char *instance,
+                      uint64_t incarnation, uint64_t generation,
+                      bool draining);
 void mem_answered (struct mem_table *table, const char *instance,
                    uint64_t incarnation, uint64_t generation);
 void mem_recorded (struct mem_table *table, const char *zone,
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -31,10 +31,8 @@
 typedef struct cs_member cs_member;
 
 struct cs_load {
-	cs_name endpoint;
-	u_int running;
-	u_int waiting;
-	u_int age_ms;
+	u_quad_t endpoint;
+	u_int packed;
 };
 typedef struct cs_load cs_load;
 
@@ -54,8 +52,9 @@
 };
 typedef struct cs_demand cs_demand;
 
-struct cs_heartbeat {
-	cs_member sender;
+struct cs_beat {
+	u_int number;
+	u_int previous;
 	u_quad_t generation;
 	u_quad_t fence;
 	bool_t draining;
@@ -72,6 +71,12 @@
 		cs_suspect *suspects_val;
 	} suspects;
 };
+typedef struct cs_beat cs_beat;
+
+struct cs_heartbeat {
+	cs_member sender;
+	cs_beat beat;
+};
 typedef struct cs_heartbeat cs_heartbeat;
 
 struct cs_heartbeat_reply {
@@ -226,6 +231,9 @@
 #define COWSLIP_SUSPECT 8
 extern  void * cowslip_suspect_1(cs_suspects *, CLIENT *);
 extern  void * cowslip_suspect_1_svc(cs_suspects *, struct svc_req *);
+#define COWSLIP_BEAT 9
+extern  void * cowslip_beat_1(cs_beat *, CLIENT *);
+extern  void * cowslip_beat_1_svc(cs_beat *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -253,6 +261,9 @@
 #define COWSLIP_SUSPECT 8
 extern  void * cowslip_suspect_1();
 extern  void * cowslip_suspect_1_svc();
+#define COWSLIP_BEAT 9
+extern  void * cowslip_beat_1();
+extern  void * cowslip_beat_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -264,6 +275,7 @@
 extern  bool_t xdr_cs_load (XDR *, cs_load*);
 extern  bool_t xdr_cs_suspect (XDR *, cs_suspect*);
 extern  bool_t xdr_cs_demand (XDR *, cs_demand*);
+extern  bool_t xdr_cs_beat (XDR *, cs_beat*);
 extern  bool_t xdr_cs_heartbeat (XDR *, cs_heartbeat*);
 extern  bool_t xdr_cs_heartbeat_reply (XDR *, cs_heartbeat_reply*);
 extern  bool_t xdr_cs_document (XDR *, cs_document*);
@@ -286,6 +298,7 @@
 extern bool_t xdr_cs_load ();
 extern bool_t xdr_cs_suspect ();
 extern bool_t xdr_cs_demand ();
+extern bool_t xdr_cs_beat ();
 extern bool_t xdr_cs_heartbeat ();
 extern bool_t xdr_cs_heartbeat_reply ();
 extern bool_t xdr_cs_document ();
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -17,13 +17,11 @@
   unsigned hyper incarnation;
 };
 
-/* Load of one engine as its reader saw it.  */
+/* Load of one engine as its reader saw it; mem_load_pack fills both.  */
 struct cs_load
 {
-  cs_name endpoint;
-  unsigned int running;
-  unsigned int waiting;
-  unsigned int age_ms;
+  unsigned hyper endpoint; /* XXH3 hash of the address */
+  unsigned int packed;     /* running, waiting, age */
 };
 
 struct cs_suspect
@@ -42,9 +40,11 @@
   unsigned int arrivals; /* requests since the last report */
 };
 
-struct cs_heartbeat
+/* What both kinds of heartbeats say.  */
+struct cs_beat
 {
-  cs_member sender;
+  unsigned int number;   /* ascends with each heartbeat of the sender */
+  unsigned int previous; /* the heartbeat that LOADS change; 0: all loads */
   unsigned hyper generation;
   unsigned hyper fence; /* highest that the sender has seen */
   bool draining;
@@ -53,6 +53,13 @@
   cs_suspect suspects<COWSLIP_LIST_MAX>;
 };
 
+/* A whole heartbeat: who the sender is, and all loads.  */
+struct cs_heartbeat
+{
+  cs_member sender;
+  cs_beat beat;
+};
+
 struct cs_heartbeat_reply
 {
   unsigned hyper incarnation;
@@ -171,5 +178,7 @@
     cs_promise_reply COWSLIP_PROMISE (cs_promise) = 6;
     cs_claim_reply COWSLIP_CLAIM (cs_claim) = 7;
     void COWSLIP_SUSPECT (cs_suspects) = 8;
+    /* One-way; only the loads that differ from the heartbeat before.  */
+    void COWSLIP_BEAT (cs_beat) = 9;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -40,13 +40,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_cs_name (xdrs, &objp->endpoint))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->running))
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->packed))
 		 return FALSE;
 	return TRUE;
 }
@@ -127,11 +123,13 @@
 }
 
 bool_t
-xdr_cs_heartbeat (XDR *xdrs, cs_heartbeat *objp)
+xdr_cs_beat (XDR *xdrs, cs_beat *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_cs_member (xdrs, &objp->sender))
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->previous))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
@@ -151,6 +149,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_heartbeat (XDR *xdrs, cs_heartbeat *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_member (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_cs_beat (xdrs, &objp->beat))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_heartbeat_reply (XDR *xdrs, cs_heartbeat_reply *objp)
 {
--- a/regress/peers_test.c
+++ b/regress/peers_test.c
@@ -24,6 +24,7 @@
   uint32_t documents;
   uint32_t loads;
   uint32_t running;
+  uint32_t age_ms;
   uint32_t suspects;
   uint64_t fingerprint;
   bool leaving;
@@ -88,7 +89,8 @@
   struct seen *seen = arg;
 
   seen->loads++;
-  seen->running = ((const cs_load *)what)->running;
+  seen->running = ((const struct cd_load *)what)->running;
+  seen->age_ms = ((const struct cd_load *)what)->age_ms;
 }
 
 static void
@@ -370,10 +372,22 @@
 static void
 test_signals (void)
 {
+  uint32_t loads[NODES];
   static struct rig rig;
 
   rig_start (&rig);
   run_until (&rig, all_loaded);
+  /* Nothing changes, so most heartbeats name no load; each still counts.  */
+  for (uint32_t i = 0; i < NODES; i++)
+    loads[i] = rig.seen[i].loads;
+  for (int i = 0; i < 2000; i++)
+    step (&rig);
+  for (uint32_t i = 0; i < NODES; i++)
+    {
+      CU_ASSERT_TRUE (rig.seen[i].loads - loads[i] >= 9);
+      CU_ASSERT_TRUE (rig.seen[i].age_ms <= 1600);
+    }
+  CU_ASSERT_TRUE (ctr_get (rig.counters, "rpc_one_way_total") > 30);
   rig.listed_leaving = true;
   CU_ASSERT_TRUE (run_until (&rig, all_leaving) < 3000000);
   rig.listed_leaving = false;
@@ -417,6 +431,7 @@
   node_start (&rig, 2, 203);
   run_until (&rig, all_connected);
   CU_ASSERT_EQUAL (rig.seen[2].fingerprint, 77);
+  run_until (&rig, all_loaded);
   cd_publish (&rig.nodes[0], CD_DRAIN, NULL);
   CU_ASSERT_TRUE (run_until (&rig, others_see_drain) < 1000000);
   CU_ASSERT_STRING_EQUAL (mem_lowest (cd_members (&rig.nodes[1]))->instance,
