--- a/libcowslip/own_kv.c
+++ b/libcowslip/own_kv.c
@@ -162,6 +162,31 @@
   kv_txn (&own->config.kv, &txn, own_read_done, own);
 }
 
+/* Act on the OUTCOME of a renewal.  One that failed names no lease, and must
+   be noted all the same: orders during an outage rely on it.  */
+static void
+own_renewed (struct own *own, enum kv_outcome outcome, int64_t lease)
+{
+  uint64_t valid_us = (OWN_TTL_S * 1000 - OWN_MARGIN_MS) * OWN_US_PER_MS;
+
+  own_note_outcome (own, outcome);
+  if (own->kv_failed)
+    {
+      own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
+      return;
+    }
+  if (lease != own->lease)
+    return;
+  if (outcome == KV_OK)
+    {
+      own->lease_safe_us = own->renew_us + valid_us;
+      return;
+    }
+  own->lease_safe_us = 0;
+  own->lease = 0;
+  own->next_read_us = 0;
+}
+
 static void
 own_check_done (void *arg, const struct kv_result *result)
 {
@@ -195,25 +220,10 @@
 own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
 {
   struct own *own = arg;
-  uint64_t valid_us = (OWN_TTL_S * 1000 - OWN_MARGIN_MS) * OWN_US_PER_MS;
 
   own->renewing = false;
-  if (own->closed || lease != own->lease)
-    {
-      own_unref (own);
-      return;
-    }
-  own_note_outcome (own, outcome);
-  if (outcome == KV_OK)
-    own->lease_safe_us = own->renew_us + valid_us;
-  else if (outcome == KV_CONFLICT)
-    {
-      own->lease_safe_us = 0;
-      own->lease = 0;
-      own->next_read_us = 0;
-    }
-  else
-    own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
+  if (!own->closed)
+    own_renewed (own, outcome, lease);
   own_unref (own);
 }
 
