Read a change back from its history entry

After a write the whole document was read to learn whose change took effect. The history entry, written in the same transaction, says the same and is short; the document is read only if there is no entry.

--- a/libcowslip/chg.c
+++ b/libcowslip/chg.c
@@ -204,12 +204,29 @@
     chg_finish (operation, CHG_CONFLICT, record);
 }
 
+/* No entry: the change has not taken effect, at least not yet.  */
+static void
+chg_read_back (void *arg, const struct kv_result *result)
+{
+  struct chg_operation *operation = arg;
+
+  if (result->outcome == KV_OK && result->pair_count == 0)
+    chg_read (operation->kv, operation->environment, chg_seen, operation);
+  else
+    chg_history_seen (operation, result);
+}
+
+/* Read what there is.  After a write the history entry, which is short, says
+   whose change took effect.  */
 static void
 chg_try (void *arg)
 {
   struct chg_operation *operation = arg;
 
-  chg_read (operation->kv, operation->environment, chg_seen, operation);
+  if (operation->may_have_written)
+    kv_get (operation->kv, operation->history_key, chg_read_back, operation);
+  else
+    chg_read (operation->kv, operation->environment, chg_seen, operation);
 }
 
 /* Replace the document of CHANGE's environment if its generation is still
