--- a/cowslipload/capacity.sh
+++ b/cowslipload/capacity.sh
@@ -7,7 +7,7 @@
 #   http_in,kv_calls_s,kv_txn_s   (bytes a second)
 # Usage: BUILD=build sh cowslipload/capacity.sh >capacity.csv
 #        then: cowslipload slopes capacity.csv
-# Takes about 15 s a run; at most 120 processes and 2 GB of memory.
+# Takes about 20 s a run; at most 240 processes and 2 GB of memory.
 
 set -u
 build=${BUILD:-build}
@@ -94,6 +94,7 @@
 	pids="$pids $!"
 	"$build/standin-weights" -l "$weights" >"$dir/w.out" 2>&1 &
 	pids="$pids $!"
+	"$call" call -w 10 GET "$kv" /records >/dev/null || return 1
 	i=0
 	while [ $i -lt "$2" ]; do
 		"$build/standin-engine" --check-fencing -l "$(engine_address $i)" \
@@ -161,9 +162,9 @@
 }
 
 echo "instances,engines,models,role,cpu_percent,rss_kb,rpc_out,rpc_in,http_out,http_in,kv_calls_s,kv_txn_s"
-for sizes in ${CAPACITY_RUNS:-2:24:40 4:24:40 8:24:40 16:24:40 \
-    4:8:40 4:72:40 4:24:10 4:24:110}; do
+for sizes in ${CAPACITY_RUNS:-4:36:40 8:72:40 16:144:40 16:48:40 \
+    16:144:110 33:99:40 33:198:110}; do
 	run "${sizes%%:*}" "$(echo "$sizes" | cut -d: -f2)" "${sizes##*:}" \
 	    || { echo "run $sizes failed" >&2; cat "$dir"/i0.log >&2; stop_all; }
-	port=$((port + 2))
+	port=$((port + 250))
 done
