Let a baseline router free memory for one load at a time

With many models waiting, each of them made its router unload another one every 200 ms, so that all engines were emptied at once: no request was in time at the crest of the swing, and engines stood idle. A router now pauses for 300 ms after an unload that frees memory. Calls of the warm-up no longer count as engine calls of the measured run.

--- a/cowslipload/baseline.h
+++ b/cowslipload/baseline.h
@@ -39,6 +39,7 @@
   GPtrArray *engines; /* struct bl_engine */
   GHashTable *models; /* struct bl_model by name */
   gsl_rng *random;
+  uint64_t next_unload_us; /* to free memory */
   struct tm_timer tick;
 };
 
--- a/cowslipload/baseline_load.c
+++ b/cowslipload/baseline_load.c
@@ -4,11 +4,14 @@
 
 #include "baseline.h"
 
-#define BL_TICK_US    (100 * BL_US_PER_MS)
-#define BL_POLL_US    (50 * BL_US_PER_MS)
-#define BL_RETRY_US   (200 * BL_US_PER_MS)
-#define BL_ORDER_MS   5000
-#define BL_PATH_STATE "/admin/state"
+#define BL_TICK_US  (100 * BL_US_PER_MS)
+#define BL_POLL_US  (50 * BL_US_PER_MS)
+#define BL_RETRY_US (200 * BL_US_PER_MS)
+#define BL_ORDER_MS 5000
+/* Time for an unload and the load that follows it; without a pause, a router
+   with many waiting models empties all engines at once.  */
+#define BL_UNLOAD_PAUSE_US (300 * BL_US_PER_MS)
+#define BL_PATH_STATE      "/admin/state"
 
 static void bl_load_again (void *arg);
 static void bl_poll (void *arg);
@@ -66,15 +69,20 @@
 }
 
 /* Unload the model of the pool of MODEL that this router has not used for
-   longest.  */
+   longest, one at a time.  */
 static void
 bl_free_memory (struct bl_model *model)
 {
+  struct bl_router *router = model->router;
+  uint64_t now_us = tm_now_us (router->host->tm);
   struct bl_model *oldest = NULL;
   GHashTableIter iter;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, model->router->models);
+  if (now_us < router->next_unload_us)
+    return;
+  router->next_unload_us = now_us + BL_UNLOAD_PAUSE_US;
+  g_hash_table_iter_init (&iter, router->models);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct bl_model *other = value;
--- a/cowslipload/figures.h
+++ b/cowslipload/figures.h
@@ -40,7 +40,7 @@
   double serving_s;   /* something running */
   double idle_replica_s;
   double serving_replica_s;
-  uint64_t engine_calls;
+  uint64_t engine_calls; /* since the first arrival */
   uint64_t loads;
 };
 
--- a/cowslipload/figures_records.c
+++ b/cowslipload/figures_records.c
@@ -106,7 +106,8 @@
 static void
 fig_read_run (struct fig_engine *engine, struct json_object *entry)
 {
-  engine->run->engine_calls++;
+  if (fig_time (entry, "arrived_us") >= engine->run->from_us)
+    engine->run->engine_calls++;
   if (fig_time (entry, "started") != 0)
     fig_add_span (engine, fig_text (entry, "model"),
                   fig_time (entry, "arrived_us"), fig_time (entry, "time_us"),
