Keep an idle replica only as long as that costs less than a reload

Cause: the 0.9 quantile of the gaps was limited to keep_alive_max_ms, so a model whose gaps are longer than the limit was kept for the whole limit and reloaded all the same; with unknown gaps the default was the limit, too.

--- a/libcowslip/plc_gaps.h
+++ b/libcowslip/plc_gaps.h
@@ -14,7 +14,7 @@
 };
 
 void plc_gaps_add (struct plc_gaps *gaps, uint64_t gap_us);
-uint64_t plc_gaps_keep_alive_us (const struct plc_gaps *gaps, uint32_t min_ms,
-                                 uint32_t max_ms);
+uint64_t plc_gaps_keep_alive_us (const struct plc_gaps *gaps, uint64_t load_us,
+                                 uint32_t min_ms, uint32_t max_ms);
 
 #endif
--- a/libcowslip/plc_quiesce.c
+++ b/libcowslip/plc_quiesce.c
@@ -5,7 +5,8 @@
 #define PLC_FIRST_ASK_MS 10
 /* A member that is unreachable for so long has lost its record, or serves
    nothing that an unload could cut off.  */
-#define PLC_MISSING_MS 10000
+#define PLC_MISSING_MS     10000
+#define PLC_USE_REPORTS_MS 2000
 
 /* Begin to empty SLOT because of REASON.  */
 void
@@ -106,6 +107,21 @@
          && g_strcmp0 (slot->version, slot->model->version) != 0;
 }
 
+/* Return how long SLOT stays loaded without use, in microseconds.  Shorter
+   than two reports of use would unload replicas that are in use.  */
+static uint64_t
+plc_keep_us (const struct plc *plc, const struct plc_slot *slot)
+{
+  const struct plc_model *model = slot->model;
+  uint64_t load_us = plc_estimate_us (&plc->estimate, plc_slot_tier (slot),
+                                      model->bytes, plc_now (plc));
+  uint32_t min_ms = MAX (model->keep_alive_min_ms, PLC_USE_REPORTS_MS);
+
+  return plc_gaps_keep_alive_us (&model->gaps, load_us,
+                                 MIN (min_ms, model->keep_alive_max_ms),
+                                 model->keep_alive_max_ms);
+}
+
 /* Begin to empty replicas that are not used any more, misplaced or of another
    version.  */
 void
@@ -123,10 +139,7 @@
       if (plc_slot_misplaced (slot) || plc_is_outdated (slot))
         plc_quiesce_begin (plc, slot, PLC_MISPLACED);
       else if (model->waiting == 0
-               && now_us >= model->last_used_us
-                                + plc_gaps_keep_alive_us (
-                                    &model->gaps, model->keep_alive_min_ms,
-                                    model->keep_alive_max_ms))
+               && now_us >= model->last_used_us + plc_keep_us (plc, slot))
         plc_quiesce_begin (plc, slot, PLC_IDLE);
     }
 }
