--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "control_impl.h"
 #include "env.h"
 #include "lg.h"
@@ -74,6 +76,24 @@
   return specs;
 }
 
+/* Return the own zone's share of TOTAL loads in flight.  What the zones
+   cannot divide evenly goes to the first ones by name; rounding down alone
+   would leave it unused.  */
+static uint32_t
+control_share (const struct env_document *document, const char *zone,
+               uint32_t total)
+{
+  const GPtrArray *zones = env_zones (document);
+  uint32_t before = 0;
+
+  if (zones->len == 0)
+    return total;
+  for (guint i = 0; i < zones->len; i++)
+    if (strcmp (g_ptr_array_index (zones, i), zone) < 0)
+      before++;
+  return total / zones->len + (before < total % zones->len);
+}
+
 /* Put the part of the document WHAT that concerns the own zone in force.  */
 void
 control_on_document (void *arg, const void *what)
@@ -84,18 +104,20 @@
   GArray *models = control_models (document, zone);
   GArray *engines = control_engines (document, zone);
   GArray *adapters = control_adapters (document);
-  guint zones = MAX (env_zones (document)->len, 1);
   struct plc_plan plan
       = { .models = (const struct plc_model_spec *)(void *)models->data,
           .model_count = models->len,
           .engines = (const struct plc_engine_spec *)(void *)engines->data,
           .engine_count = engines->len,
-          .weight_loads = env_limits (document)->weight_loads_max / zones };
+          .weight_loads = control_share (
+              document, zone, env_limits (document)->weight_loads_max) };
 
   plc_set_plan (control->plc, &plan);
-  plc_set_adapters (
-      control->plc, (const struct plc_adapter_spec *)(void *)adapters->data,
-      adapters->len, env_limits (document)->adapter_loads_max / zones);
+  plc_set_adapters (control->plc,
+                    (const struct plc_adapter_spec *)(void *)adapters->data,
+                    adapters->len,
+                    control_share (document, zone,
+                                   env_limits (document)->adapter_loads_max));
   g_array_free (models, TRUE);
   g_array_free (engines, TRUE);
   g_array_free (adapters, TRUE);
