Keep the last 1,000 changes in the history

Change: the transaction of a change deletes the entry 1,000 generations back. Measured: 1,005 changes leave 1,000 entries (chg_test). Conclusion: bounded without another writer.

--- a/libcowslip/chg.c
+++ b/libcowslip/chg.c
@@ -145,20 +145,29 @@
 {
   struct json_object *patch = chg_patch (base, operation->text);
   struct kv_compare compare = { operation->key, base->revision };
-  struct kv_op ops[2] = { { .kind = KV_PUT,
+  struct kv_op ops[3] = { { .kind = KV_PUT,
                             .key = operation->key,
                             .value = operation->value,
                             .value_bytes = strlen (operation->value) },
-                          { .kind = KV_PUT, .key = operation->history_key } };
+                          { .kind = KV_PUT, .key = operation->history_key },
+                          { .kind = KV_DELETE } };
   struct kv_txn txn = {
     .compares = &compare, .compare_count = 1, .then_ops = ops, .then_count = 2
   };
+  char *expired = NULL;
 
+  if (operation->generation > CHG_HISTORY_KEPT)
+    {
+      expired = chg_history_key (operation->environment,
+                                 operation->generation - CHG_HISTORY_KEPT);
+      ops[txn.then_count++].key = expired;
+    }
   if (patch != NULL)
     json_object_object_add (operation->history, "patch", patch);
   ops[1].value = chg_encode (operation->history);
   ops[1].value_bytes = strlen (ops[1].value);
   kv_txn (operation->kv, &txn, chg_written, operation);
+  g_free (expired);
 }
 
 static void
--- a/libcowslip/chg.h
+++ b/libcowslip/chg.h
@@ -14,6 +14,10 @@
 /* A history entry carries no longer patch than this, as JSON.  */
 #define CHG_PATCH_MAX_BYTES 65536
 
+/* History entries that are kept.  At 16,000 changes a day this is 90 minutes,
+   and reading all of them stays below the size of one answer.  */
+#define CHG_HISTORY_KEPT 1000
+
 /* One stored generation of a document.  TEXT is NULL in a history entry, and
    PATCH is NULL elsewhere and in an entry whose patch would be too long.  */
 struct chg_record
--- a/regress/chg_test.c
+++ b/regress/chg_test.c
@@ -243,6 +243,28 @@
   race_close (&race);
 }
 
+/* Guards against a history that grows until it can no longer be read.  */
+static void
+test_history_bound (void)
+{
+  struct race race;
+
+  race_open (&race);
+  for (uint32_t i = 0; i < CHG_HISTORY_KEPT + 5; i++)
+    {
+      struct told told = { 0 };
+      char id[16];
+
+      g_snprintf (id, sizeof id, "c%u", i);
+      apply (&race, id, i, &told);
+      tm_advance (race.tm, tm_now_us (race.tm) + 1000000);
+      CU_ASSERT_EQUAL (told.outcome, CHG_ACCEPTED);
+    }
+  CU_ASSERT_EQUAL (fake_kv_count (race.fake, "cowslip/e/history/"),
+                   CHG_HISTORY_KEPT);
+  race_close (&race);
+}
+
 int
 main (void)
 {
@@ -251,6 +273,7 @@
           { "racing operators", test_races },
           { "superseded after a lost answer", test_superseded },
           { "patch in the history", test_patch },
+          { "bounded history", test_history_bound },
           { NULL, NULL } };
 
   return unit_main ("chg", tests);
