--- a/regress/adapter_sim_engine.c
+++ b/regress/adapter_sim_engine.c
@@ -2,6 +2,14 @@
 
 #include "adapter_sim.h"
 
+/* Longer than real loads, so that they overlap more often.  */
+#define AS_LOAD_SPREAD_MS 90
+/* An order whose load would end later than order_max_ms is not sent so late.
+ */
+#define AS_LATE_MS (AS_ORDER_MS - AS_LOAD_SPREAD_MS - 20)
+/* Long enough for answers to overtake each other.  */
+#define AS_ANSWER_MS 80
+
 /* An order on its way.  The names are copied: the sender may forget them.  */
 struct as_order
 {
@@ -74,8 +82,9 @@
 as_load (struct as_world *world, const struct as_order *order)
 {
   struct as_held *held = &order->engine->held[order->name];
-  uint32_t span_ms = as_is_adapter (order->name) ? 5 + as_pick (world, 10)
-                                                 : 100 + as_pick (world, 500);
+  uint32_t span_ms = as_is_adapter (order->name)
+                         ? 5 + as_pick (world, AS_LOAD_SPREAD_MS)
+                         : 100 + as_pick (world, 500);
 
   if (as_is_adapter (order->name)
       && order->engine->held[as_model_of (order->name)].state != PLC_LOADED)
@@ -177,7 +186,7 @@
 
   if (order->engine->alive)
     as_answer (world, order, state == PLC_LOADED ? PLC_ANSWERED : PLC_REFUSED,
-               (1 + as_pick (world, 20)) * AS_US_PER_MS);
+               (1 + as_pick (world, AS_ANSWER_MS)) * AS_US_PER_MS);
   else
     as_answer (world, order, PLC_NO_ANSWER, AS_US_PER_MS);
 }
@@ -198,12 +207,12 @@
              as_load_ended, g_memdup2 (order, sizeof *order));
   else
     as_answer (world, order, outcome,
-               (1 + as_pick (world, 20)) * AS_US_PER_MS);
+               (1 + as_pick (world, AS_ANSWER_MS)) * AS_US_PER_MS);
 }
 
 /* Send ORDER.  While the world is faulty, some are lost, some answers are
-   lost, and some orders are carried out as late as order_max_ms.  Answers take
-   1 to 20 ms, so that they overtake each other.  */
+   lost, and some orders are carried out as late as order_max_ms.  Answers
+   overtake each other.  */
 void
 as_engine_order (struct as_world *world, const struct plc_order *order)
 {
@@ -226,7 +235,7 @@
                  (20 + as_pick (world, AS_ORDER_MS - 20)) * AS_US_PER_MS);
     }
   if (dice < 30)
-    delay_ms = as_pick (world, AS_ORDER_MS - 20);
+    delay_ms = as_pick (world, AS_LATE_MS);
   if (dice < 60 || dice >= 90)
     as_post (world, delay_ms * AS_US_PER_MS, as_order_arrives, copy);
   else
