--- a/cowslipcoved/control_plan.c
+++ b/cowslipcoved/control_plan.c
@@ -1,5 +1,8 @@
+#include <string.h>
+
 #include "control_impl.h"
 #include "env.h"
+#include "lg.h"
 #include "peers.h"
 
 static GArray *
@@ -73,6 +76,24 @@
   return specs;
 }
 
+/* Return the own zone's share of TOTAL loads in flight.  What the zones
+   cannot divide evenly goes to the first ones by name; rounding down alone
+   would leave it unused.  */
+static uint32_t
+control_share (const struct env_document *document, const char *zone,
+               uint32_t total)
+{
+  const GPtrArray *zones = env_zones (document);
+  uint32_t before = 0;
+
+  if (zones->len == 0)
+    return total;
+  for (guint i = 0; i < zones->len; i++)
+    if (strcmp (g_ptr_array_index (zones, i), zone) < 0)
+      before++;
+  return total / zones->len + (before < total % zones->len);
+}
+
 /* Put the part of the document WHAT that concerns the own zone in force.  */
 void
 control_on_document (void *arg, const void *what)
@@ -83,18 +104,20 @@
   GArray *models = control_models (document, zone);
   GArray *engines = control_engines (document, zone);
   GArray *adapters = control_adapters (document);
-  guint zones = MAX (env_zones (document)->len, 1);
   struct plc_plan plan
       = { .models = (const struct plc_model_spec *)(void *)models->data,
           .model_count = models->len,
           .engines = (const struct plc_engine_spec *)(void *)engines->data,
           .engine_count = engines->len,
-          .weight_loads = env_limits (document)->weight_loads_max / zones };
+          .weight_loads = control_share (
+              document, zone, env_limits (document)->weight_loads_max) };
 
   plc_set_plan (control->plc, &plan);
-  plc_set_adapters (
-      control->plc, (const struct plc_adapter_spec *)(void *)adapters->data,
-      adapters->len, env_limits (document)->adapter_loads_max / zones);
+  plc_set_adapters (control->plc,
+                    (const struct plc_adapter_spec *)(void *)adapters->data,
+                    adapters->len,
+                    control_share (document, zone,
+                                   env_limits (document)->adapter_loads_max));
   g_array_free (models, TRUE);
   g_array_free (engines, TRUE);
   g_array_free (adapters, TRUE);
@@ -108,8 +131,10 @@
   const struct set_settings *settings = control->daemon->settings;
   const GPtrArray *all = mem_members (what);
   GArray *peers = g_array_new (FALSE, FALSE, sizeof (struct plc_member));
+  GArray *receivers = g_array_new (FALSE, FALSE, sizeof (struct vwp_member));
   GArray *others = g_array_new (FALSE, FALSE, sizeof (struct own_member));
   struct plc_member self = { settings->instance, true, true };
+  bool shared;
 
   g_array_append_val (peers, self);
   for (guint i = 0; i < all->len; i++)
@@ -118,18 +143,27 @@
       struct plc_member peer = { m->instance, m->recorded, m->reachable };
       struct own_member other
           = { m->instance, m->number, m->recorded, m->reachable, m->draining };
+      struct vwp_member receiver
+          = { m->instance, m->incarnation, m->reachable };
 
       if (!g_str_equal (m->zone, settings->zone)
           || g_str_equal (m->instance, settings->instance))
         continue;
       g_array_append_val (peers, peer);
       g_array_append_val (others, other);
+      g_array_append_val (receivers, receiver);
     }
   plc_set_members (control->plc, (struct plc_member *)(void *)peers->data,
                    peers->len);
+  shared = own_number_shared (control->own);
   own_set_members (control->own, (struct own_member *)(void *)others->data,
                    others->len);
+  if (!shared && own_number_shared (control->own))
+    lg_write (LG_NUMBER_SHARED, "number %u", settings->member_number);
+  vwp_set_members (control->pushes,
+                   (struct vwp_member *)(void *)receivers->data,
+                   receivers->len);
+  g_array_free (receivers, TRUE);
   g_array_free (peers, TRUE);
   g_array_free (others, TRUE);
-  control_push_views (control);
 }
--- a/cowslipcoved/peers.c
+++ b/cowslipcoved/peers.c
@@ -1,13 +1,39 @@
-#include "peers_impl.h"
+#include <string.h>
 
 #include "lg.h"
+#include "peers_impl.h"
+
+/* Instances of a zone that watch the key-value service.  */
+#define CD_WATCHERS 2
+
+/* Tell the configuration which members watch the key-value service.  */
+static void
+cd_members_watchers (struct cd_peers *peers)
+{
+  const GPtrArray *members = mem_members (peers->table);
+  const char *addresses[CD_WATCHERS];
+  size_t count = 0;
+
+  for (guint i = 0; i < members->len && count < CD_WATCHERS; i++)
+    {
+      const struct mem_member *member = g_ptr_array_index (members, i);
+
+      if (strcmp (member->zone, peers->daemon->settings->zone) == 0
+          && (member->reachable || member == mem_self (peers->table))
+          && !member->draining)
+        addresses[count++] = member->rpc_address;
+    }
+  cfg_set_watchers (peers->cfg, addresses, count);
+}
 
 static void
 cd_members_changed (void *arg)
 {
   struct cd_peers *peers = arg;
 
-  cfg_set_watching (peers->cfg, mem_among_lowest (peers->table, 2));
+  cd_loads_prune (peers);
+  cfg_set_watching (peers->cfg, mem_among_lowest (peers->table, CD_WATCHERS));
+  cd_members_watchers (peers);
   cd_publish (peers->daemon, CD_MEMBERS, peers->table);
 }
 
@@ -111,12 +137,14 @@
   peers->daemon = daemon;
   peers->loads
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  cd_loads_start (peers);
   peers->fetches = g_hash_table_new (g_str_hash, g_str_equal);
   peers->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   peers->suspicions = g_array_new (FALSE, FALSE, sizeof (struct cd_suspicion));
   peers->table = mem_table_new (daemon->tm, &self, &members, peers);
   peers->leaving = mem_leaving_new (daemon->tm, cd_leaving_changed, peers);
   cd_heartbeats_serve (peers);
+  cd_beats_serve (peers);
   cd_document_serve (peers);
   cd_suspects_serve (peers);
   cd_subscribe (daemon, CD_DRAIN, cd_peers_drain, peers);
@@ -140,6 +168,7 @@
   mem_table_free (peers->table);
   env_unref (peers->document);
   g_hash_table_destroy (peers->loads);
+  cd_loads_free (peers);
   g_hash_table_destroy (peers->calls);
   g_array_free (peers->suspicions, TRUE);
   g_free (peers);
--- a/cowslipload/request.c
+++ b/cowslipload/request.c
@@ -83,7 +83,10 @@
                     + (uint32_t)gsl_rng_uniform_int (
                         run->random, mix->tokens_max - mix->tokens_min + 1);
   if (ld_chance (run, mix->long_percent))
-    request->tokens *= mix->long_factor;
+    {
+      request->tokens *= mix->long_factor;
+      request->is_long = true;
+    }
   json_object_object_add (body, "model",
                           json_object_new_string (request->name));
   ld_put_prompt (body, mix, prompt);
@@ -139,8 +142,9 @@
   request->due_us = due_us;
   request->name
       = mix->names->pdata[gsl_ran_discrete (run->random, mix->popularity)];
-  request->target = (guint)gsl_rng_uniform_int (run->random,
-                                                run->experiment->targets->len);
+  request->target = ld_targets_next (
+      run->targets,
+      (guint)gsl_rng_uniform_int (run->random, run->experiment->targets->len));
   for (guint i = 0; i < run->tallies->len; i++)
     if (strcmp (((struct ld_tally *)run->tallies->pdata[i])->name, mix->tally)
         == 0)
@@ -167,18 +171,39 @@
   request->body = g_strdup (first->body);
   request->key = first->key;
   request->due_us = first->due_us;
-  request->target = (first->target + 1) % first->run->experiment->targets->len;
+  request->target = ld_targets_next (first->run->targets, first->target + 1);
   if (request->key != NULL)
     request->key->sends++;
   ld_reply_init (&request->reply);
   return request;
 }
 
+static double
+ld_elapsed_ms (const struct ld_request *request)
+{
+  return (double)(tm_now_us (request->run->tm) - request->due_us)
+         / LD_US_PER_MS;
+}
+
+static void
+ld_trace (const struct ld_request *request)
+{
+  if (request->run->outputs->trace == NULL)
+    return;
+  fprintf (request->run->outputs->trace,
+           "%" PRIu64 ",%s,%s,%d,%s,%.3f,%.3f,%u\n", request->due_us,
+           request->tally->name, request->name, request->is_long,
+           request->outcome == NULL ? "lost" : request->outcome,
+           request->first_token_ms, ld_elapsed_ms (request),
+           request->mix->deadline_ms);
+}
+
 static void
 ld_request_end (struct ld_request *request)
 {
   struct ld_run *run = request->run;
 
+  ld_trace (request);
   ld_reply_clear (&request->reply);
   g_free (request->path);
   g_free (request->body);
@@ -187,13 +212,6 @@
   ld_run_done (run);
 }
 
-static double
-ld_elapsed_ms (const struct ld_request *request)
-{
-  return (double)(tm_now_us (request->run->tm) - request->due_us)
-         / LD_US_PER_MS;
-}
-
 static struct ld_second *
 ld_second_of (const struct ld_request *request)
 {
@@ -287,6 +305,9 @@
                           run->random, LD_RESEND_MAX_MS - LD_RESEND_MIN_MS);
 
   request->tally->broken++;
+  if (run->outputs->broken != NULL)
+    fprintf (run->outputs->broken, "%" PRIu64 " %s\n", uv_hrtime () / 1000,
+             (const char *)targets->pdata[request->target]);
   if (!run->experiment->resend)
     {
       request->tally->lost++;
@@ -295,10 +316,10 @@
       return;
     }
   if (targets->len > 1)
-    request->target
-        = (request->target + 1
-           + (guint)gsl_rng_uniform_int (run->random, targets->len - 1))
-          % targets->len;
+    request->target = ld_targets_next (
+        run->targets,
+        request->target + 1
+            + (guint)gsl_rng_uniform_int (run->random, targets->len - 1));
   request->tally->resent++;
   ld_reply_clear (&request->reply);
   ld_reply_init (&request->reply);
@@ -310,10 +331,14 @@
 ld_on_refused (struct ld_request *request)
 {
   ld_tally_refusal (request->tally, request->reply.reason);
+  request->outcome = request->reply.reason;
   ld_second_of (request)->refused++;
   /* After a broken connection, "not run" speaks of the last attempt only.  */
   if (request->key != NULL && request->reply.not_run && request->attempts == 1)
     request->key->not_run++;
+  if (request->mix->kind != LD_SERVICE && request->reply.not_run
+      && request->attempts == 1 && request->run->outputs->not_run != NULL)
+    fprintf (request->run->outputs->not_run, "%" PRIu64 "\n", request->seed);
   ld_request_end (request);
 }
 
@@ -330,10 +355,12 @@
         tally->doubled++;
       else
         tally->wrong++;
+      request->outcome = verdict;
       ld_request_end (request);
       return;
     }
   tally->whole++;
+  request->outcome = "whole";
   ld_tally_value (tally->total_ms, total_ms);
   if (request->tokens_seen > 0)
     ld_tally_value (tally->first_token_ms, request->first_token_ms);
--- a/cowslipload/run.h
+++ b/cowslipload/run.h
@@ -9,6 +9,7 @@
 #include "http_client.h"
 #include "reply.h"
 #include "tally.h"
+#include "targets.h"
 #include "tm_uv.h"
 
 #define LD_KEY_BYTES 48
@@ -22,6 +23,15 @@
   uint32_t not_run;
 };
 
+/* Files that tell a checker about single requests.  NULL: not wanted.  */
+struct ld_outputs
+{
+  FILE *keys;    /* what is known about each idempotency key */
+  FILE *not_run; /* seeds of model requests refused as not run */
+  FILE *broken;  /* time and target of each broken connection */
+  FILE *trace;   /* one line per request */
+};
+
 /* One experiment under way.  */
 struct ld_run
 {
@@ -34,6 +44,8 @@
   gsl_rng *random;
   struct ld_arrivals *arrivals;
   GPtrArray *tallies;
+  const struct ld_outputs *outputs;
+  struct ld_targets *targets;
   GHashTable *keys; /* struct ld_key by text */
   uint64_t start_us;
   uint64_t next_us;
@@ -58,8 +70,10 @@
   char *body;
   uint64_t seed; /* of the expected text */
   uint32_t tokens;
-  struct ld_key *key; /* NULL: none */
-  uint64_t due_us;    /* when it arrived */
+  bool is_long;        /* runs long_factor times longer */
+  const char *outcome; /* NULL: lost */
+  struct ld_key *key;  /* NULL: none */
+  uint64_t due_us;     /* when it arrived */
   uint64_t last_token_us;
   double first_token_ms;
   uint32_t tokens_seen;
@@ -70,7 +84,7 @@
 };
 
 bool ld_run (const struct ld_experiment *experiment, GPtrArray *tallies,
-             FILE *keys, GError **error);
+             const struct ld_outputs *outputs, GError **error);
 void ld_run_done (struct ld_run *run);
 
 struct ld_request *ld_request_new (struct ld_run *run,
--- a/libcowslip/own_kv.c
+++ b/libcowslip/own_kv.c
@@ -135,6 +135,7 @@
   own->kv_read = true;
   controller = own_pair (result, own->controller_key);
   own->controller_revision = controller == NULL ? 0 : controller->revision;
+  own->seen_revision = own->controller_revision;
   /* A record that cannot be read gives no authority.  */
   if (!own_note_placement (own, own_pair (result, own->placement_key))
       || (controller != NULL
@@ -161,29 +162,68 @@
   kv_txn (&own->config.kv, &txn, own_read_done, own);
 }
 
+/* Act on the OUTCOME of a renewal.  One that failed names no lease, and must
+   be noted all the same: orders during an outage rely on it.  */
 static void
-own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
+own_renewed (struct own *own, enum kv_outcome outcome, int64_t lease)
 {
-  struct own *own = arg;
   uint64_t valid_us = (OWN_TTL_S * 1000 - OWN_MARGIN_MS) * OWN_US_PER_MS;
 
-  own->renewing = false;
-  if (own->closed || lease != own->lease)
+  own_note_outcome (own, outcome);
+  if (own->kv_failed)
     {
-      own_unref (own);
+      own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
       return;
     }
-  own_note_outcome (own, outcome);
+  if (lease != own->lease)
+    return;
   if (outcome == KV_OK)
-    own->lease_safe_us = own->renew_us + valid_us;
-  else if (outcome == KV_CONFLICT)
     {
-      own->lease_safe_us = 0;
-      own->lease = 0;
-      own->next_read_us = 0;
+      own->lease_safe_us = own->renew_us + valid_us;
+      return;
     }
-  else
-    own->next_renew_us = own_now (own) + OWN_RETRY_MS * OWN_US_PER_MS;
+  own->lease_safe_us = 0;
+  own->lease = 0;
+  own->next_read_us = 0;
+}
+
+static void
+own_check_done (void *arg, const struct kv_result *result)
+{
+  struct own *own = arg;
+  const struct kv_pair *controller;
+  int64_t revision;
+
+  if (own_end_call (own, result->outcome) && result->outcome == KV_OK)
+    {
+      controller = own_pair (result, own->controller_key);
+      revision = controller == NULL ? 0 : controller->revision;
+      if (revision == 0 || revision != own->seen_revision)
+        own_read (own);
+    }
+  own_unref (own);
+}
+
+/* Read only the controller key.  Both keys are always written together, so the
+   placement, which is large, has changed only if this key has.  */
+static void
+own_check (struct own *own)
+{
+  struct kv_op op = { .kind = KV_GET, .key = own->controller_key };
+  struct kv_txn txn = { .then_ops = &op, .then_count = 1 };
+
+  own_begin_call (own);
+  kv_txn (&own->config.kv, &txn, own_check_done, own);
+}
+
+static void
+own_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
+{
+  struct own *own = arg;
+
+  own->renewing = false;
+  if (!own->closed)
+    own_renewed (own, outcome, lease);
   own_unref (own);
 }
 
@@ -213,8 +253,12 @@
     own_release (own);
   else if (own->reread || !by_lease)
     {
-      if (now_us >= own->next_read_us)
+      if (now_us < own->next_read_us)
+        return;
+      if (own->holding || own->reread || own->seen_revision == 0)
         own_read (own);
+      else
+        own_check (own);
     }
   else
     own_save_tick (own);
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -17,6 +17,8 @@
 #define COWSLIP_LIST_MAX 4096
 #define COWSLIP_DOCUMENT_MAX 1000000
 #define COWSLIP_BODY_MAX 65536
+#define COWSLIP_ENTRY_MAX 131072
+#define COWSLIP_ENTRIES_MAX 64
 
 typedef char *cs_name;
 
@@ -31,10 +33,8 @@
 typedef struct cs_member cs_member;
 
 struct cs_load {
-	cs_name endpoint;
-	u_int running;
-	u_int waiting;
-	u_int age_ms;
+	u_quad_t endpoint;
+	u_int packed;
 };
 typedef struct cs_load cs_load;
 
@@ -54,8 +54,9 @@
 };
 typedef struct cs_demand cs_demand;
 
-struct cs_heartbeat {
-	cs_member sender;
+struct cs_beat {
+	u_int number;
+	u_int previous;
 	u_quad_t generation;
 	u_quad_t fence;
 	bool_t draining;
@@ -72,6 +73,12 @@
 		cs_suspect *suspects_val;
 	} suspects;
 };
+typedef struct cs_beat cs_beat;
+
+struct cs_heartbeat {
+	cs_member sender;
+	cs_beat beat;
+};
 typedef struct cs_heartbeat cs_heartbeat;
 
 struct cs_heartbeat_reply {
@@ -80,9 +87,28 @@
 };
 typedef struct cs_heartbeat_reply cs_heartbeat_reply;
 
+struct cs_entry {
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct cs_entry cs_entry;
+
+struct cs_document_request {
+	cs_name environment;
+	u_quad_t generation;
+	cs_name digest;
+};
+typedef struct cs_document_request cs_document_request;
+
 struct cs_document {
 	u_quad_t generation;
 	cs_name digest;
+	struct {
+		u_int entries_len;
+		cs_entry *entries_val;
+	} entries;
 	struct {
 		u_int text_len;
 		char *text_val;
@@ -108,19 +134,37 @@
 };
 typedef struct cs_replica cs_replica;
 
+struct cs_removed {
+	cs_name model;
+	cs_name endpoint;
+};
+typedef struct cs_removed cs_removed;
+
 struct cs_view {
 	cs_name zone;
 	u_quad_t fence;
+	u_quad_t base;
 	u_quad_t sequence;
 	struct {
 		u_int replicas_len;
 		cs_replica *replicas_val;
 	} replicas;
+	struct {
+		u_int removed_len;
+		cs_removed *removed_val;
+	} removed;
 };
 typedef struct cs_view cs_view;
 
+struct cs_view_reply {
+	u_quad_t fence;
+	u_quad_t sequence;
+};
+typedef struct cs_view_reply cs_view_reply;
+
 struct cs_quiesce {
 	u_quad_t fence;
+	u_quad_t sequence;
 	cs_name model;
 	cs_name endpoint;
 };
@@ -206,14 +250,14 @@
 extern  cs_heartbeat_reply * cowslip_heartbeat_1(cs_heartbeat *, CLIENT *);
 extern  cs_heartbeat_reply * cowslip_heartbeat_1_svc(cs_heartbeat *, struct svc_req *);
 #define COWSLIP_GET_DOCUMENT 2
-extern  cs_document * cowslip_get_document_1(cs_name *, CLIENT *);
-extern  cs_document * cowslip_get_document_1_svc(cs_name *, struct svc_req *);
+extern  cs_document * cowslip_get_document_1(cs_document_request *, CLIENT *);
+extern  cs_document * cowslip_get_document_1_svc(cs_document_request *, struct svc_req *);
 #define COWSLIP_DEMAND 3
 extern  void * cowslip_demand_1(cs_demand_report *, CLIENT *);
 extern  void * cowslip_demand_1_svc(cs_demand_report *, struct svc_req *);
 #define COWSLIP_VIEW 4
-extern  void * cowslip_view_1(cs_view *, CLIENT *);
-extern  void * cowslip_view_1_svc(cs_view *, struct svc_req *);
+extern  cs_view_reply * cowslip_view_1(cs_view *, CLIENT *);
+extern  cs_view_reply * cowslip_view_1_svc(cs_view *, struct svc_req *);
 #define COWSLIP_QUIESCE 5
 extern  cs_quiesce_reply * cowslip_quiesce_1(cs_quiesce *, CLIENT *);
 extern  cs_quiesce_reply * cowslip_quiesce_1_svc(cs_quiesce *, struct svc_req *);
@@ -226,6 +270,9 @@
 #define COWSLIP_SUSPECT 8
 extern  void * cowslip_suspect_1(cs_suspects *, CLIENT *);
 extern  void * cowslip_suspect_1_svc(cs_suspects *, struct svc_req *);
+#define COWSLIP_BEAT 9
+extern  void * cowslip_beat_1(cs_beat *, CLIENT *);
+extern  void * cowslip_beat_1_svc(cs_beat *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -239,8 +286,8 @@
 extern  void * cowslip_demand_1();
 extern  void * cowslip_demand_1_svc();
 #define COWSLIP_VIEW 4
-extern  void * cowslip_view_1();
-extern  void * cowslip_view_1_svc();
+extern  cs_view_reply * cowslip_view_1();
+extern  cs_view_reply * cowslip_view_1_svc();
 #define COWSLIP_QUIESCE 5
 extern  cs_quiesce_reply * cowslip_quiesce_1();
 extern  cs_quiesce_reply * cowslip_quiesce_1_svc();
@@ -253,6 +300,9 @@
 #define COWSLIP_SUSPECT 8
 extern  void * cowslip_suspect_1();
 extern  void * cowslip_suspect_1_svc();
+#define COWSLIP_BEAT 9
+extern  void * cowslip_beat_1();
+extern  void * cowslip_beat_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -264,12 +314,17 @@
 extern  bool_t xdr_cs_load (XDR *, cs_load*);
 extern  bool_t xdr_cs_suspect (XDR *, cs_suspect*);
 extern  bool_t xdr_cs_demand (XDR *, cs_demand*);
+extern  bool_t xdr_cs_beat (XDR *, cs_beat*);
 extern  bool_t xdr_cs_heartbeat (XDR *, cs_heartbeat*);
 extern  bool_t xdr_cs_heartbeat_reply (XDR *, cs_heartbeat_reply*);
+extern  bool_t xdr_cs_entry (XDR *, cs_entry*);
+extern  bool_t xdr_cs_document_request (XDR *, cs_document_request*);
 extern  bool_t xdr_cs_document (XDR *, cs_document*);
 extern  bool_t xdr_cs_demand_report (XDR *, cs_demand_report*);
 extern  bool_t xdr_cs_replica (XDR *, cs_replica*);
+extern  bool_t xdr_cs_removed (XDR *, cs_removed*);
 extern  bool_t xdr_cs_view (XDR *, cs_view*);
+extern  bool_t xdr_cs_view_reply (XDR *, cs_view_reply*);
 extern  bool_t xdr_cs_quiesce (XDR *, cs_quiesce*);
 extern  bool_t xdr_cs_quiesce_reply (XDR *, cs_quiesce_reply*);
 extern  bool_t xdr_cs_promise (XDR *, cs_promise*);
@@ -286,12 +341,17 @@
 extern bool_t xdr_cs_load ();
 extern bool_t xdr_cs_suspect ();
 extern bool_t xdr_cs_demand ();
+extern bool_t xdr_cs_beat ();
 extern bool_t xdr_cs_heartbeat ();
 extern bool_t xdr_cs_heartbeat_reply ();
+extern bool_t xdr_cs_entry ();
+extern bool_t xdr_cs_document_request ();
 extern bool_t xdr_cs_document ();
 extern bool_t xdr_cs_demand_report ();
 extern bool_t xdr_cs_replica ();
+extern bool_t xdr_cs_removed ();
 extern bool_t xdr_cs_view ();
+extern bool_t xdr_cs_view_reply ();
 extern bool_t xdr_cs_quiesce ();
 extern bool_t xdr_cs_quiesce_reply ();
 extern bool_t xdr_cs_promise ();
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -4,6 +4,8 @@
 const COWSLIP_LIST_MAX = 4096;
 const COWSLIP_DOCUMENT_MAX = 1000000;
 const COWSLIP_BODY_MAX = 65536;
+const COWSLIP_ENTRY_MAX = 131072;
+const COWSLIP_ENTRIES_MAX = 64;
 
 typedef string cs_name<COWSLIP_NAME_MAX>;
 
@@ -17,13 +19,11 @@
   unsigned hyper incarnation;
 };
 
-/* Load of one engine as its reader saw it.  */
+/* Load of one engine as its reader saw it; mem_load_pack fills both.  */
 struct cs_load
 {
-  cs_name endpoint;
-  unsigned int running;
-  unsigned int waiting;
-  unsigned int age_ms;
+  unsigned hyper endpoint; /* XXH3 hash of the address */
+  unsigned int packed;     /* running, waiting, age */
 };
 
 struct cs_suspect
@@ -42,9 +42,11 @@
   unsigned int arrivals; /* requests since the last report */
 };
 
-struct cs_heartbeat
+/* What both kinds of heartbeats say.  */
+struct cs_beat
 {
-  cs_member sender;
+  unsigned int number;   /* ascends with each heartbeat of the sender */
+  unsigned int previous; /* the heartbeat that LOADS change; 0: all loads */
   unsigned hyper generation;
   unsigned hyper fence; /* highest that the sender has seen */
   bool draining;
@@ -53,16 +55,41 @@
   cs_suspect suspects<COWSLIP_LIST_MAX>;
 };
 
+/* A whole heartbeat: who the sender is, and all loads.  */
+struct cs_heartbeat
+{
+  cs_member sender;
+  cs_beat beat;
+};
+
 struct cs_heartbeat_reply
 {
   unsigned hyper incarnation;
   unsigned hyper generation;
 };
 
+/* A history entry as it stands in the key-value service.  */
+struct cs_entry
+{
+  opaque value<COWSLIP_ENTRY_MAX>;
+};
+
+/* GENERATION and DIGEST are in force at the asker; 0: the whole document is
+   wanted.  */
+struct cs_document_request
+{
+  cs_name environment;
+  unsigned hyper generation;
+  cs_name digest;
+};
+
+/* Either the entries that lead from the asker's generation to GENERATION, or
+   the whole text; neither if the asker has it already.  */
 struct cs_document
 {
   unsigned hyper generation; /* 0: none known */
   cs_name digest;
+  cs_entry entries<COWSLIP_ENTRIES_MAX>;
   opaque text<COWSLIP_DOCUMENT_MAX>;
 };
 
@@ -81,17 +108,33 @@
   unsigned int ready_ms;
 };
 
+struct cs_removed
+{
+  cs_name model;
+  cs_name endpoint;
+};
+
 struct cs_view
 {
   cs_name zone;
   unsigned hyper fence;
+  unsigned hyper base; /* changes since then; 0: everything */
   unsigned hyper sequence;
   cs_replica replicas<COWSLIP_LIST_MAX>;
+  cs_removed removed<COWSLIP_LIST_MAX>;
+};
+
+/* The view that the receiver holds now.  */
+struct cs_view_reply
+{
+  unsigned hyper fence; /* 0: none */
+  unsigned hyper sequence;
 };
 
 struct cs_quiesce
 {
   unsigned hyper fence;
+  unsigned hyper sequence; /* of the oldest view that may answer */
   cs_name model;
   cs_name endpoint;
 };
@@ -164,12 +207,14 @@
   version COWSLIP_VERSION
   {
     cs_heartbeat_reply COWSLIP_HEARTBEAT (cs_heartbeat) = 1;
-    cs_document COWSLIP_GET_DOCUMENT (cs_name) = 2;
+    cs_document COWSLIP_GET_DOCUMENT (cs_document_request) = 2;
     void COWSLIP_DEMAND (cs_demand_report) = 3;
-    void COWSLIP_VIEW (cs_view) = 4;
+    cs_view_reply COWSLIP_VIEW (cs_view) = 4;
     cs_quiesce_reply COWSLIP_QUIESCE (cs_quiesce) = 5;
     cs_promise_reply COWSLIP_PROMISE (cs_promise) = 6;
     cs_claim_reply COWSLIP_CLAIM (cs_claim) = 7;
     void COWSLIP_SUSPECT (cs_suspects) = 8;
+    /* One-way; only the loads that differ from the heartbeat before.  */
+    void COWSLIP_BEAT (cs_beat) = 9;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -40,13 +40,9 @@
 {
 	register int32_t *buf;
 
-	 if (!xdr_cs_name (xdrs, &objp->endpoint))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->running))
+	 if (!xdr_u_quad_t (xdrs, &objp->endpoint))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->waiting))
-		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->age_ms))
+	 if (!xdr_u_int (xdrs, &objp->packed))
 		 return FALSE;
 	return TRUE;
 }
@@ -127,11 +123,13 @@
 }
 
 bool_t
-xdr_cs_heartbeat (XDR *xdrs, cs_heartbeat *objp)
+xdr_cs_beat (XDR *xdrs, cs_beat *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_cs_member (xdrs, &objp->sender))
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->previous))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->generation))
 		 return FALSE;
@@ -151,6 +149,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_heartbeat (XDR *xdrs, cs_heartbeat *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_member (xdrs, &objp->sender))
+		 return FALSE;
+	 if (!xdr_cs_beat (xdrs, &objp->beat))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_heartbeat_reply (XDR *xdrs, cs_heartbeat_reply *objp)
 {
@@ -163,6 +173,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_entry (XDR *xdrs, cs_entry *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, COWSLIP_ENTRY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_document_request (XDR *xdrs, cs_document_request *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->environment))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_cs_name (xdrs, &objp->digest))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_document (XDR *xdrs, cs_document *objp)
 {
@@ -172,6 +206,9 @@
 		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->digest))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->entries.entries_val, (u_int *) &objp->entries.entries_len, COWSLIP_ENTRIES_MAX,
+		sizeof (cs_entry), (xdrproc_t) xdr_cs_entry))
+		 return FALSE;
 	 if (!xdr_bytes (xdrs, (char **)&objp->text.text_val, (u_int *) &objp->text.text_len, COWSLIP_DOCUMENT_MAX))
 		 return FALSE;
 	return TRUE;
@@ -208,6 +245,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_removed (XDR *xdrs, cs_removed *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->model))
+		 return FALSE;
+	 if (!xdr_cs_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_view (XDR *xdrs, cs_view *objp)
 {
@@ -217,11 +266,28 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->base))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->replicas.replicas_val, (u_int *) &objp->replicas.replicas_len, COWSLIP_LIST_MAX,
 		sizeof (cs_replica), (xdrproc_t) xdr_cs_replica))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->removed.removed_val, (u_int *) &objp->removed.removed_len, COWSLIP_LIST_MAX,
+		sizeof (cs_removed), (xdrproc_t) xdr_cs_removed))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_view_reply (XDR *xdrs, cs_view_reply *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fence))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -232,6 +298,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->fence))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->sequence))
+		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->model))
 		 return FALSE;
 	 if (!xdr_cs_name (xdrs, &objp->endpoint))
