--- a/cowslipload/capacity.sh
+++ b/cowslipload/capacity.sh
@@ -14,7 +14,7 @@
 window=${CAPACITY_SECONDS:-8}
 settle=${CAPACITY_SETTLE:-4}
 rate=${CAPACITY_RATE:-0}
-port=${CAPACITY_PORT:-$((30000 + $$ % 100 * 100))}
+port=${CAPACITY_PORT:-5000}
 dir=$(mktemp -d) || exit 1
 pids=
 
@@ -26,8 +26,6 @@
 trap 'stop_all; rm -rf "$dir"' EXIT
 trap 'exit 1' INT TERM
 
-kv=127.0.0.1:$port
-weights=127.0.0.1:$((port + 1))
 call=$build/cowslipload/cowslipload
 
 engine_address () { echo "127.0.1.1:$((port + $1))"; }
@@ -89,6 +87,8 @@
 }
 
 run () { # instances, engines, models
+	kv=127.0.4.1:$port
+	weights=127.0.4.1:$((port + 1))
 	head -c 64 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$dir/key"
 	"$build/standin-kv" -l "$kv" -r 0 -w 0 >"$dir/kv.out" 2>&1 &
 	pids="$pids $!"
