--- a/standin/host.c
+++ b/standin/host.c
@@ -18,6 +18,8 @@
 stand_init (struct stand_host *host, const char *ident)
 {
   lg_open (ident);
+  /* h2o writes to sockets whose other end may have closed.  */
+  (void)signal (SIGPIPE, SIG_IGN);
   uv_loop_init (&host->loop);
   tm_uv_start (&host->driver, &host->loop);
   host->tm = host->driver.service;
