Judge planned stops and races of operators more strictly in the fault run

Two operators now race at different instances, several times. A connection counts as cut by a planned stop if the request was sent. Faults begin after the slots of every zone are recorded, because slots that never were cannot load in an outage. The run fails at once when a stand-in ends, looks for reports of sanitizers, and picks a block of ports that no other run uses. Processes are continued before they are told to stop: SIGCONT after SIGTERM made the leak check of a sanitizer build wait for ever. The load tool ignores SIGPIPE, as the daemon does.

--- a/cowslipload/main.c
+++ b/cowslipload/main.c
@@ -1,5 +1,6 @@
 #include <argp.h>
 #include <inttypes.h>
+#include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -52,7 +53,9 @@
   { "not-run", OPTION_NOT_RUN, "FILE", 0,
     "write the seeds of requests that were refused as not run to FILE", 0 },
   { "broken", OPTION_BROKEN, "FILE", 0,
-    "write time (us) and target of each broken connection to FILE", 0 },
+    "write to FILE for each broken connection the time (us), the target "
+    "and whether the request was sent",
+    0 },
   { "follow-ready", OPTION_FOLLOW_READY, NULL, 0,
     "send only to targets whose /readyz answers 200, as a balancer does", 0 },
   { 0 }
@@ -266,6 +269,7 @@
   GError *error = NULL;
   bool good;
 
+  (void)signal (SIGPIPE, SIG_IGN);
   if (argc > 1 && strcmp (argv[1], "check") == 0)
     return ld_check (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "slopes") == 0)
--- a/cowslipload/request.c
+++ b/cowslipload/request.c
@@ -279,7 +279,7 @@
 
 /* A broken connection says nothing about the request.  */
 static void
-ld_on_broken (struct ld_request *request)
+ld_on_broken (struct ld_request *request, bool sent)
 {
   struct ld_run *run = request->run;
   const GPtrArray *targets = run->experiment->targets;
@@ -289,8 +289,9 @@
 
   request->tally->broken++;
   if (run->outputs->broken != NULL)
-    fprintf (run->outputs->broken, "%" PRIu64 " %s\n", uv_hrtime () / 1000,
-             (const char *)targets->pdata[request->target]);
+    fprintf (run->outputs->broken, "%" PRIu64 " %s %s\n", uv_hrtime () / 1000,
+             (const char *)targets->pdata[request->target],
+             sent ? "sent" : "unsent");
   if (!run->experiment->resend)
     {
       request->tally->lost++;
@@ -357,7 +358,6 @@
 {
   struct ld_request *request = arg;
 
-  (void)sent;
   if (outcome == HTTP_COMPLETE)
     ld_reply_end (&request->reply);
   if (ld_reply_refused (&request->reply))
@@ -369,7 +369,7 @@
       ld_request_end (request);
     }
   else if (outcome != HTTP_COMPLETE || !request->reply.done)
-    ld_on_broken (request);
+    ld_on_broken (request, sent);
   else
     ld_on_whole (request);
 }
--- a/cowslipload/run.h
+++ b/cowslipload/run.h
@@ -28,7 +28,7 @@
 {
   FILE *keys;    /* what is known about each idempotency key */
   FILE *not_run; /* seeds of model requests refused as not run */
-  FILE *broken;  /* time and target of each broken connection */
+  FILE *broken;  /* time, target and sent or unsent */
 };
 
 /* One experiment under way.  */
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -10,7 +10,6 @@
 name=demo
 build=${BUILD:-build}
 seconds=${DEMO_SECONDS:-20}
-port=${DEMO_PORT:-$((20000 + $$ % 100 * 100))}
 instances_of_0="0 1"
 instances_of_1="0 1"
 instances_of_2="0 1"
--- a/regress/cluster.sh
+++ b/regress/cluster.sh
@@ -1,6 +1,6 @@
 # Functions that start a platform of stand-ins and instances in three zones.
 # Shared by demo/run.sh and regress/fault_run.sh, which set the variables
-# build, port, dir, name and instances_of_0, instances_of_1, instances_of_2
+# build, dir, name and instances_of_0, instances_of_1, instances_of_2
 # (numbers of the instances of each zone).
 
 zones="busan-a busan-b ulsan-c"
@@ -11,11 +11,32 @@
 pids=
 status=1
 
+# Set port to the first port of a block that no other run uses; the key-value
+# service of a run listens on it.
+pick_port () {
+	for try in 0 1 2 3 4 5 6 7 8 9; do
+		port=$((20000 + ($$ + try * 13) % 100 * 100))
+		hex=$(printf '0100007F:%04X 00000000:0000 0A' $port)
+		grep -q "$hex" /proc/net/tcp || return 0
+	done
+	fail "no free block of ports"
+}
+
 # Only the processes started here are ended, by their ids.
 stop_all () {
-	for pid in $pids; do kill "$pid" 2>/dev/null; done
+	# A signal later than SIGTERM would disturb the leak check at the end.
 	for pid in $pids; do kill -CONT "$pid" 2>/dev/null; done
-	for pid in $pids; do wait "$pid" 2>/dev/null; done
+	for pid in $pids; do kill "$pid" 2>/dev/null; done
+	tries=0
+	for pid in $pids; do
+		while alive "$pid" && [ $tries -lt 400 ]; do
+			tries=$((tries + 1))
+			sleep 0.05
+		done
+		alive "$pid" && echo "process $pid had to be killed" \
+		    && kill -9 "$pid"
+		wait "$pid" 2>/dev/null
+	done
 	if [ $status -eq 0 ]; then
 		rm -rf "$dir"
 	else
@@ -44,6 +65,10 @@
 	"$program" "$@" >"$dir/$standin.port" 2>>"$dir/$standin.log" &
 	pid=$!
 	pids="$pids $pid"
+	case $standin in
+	engine-*) ;;
+	*) echo "$standin:$pid" >>"$dir/platform" ;;
+	esac
 	tries=0
 	until [ -s "$dir/$standin.port" ]; do
 		alive "$pid" || {
@@ -56,6 +81,8 @@
 	done
 }
 
+port=${CLUSTER_PORT-}
+[ -n "$port" ] || pick_port
 kv=127.0.0.1:$port
 list=127.0.0.1:$((port + 1))
 weights=127.0.0.1:$((port + 2))
@@ -299,6 +326,21 @@
 	done
 }
 
+# Slots are loaded only after their engines were recorded, which takes the
+# key-value service.
+wait_placed () {
+	for z in 0 1 2; do
+		tries=0
+		until for n in $(instances_of $z); do
+			operator $z "$n" -j status; done 2>/dev/null \
+		    | grep -q '"pinned": *true'; do
+			tries=$((tries + 1))
+			[ $tries -lt 100 ] || fail "no slots in $(zone_name $z)"
+			sleep 0.1
+		done
+	done
+}
+
 # Options of "cowslipload check" that name the records of all stand-ins.  Those
 # of engines are in files, so that they outlive a killed engine.
 record_options () {
--- a/regress/fault_actions.sh
+++ b/regress/fault_actions.sh
@@ -141,6 +141,15 @@
 	done
 }
 
+# The run cannot judge anything without the platform.
+watch_platform () {
+	for entry in $platform; do
+		alive "${entry#*:}" && continue
+		wait "${entry#*:}"
+		fail "stand-in ${entry%:*} ended with status $?"
+	done
+}
+
 # A cold model is asked for, and the engine that begins to load it is killed.
 do_kill_loading () { # zone number, round
 	# shellcheck disable=SC2046
@@ -261,34 +270,35 @@
 	say "$(zone_name "$1") is connected again"
 }
 
-# Both operators read the same generation, so that one must lose whenever the
-# other's change comes first.
+# Both operators read the same generation and ask different instances at once,
+# so that exactly one must lose.
+race () { # zone number, file of one, file of the other
+	# shellcheck disable=SC2046
+	set -- "$1" $(usable "$1")
+	[ $# -gt 2 ] || return 1
+	base=$(operator "$1" "$2" -j status \
+	    | sed -n 's/^ *"generation": *\([0-9]*\).*/\1/p' | head -n 1)
+	[ -n "$base" ] || return 1
+	write_document "$models" $((2000 + base * 2)) >"$dir/one.json"
+	write_document "$models" $((2001 + base * 2)) >"$dir/two.json"
+	operator "$1" "$2" -a one -b "$base" -w 5 apply "$dir/one.json" \
+	    >>"$dir/one.out" 2>&1 &
+	one=$!
+	operator "$1" "$3" -a two -b "$base" -w 5 apply "$dir/two.json" \
+	    >>"$dir/two.out" 2>&1 &
+	two=$!
+	wait $one; one=$?
+	wait $two; two=$?
+	echo "base $base: $one $two" >>"$dir/operators"
+}
+
+# Races in which an instance or the key-value service was not reached say
+# nothing; check_operators wants some that do.
 do_operators () { # zone number
 	say "two operators change the document"
 	(
-		a=$(first_of $(usable "$1"))
 		for try in 1 2 3 4 5 6; do
-			base=$(operator "$1" "$a" -j status \
-			    | sed -n 's/^ *"generation": *\([0-9]*\).*/\1/p' \
-			    | head -n 1)
-			round=$((round + 1))
-			write_document "$models" $((2000 + base * 2)) >"$dir/one.json"
-			write_document "$models" $((2001 + base * 2)) >"$dir/two.json"
-			operator "$1" "$a" -a one -b "$base" -w 8 apply \
-			    "$dir/one.json" >"$dir/one.out" 2>&1 &
-			one=$!
-			operator "$1" 0 -a two -b "$base" -w 8 apply \
-			    "$dir/two.json" >"$dir/two.out" 2>&1 &
-			two=$!
-			wait $one; one=$?
-			wait $two; two=$?
-			echo "base ${base:-none}: $one $two" >>"$dir/operators"
-			# Not reached or not known: nothing to judge, try again.
-			case "$one $two" in
-			"0 4"|"4 0"|"7 4"|"4 7") exit 0 ;;
-			*[156]*) sleep 1 ;;
-			*) exit 0 ;;
-			esac
+			race "$1" || sleep 0.5
 		done
 	) &
 	pids="$pids $!"
--- a/regress/fault_checks.sh
+++ b/regress/fault_checks.sh
@@ -49,12 +49,13 @@
 	done
 }
 
-# A connection to an instance that is stopping as planned must not break.
+# A connection to an instance that is stopping as planned must not break after
+# the request was sent; one that was refused accepted no request.
 check_stops () {
 	[ -e "$dir/stops" ] || { violation "no planned stop took place"; return; }
 	while read -r address from until; do
 		awk -v a="$address" -v from="$from" -v to="$until" \
-		    '$2 == a && $1 >= from && $1 <= to { n++ }
+		    '$2 == a && $3 == "sent" && $1 >= from && $1 <= to { n++ }
 		    END { if (n) print n " connections to " a \
 			" broke during its planned stop" }' "$dir/broken"
 	done <"$dir/stops" >>"$dir/violations"
@@ -73,3 +74,10 @@
 	say "engines crashed $crashes times for marked requests"
 	[ "$crashes" -gt 0 ] || violation "the marked request reached no engine"
 }
+
+# A sanitizer's report stands in the log of the process.
+check_sanitizers () {
+	grep -h "ERROR: AddressSanitizer\|ERROR: LeakSanitizer\|runtime error" \
+	    "$dir"/*.log >>"$dir/violations"
+	return 0
+}
--- a/regress/fault_run.sh
+++ b/regress/fault_run.sh
@@ -10,10 +10,9 @@
 name=fault_run
 build=${BUILD:-build}
 seed=${1:-1}
-port=${FAULT_PORT:-$((20000 + $$ % 100 * 100))}
 rounds=1
 long=0
-[ -n "${LONG-}" ] && rounds=6 && long=1
+[ -n "${LONG-}" ] && rounds=${FAULT_ROUNDS:-6} && long=1
 instances_of_0="0 1 2"
 instances_of_1="0 1 2"
 instances_of_2="0 1"
@@ -51,7 +50,6 @@
 leaving_engine=
 reporting=
 sign_ms=
-round=0
 seconds=$((rounds * (long * 46 + (1 - long) * 36) - 2))
 started_ms=$(now_ms)
 : >"$dir/violations"
@@ -73,8 +71,10 @@
 		    >"$dir/$(zone_name $z)-$n.json"
 	done
 done
+platform=$(cat "$dir/platform")
 start_instances
 apply_first "$dir/production.json"
+wait_placed
 poll_generations &
 pids="$pids $!"
 
@@ -91,6 +91,7 @@
 		watch_engines
 		watch_loading
 		watch_sign
+		watch_platform
 		sleep 0.05
 	done
 	[ "$action" = end ] && break
@@ -110,6 +111,7 @@
 check_stops
 check_operators
 check_crashes
+check_sanitizers
 # shellcheck disable=SC2046
 "$load" check --budgets "$dir/production.json" $(record_options) \
     --keys "$dir/keys" --not-run "$dir/not_run" >"$dir/check" 2>&1 \
