Read a loading engine's state when its load is expected to end

Cause: the state was read every 200 ms, and a zone with one weight store slot starts no other load until a read shows the end of the last one.

--- a/libcowslip/plc_engine.c
+++ b/libcowslip/plc_engine.c
@@ -1,10 +1,12 @@
 #include "plc_private.h"
 
-#define PLC_SETTLED_READ_MS 10000
-#define PLC_BUSY_READ_MS    200
-#define PLC_RETRY_MS        500
-#define PLC_RETRY_MAX_MS    4000
-#define PLC_FAILURES_MAX    3
+#define PLC_SETTLED_READ_MS  10000
+#define PLC_BUSY_READ_MS     200
+#define PLC_LOAD_READ_MIN_MS 50
+#define PLC_LATE_PART        16
+#define PLC_RETRY_MS         500
+#define PLC_RETRY_MAX_MS     4000
+#define PLC_FAILURES_MAX     3
 
 /* Send an order of KIND for SLOT (NULL for a seal or a read) to ENGINE.
    Return whether it was sent; without authority nothing is.  */
@@ -51,13 +53,36 @@
   return false;
 }
 
+/* Return the time until the load of SLOT is worth a look, in microseconds: its
+   expected end, or a part of the time that it has taken if that has passed.
+   A store slot is idle between the end of a load and the read that shows it.
+ */
+static uint64_t
+plc_load_look_us (const struct plc *plc, const struct plc_slot *slot)
+{
+  uint64_t now_us = plc_now (plc);
+  uint64_t delay_us = slot->ready_us > now_us + PLC_US_PER_MS
+                          ? slot->ready_us - now_us
+                          : (now_us - slot->since_us) / PLC_LATE_PART;
+
+  return MAX (delay_us, PLC_LOAD_READ_MIN_MS * PLC_US_PER_MS);
+}
+
 static void
 plc_read_after (struct plc *plc, struct plc_engine *engine)
 {
-  uint32_t delay_ms
-      = plc_engine_is_busy (engine) ? PLC_BUSY_READ_MS : PLC_SETTLED_READ_MS;
+  uint64_t delay_us
+      = (plc_engine_is_busy (engine) ? PLC_BUSY_READ_MS : PLC_SETTLED_READ_MS)
+        * PLC_US_PER_MS;
 
-  engine->next_read_us = plc_now (plc) + delay_ms * PLC_US_PER_MS;
+  for (guint i = 0; i < engine->slots->len; i++)
+    {
+      const struct plc_slot *slot = g_ptr_array_index (engine->slots, i);
+
+      if (slot->state == PLC_LOADING && slot->since_us != 0)
+        delay_us = MIN (delay_us, plc_load_look_us (plc, slot));
+    }
+  engine->next_read_us = plc_now (plc) + delay_us;
 }
 
 /* The state of ENGINE cannot be read: after some failures all its slots are in
