Do not let a cached prefix return a slow engine to its pool

Cause: every probe had the same prompt, whose prefix the engine had cached, so a slow engine answered within three times the median and came back after 5 s.

--- a/cowslipcoved/requests_zone.c
+++ b/cowslipcoved/requests_zone.c
@@ -73,13 +73,16 @@
   g_free (probe);
 }
 
-/* Ask the ejected endpoint at ADDRESS for one token of MODEL.  */
+/* Ask the ejected endpoint at ADDRESS for one token of MODEL.  The prompt
+   begins differently each time: a cached prefix would make a slow engine look
+   fast.  */
 void
 cd_requests_probe (void *arg, const char *address, const char *model)
 {
   const struct cd_requests *requests = arg;
   struct json_object *body = json_object_new_object ();
   struct cd_probe *probe = g_new0 (struct cd_probe, 1);
+  char prompt[48];
   struct http_header headers[]
       = { { "content-type", "application/json" }, { NULL, NULL } };
   struct http_request request = { .method = "POST",
@@ -89,7 +92,10 @@
                                   .timeout_ms = CD_PROBE_TIMEOUT_MS };
 
   json_object_object_add (body, "model", json_object_new_string (model));
-  json_object_object_add (body, "prompt", json_object_new_string ("probe"));
+  (void)g_snprintf (prompt, sizeof prompt, "%016" G_GINT64_MODIFIER "x probe",
+                    tm_now_us (requests->daemon->tm)
+                        ^ requests->daemon->incarnation);
+  json_object_object_add (body, "prompt", json_object_new_string (prompt));
   json_object_object_add (body, "max_tokens", json_object_new_int (1));
   request.body = json_object_to_json_string (body);
   request.body_bytes = strlen (request.body);
--- a/libcowslip/hlt.c
+++ b/libcowslip/hlt.c
@@ -2,9 +2,12 @@
 
 #include "hlt.h"
 
-#define HLT_WEIGHT         0.2 /* of the newest sample in the average */
-#define HLT_SAMPLES_MIN    5
-#define HLT_SLOW_FACTOR    3.0
+#define HLT_WEIGHT      0.2 /* of the newest sample in the average */
+#define HLT_SAMPLES_MIN 5
+#define HLT_SLOW_FACTOR 3.0
+/* Lower than the factor for ejection, so that an endpoint at the limit does
+   not come and go; a probe is one token on an endpoint without load.  */
+#define HLT_RETURN_FACTOR  2.0
 #define HLT_EJECT_FIRST_US 5000000ULL
 #define HLT_EJECT_MAX_US   60000000ULL
 #define HLT_EJECT_SHARE    3 /* at most one in three of a pool */
@@ -278,7 +281,7 @@
   endpoint->probing = false;
   if (!answered
       || (double)first_byte_us
-             > HLT_SLOW_FACTOR * hlt_pool_median (endpoint->pool))
+             > HLT_RETURN_FACTOR * hlt_pool_median (endpoint->pool))
     {
       endpoint->eject_us = MIN (endpoint->eject_us * 2, HLT_EJECT_MAX_US);
       hlt_hold (endpoint);
