Load a model elsewhere while its only replicas are on slow engines

Cause: 151 of the 153 requests above 1 s were for two models whose only replica in the zone was on the slow engine; demand counts waiting requests only, and none wait there.

--- a/cowslipcoved/control.c
+++ b/cowslipcoved/control.c
@@ -200,6 +200,14 @@
     control_send_demand (control, holder, demands, count);
 }
 
+/* Let placement know that ENDPOINT is SLOW, or not any more.  */
+void
+cd_control_slow (struct cd_daemon *daemon, const char *endpoint, bool slow)
+{
+  if (daemon->control != NULL)
+    plc_set_slow (daemon->control->plc, endpoint, slow);
+}
+
 /* Return the newest view of the own zone, or NULL.  */
 const struct vw_view *
 cd_control_view (const struct cd_daemon *daemon)
--- a/cowslipcoved/requests_zone.c
+++ b/cowslipcoved/requests_zone.c
@@ -111,7 +111,9 @@
 void
 cd_requests_ejected (void *arg, const char *address, bool ejected)
 {
-  (void)arg;
+  const struct cd_requests *requests = arg;
+
+  cd_control_slow (requests->daemon, address, ejected);
   lg_write (ejected ? LG_ENDPOINT_EJECTED : LG_ENDPOINT_RETURNED, "%s",
             address);
 }
--- a/libcowslip/plc.c
+++ b/libcowslip/plc.c
@@ -228,6 +228,18 @@
   plc_wake (plc);
 }
 
+/* ENDPOINT is much slower than its pool, or not any more.  */
+void
+plc_set_slow (struct plc *plc, const char *endpoint, bool slow)
+{
+  struct plc_engine *engine = g_hash_table_lookup (plc->engines, endpoint);
+
+  if (engine == NULL || engine->slow == slow)
+    return;
+  engine->slow = slow;
+  plc_wake (plc);
+}
+
 /* The instance list does not name ENDPOINT, or names it again.  Whether it is
    really gone is checked by reading its state.  */
 void
--- a/libcowslip/plc.h
+++ b/libcowslip/plc.h
@@ -198,6 +198,7 @@
 void plc_set_members (struct plc *plc, const struct plc_member *members,
                       uint32_t count);
 void plc_set_leaving (struct plc *plc, const char *endpoint, bool leaving);
+void plc_set_slow (struct plc *plc, const char *endpoint, bool slow);
 void plc_set_gone (struct plc *plc, const char *endpoint, bool gone);
 void plc_start (struct plc *plc, uint64_t fence, const GPtrArray *pins,
                 bool certain);
--- a/libcowslip/plc_load.c
+++ b/libcowslip/plc_load.c
@@ -1,5 +1,8 @@
 #include "plc_private.h"
 
+/* Use is reported once a second.  */
+#define PLC_IN_USE_MS 2000
+
 /* A load that waits for its turn.  */
 struct plc_candidate
 {
@@ -34,6 +37,8 @@
   const struct plc_candidate *x = a;
   const struct plc_candidate *y = b;
 
+  if (x->slot->engine->slow != y->slot->engine->slow)
+    return x->slot->engine->slow ? 1 : -1;
   if (x->tier != y->tier)
     return x->tier < y->tier ? -1 : 1;
   return (x->free_bytes < y->free_bytes) - (x->free_bytes > y->free_bytes);
@@ -54,11 +59,36 @@
   return plc_compare_slots (a, b);
 }
 
+/* Return whether MODEL is in use and has replicas on slow engines only.  Its
+   requests do not wait, so they are no demand, but routing cannot avoid the
+   slow engine.  */
+static bool
+plc_needs_relief (const struct plc *plc, const struct plc_model *model)
+{
+  bool slow = false;
+
+  if (plc_now (plc) >= model->last_used_us + PLC_IN_USE_MS * PLC_US_PER_MS)
+    return false;
+  for (guint i = 0; i < model->slots->len; i++)
+    {
+      const struct plc_slot *slot = g_ptr_array_index (model->slots, i);
+
+      if (slot->state != PLC_LOADED && slot->state != PLC_LOADING)
+        continue;
+      if (!slot->engine->slow)
+        return false;
+      slow = true;
+    }
+  return slow;
+}
+
 static uint32_t
-plc_replicas_wanted (const struct plc_model *model)
+plc_replicas_wanted (const struct plc *plc, const struct plc_model *model)
 {
   uint32_t wanted = (model->waiting + model->batch - 1) / model->batch;
 
+  if (plc_needs_relief (plc, model))
+    wanted = MAX (wanted, plc_model_replicas (plc, model) + 1);
   return MIN (wanted, model->budget);
 }
 
@@ -66,7 +96,7 @@
 static void
 plc_add_loads (struct plc *plc, struct plc_model *model, GArray *loads)
 {
-  uint32_t wanted = plc_replicas_wanted (model);
+  uint32_t wanted = plc_replicas_wanted (plc, model);
   GArray *slots = g_array_new (FALSE, FALSE, sizeof (struct plc_candidate));
 
   for (guint i = 0; i < model->slots->len; i++)
@@ -80,7 +110,8 @@
       if (wanted > 0
           && (slot->state == PLC_LOADED || slot->state == PLC_LOADING))
         wanted--;
-      if (plc_is_loadable (plc, slot))
+      if (plc_is_loadable (plc, slot)
+          && (model->waiting > 0 || !slot->engine->slow))
         g_array_append_val (slots, candidate);
     }
   g_array_sort (slots, plc_compare_slots);
@@ -120,7 +151,8 @@
   struct plc_model *model = slot->model;
 
   if (g_hash_table_contains (held, slot->engine)
-      || plc_now (plc) + plc_load_time_us (plc, load) > model->latest_us
+      || (model->waiting > 0
+          && plc_now (plc) + plc_load_time_us (plc, load) > model->latest_us)
       || plc_model_replicas (plc, model) >= model->budget
       || (load->tier == PLC_REMOTE
           && plc_store_in_use (plc) >= plc->weight_loads))
--- a/libcowslip/plc_private.h
+++ b/libcowslip/plc_private.h
@@ -19,6 +19,7 @@
   bool planned; /* in the environment document */
   bool leaving;
   bool says_leaving; /* by its own state */
+  bool slow;         /* ejected here for its answers' times */
   bool gone;         /* the instance list does not name it */
   uint64_t gone_us;
   bool departed; /* gone, and no order can be under way to it */
--- a/regress/requests_test.c
+++ b/regress/requests_test.c
@@ -62,6 +62,14 @@
       demanded++;
 }
 
+void
+cd_control_slow (struct cd_daemon *daemon, const char *endpoint, bool slow)
+{
+  (void)daemon;
+  (void)endpoint;
+  (void)slow;
+}
+
 const struct vw_view *
 cd_control_view (const struct cd_daemon *daemon)
 {
