Load the models before the swing of the measure

The swing of the demand began while all models were cold, so the measure showed the weight store's rate and not the crest. All models get requests for 12 s first.

--- a/cowslipload/measure.sh
+++ b/cowslipload/measure.sh
@@ -240,9 +240,10 @@
 }
 
 # Load the models of a measure that is not about cold starts.
-warm () { # names of models
-	send warm "{\"duration_s\": 6, \"arrival\": {\"kind\": \"poisson\",
-	  \"rate\": $((20 * factor))}, \"mix\": [$(mix warm patient "$1" 1 10000)]}"
+warm () { # names of models, seconds, more members of the mix
+	send warm "{\"duration_s\": ${2:-6}, \"arrival\": {\"kind\": \"poisson\",
+	  \"rate\": $((20 * factor))}, \"mix\": [
+	  $(mix warm patient "$1" 1 10000 "${3-}")]}"
 }
 
 # Counters of our instances, summed up.
@@ -325,6 +326,8 @@
 # A tenfold swing within five seconds, over what the engines can serve.
 measure_swing () { # policy
 	start_policy "$1" 8 500 "$text_models" 1
+	warm "$(names text "$text_models"), $(names book "$booking_models")" \
+	    12 ', "skew": 1'
 	send trace "{\"duration_s\": 28, \"arrival\": {\"kind\": \"swing\",
 	  \"rate\": $((26 * factor)), \"factor\": 10, \"at_s\": 8,
 	  \"rise_s\": 5, \"hold_s\": 8}, \"mix\": [
