--- a/libcowslip/plc_private.h
+++ b/libcowslip/plc_private.h
@@ -19,6 +19,7 @@
   bool planned; /* in the environment document */
   bool leaving;
   bool says_leaving; /* by its own state */
+  bool slow;         /* ejected here for its answers' times */
   bool gone;         /* the instance list does not name it */
   uint64_t gone_us;
   bool departed; /* gone, and no order can be under way to it */
@@ -92,6 +93,8 @@
   GPtrArray *slots;    /* struct plc_slot, not owned */
   GHashTable *demands; /* instance -> struct plc_wait */
   uint64_t last_used_us;
+  double use; /* requests, weighted down with their age, at USE_US */
+  uint64_t use_us;
   struct plc_gaps gaps;
   /* Sum of the demands at the last decision.  */
   uint32_t waiting;
@@ -211,6 +214,7 @@
 bool plc_is_settled (const struct plc *plc);
 bool plc_members_quiet (struct plc *plc, GHashTable *quiet, const char *name,
                         const struct plc_engine *engine, bool ask);
+double plc_model_use (const struct plc *plc, const struct plc_model *model);
 void plc_sum_demand (struct plc *plc, struct plc_model *model);
 struct plc_need plc_sum_waits (const struct plc *plc, GHashTable *demands);
 enum vw_state plc_view_state (const struct plc *plc,
