Answer the early read of an engine in the test of adapter orders

An engine is now read within 2 s when requests wait for a loaded replica. The test left that read unanswered, and orders to an engine go one at a time; what it checks is unchanged.

--- a/regress/plc_adapter_order_test.c
+++ b/regress/plc_adapter_order_test.c
@@ -193,7 +193,10 @@
   wait_ms (200);
   CU_ASSERT_EQUAL (adapter_state, VW_READY);
   demand ("m", 0);
+  /* The engine is read within 2 s, because a request waited although its
+     replica was loaded.  */
   wait_ms (3500);
+  answer (PLC_STATE, true);
   CU_ASSERT_EQUAL (adapter_state, VW_QUIESCING);
   plc_quiesced (plc, "i", "m", "A", true, 0);
   wait_ms (500);
