--- a/cowslipload/check.c
+++ b/cowslipload/check.c
@@ -244,8 +244,11 @@
       at = strrchr (arg, '@');
       if (at == NULL)
         argp_error (state, "no zone: %s", arg);
-      *at = '\0';
-      read_engine_log (check, arg, at + 1);
+      else
+        {
+          *at = '\0';
+          read_engine_log (check, arg, at + 1);
+        }
       return 0;
     case OPTION_KV:
       add_source (check, LD_FROM_KV, arg, NULL);
--- a/cowslipload/targets.c
+++ b/cowslipload/targets.c
@@ -87,5 +87,5 @@
   for (guint i = 0; i < targets->count; i++)
     if (targets->all[(wanted + i) % targets->count].ready)
       return (wanted + i) % targets->count;
-  return wanted % targets->count;
+  return targets->count == 0 ? 0 : wanted % targets->count;
 }
--- a/regress/fault_actions.sh
+++ b/regress/fault_actions.sh
@@ -281,10 +281,10 @@
 	[ -n "$base" ] || return 1
 	write_document "$models" $((2000 + base * 2)) >"$dir/one.json"
 	write_document "$models" $((2001 + base * 2)) >"$dir/two.json"
-	operator "$1" "$2" -a one -b "$base" -w 5 apply "$dir/one.json" \
+	operator "$1" "$2" -a one -b "$base" -w 1 apply "$dir/one.json" \
 	    >>"$dir/one.out" 2>&1 &
 	one=$!
-	operator "$1" "$3" -a two -b "$base" -w 5 apply "$dir/two.json" \
+	operator "$1" "$3" -a two -b "$base" -w 1 apply "$dir/two.json" \
 	    >>"$dir/two.out" 2>&1 &
 	two=$!
 	wait $one; one=$?
@@ -297,9 +297,12 @@
 do_operators () { # zone number
 	say "two operators change the document"
 	(
-		for try in 1 2 3 4 5 6; do
+		# With slow answers both have read before either has written.
+		fault "$kv" '{"slow_ms": 100}'
+		for try in 1 2 3; do
 			race "$1" || sleep 0.5
 		done
+		fault "$kv" '{"slow_ms": 0}'
 	) &
 	pids="$pids $!"
 }
