Take the operators' base from the stored generation in the fault run

The base was read from the status of an instance that had generation 1 in force while generation 2 was stored already, so both operators were rightly told of a conflict.

--- a/regress/fault_actions.sh
+++ b/regress/fault_actions.sh
@@ -276,7 +276,8 @@
 	# shellcheck disable=SC2046
 	set -- "$1" $(usable "$1")
 	[ $# -gt 2 ] || return 1
-	base=$(operator "$1" "$2" -j status \
+	# The stored generation; an instance may not have it in force yet.
+	base=$(operator "$1" "$2" -j show 2>/dev/null \
 	    | sed -n 's/^ *"generation": *\([0-9]*\).*/\1/p' | head -n 1)
 	[ -n "$base" ] || return 1
 	write_document "$models" $((2000 + base * 2)) >"$dir/one.json"
