Let requests wait while a take-over delays orders

Cause: during the wait of a take-over, at most 7 s after a start, requests for models on engines that ignore fencing numbers were refused with control_unavailable though the time from which orders are allowed again is known. Change: own_will_order tells that only this wait keeps orders back; the view then shows the slots as doubtful, for which requests wait until their deadline.

--- a/cowslipcoved/control.c
+++ b/cowslipcoved/control.c
@@ -35,6 +35,14 @@
   return own_may_order (control->own, checks_fencing, fence);
 }
 
+static bool
+control_will_order (void *arg, bool checks_fencing)
+{
+  const struct cd_control *control = arg;
+
+  return own_will_order (control->own, checks_fencing);
+}
+
 static void
 control_saved (void *arg, bool saved)
 {
@@ -140,7 +148,8 @@
 {
   static const struct plc_callbacks callbacks
       = { control_may_order,   control_order, control_save,
-          control_ask_quiesce, control_view,  control_note };
+          control_ask_quiesce, control_view,  control_note,
+          control_will_order };
   static const struct vwp_callbacks push_callbacks = { control_push };
   struct cd_control *control = g_new0 (struct cd_control, 1);
 
--- a/libcowslip/own.c
+++ b/libcowslip/own.c
@@ -249,6 +249,18 @@
   return own_all_promised (own);
 }
 
+/* Return whether orders to an engine that checks fencing numbers or not are
+   kept back only until a time that is known: the wait of a take-over under a
+   lease that is held.  */
+bool
+own_will_order (const struct own *own, bool checks_fencing)
+{
+  return own->holding && !own->leaving && !own->by_round && !checks_fencing
+         && own->unchecked_from_us != UINT64_MAX
+         && own_now (own) < own->unchecked_from_us
+         && own_now (own) < own->lease_safe_us;
+}
+
 /* Return whether another live member has the number of this instance, so that
    both could use the same fencing number in a round.  */
 bool
--- a/libcowslip/own.h
+++ b/libcowslip/own.h
@@ -66,6 +66,7 @@
                       uint32_t count);
 void own_saw_fence (struct own *own, uint64_t fence, const char *holder);
 bool own_may_order (struct own *own, bool checks_fencing, uint64_t *fence);
+bool own_will_order (const struct own *own, bool checks_fencing);
 void own_refused (struct own *own, uint64_t fence);
 void own_save_pins (struct own *own, const GPtrArray *pins, own_done done,
                     void *arg);
--- a/libcowslip/plc.h
+++ b/libcowslip/plc.h
@@ -192,6 +192,8 @@
   void (*view) (void *arg, const struct vw_view *view);
   void (*note) (void *arg, enum plc_note note, const char *endpoint,
                 const char *model);
+  /* Return whether only the wait of a take-over keeps orders back.  */
+  bool (*will_order) (void *arg, bool checks_fencing);
 };
 
 /* One slot as operators see it.  */
--- a/libcowslip/plc_view.c
+++ b/libcowslip/plc_view.c
@@ -22,10 +22,14 @@
     default:
       break;
     }
-  if (plc_slot_misplaced (slot)
-      || !plc->callbacks.may_order (plc->arg, slot->engine->checks_fencing,
-                                    &fence))
+  if (plc_slot_misplaced (slot))
     return VW_BLOCKED;
+  /* Requests wait for orders that are only delayed by a take-over.  */
+  if (!plc->callbacks.may_order (plc->arg, slot->engine->checks_fencing,
+                                 &fence))
+    return plc->callbacks.will_order (plc->arg, slot->engine->checks_fencing)
+               ? VW_DOUBTFUL
+               : VW_BLOCKED;
   return slot->engine->sealed ? VW_COLD : VW_DOUBTFUL;
 }
 
--- a/regress/adapter_sim.c
+++ b/regress/adapter_sim.c
@@ -100,6 +100,14 @@
                 >= world->started_us + (AS_ORDER_MS + 100) * AS_US_PER_MS;
 }
 
+static bool
+never_will (void *arg, bool checks_fencing)
+{
+  (void)arg;
+  (void)checks_fencing;
+  return false;
+}
+
 static void
 as_order (void *arg, const struct plc_order *order)
 {
@@ -255,8 +263,8 @@
 as_take_over (struct as_world *world)
 {
   static const struct plc_callbacks callbacks
-      = { as_may_order,   as_order,     as_save,
-          as_ask_quiesce, as_push_view, as_note };
+      = { as_may_order, as_order, as_save,   as_ask_quiesce,
+          as_push_view, as_note,  never_will };
   struct plc_engine_spec engines[AS_ENGINES];
   struct plc_plan plan = { as_models, AS_MODELS, engines, AS_ENGINES, 4 };
   struct plc_member members[AS_MEMBERS];
--- a/regress/check.sh
+++ b/regress/check.sh
@@ -71,5 +71,6 @@
 	report "$name" $? "$out/log"
 done
 
+[ -f "$red" ] && { echo "KNOWN-RED.txt:"; sed 's/^/  /' "$red"; }
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/regress/plc_adapter_order_test.c
+++ b/regress/plc_adapter_order_test.c
@@ -26,6 +26,14 @@
   return true;
 }
 
+static bool
+never_will (void *arg, bool checks_fencing)
+{
+  (void)arg;
+  (void)checks_fencing;
+  return false;
+}
+
 static void
 on_order (void *arg, const struct plc_order *order)
 {
@@ -114,7 +122,8 @@
 begin (uint32_t engines, uint32_t keep_alive_ms)
 {
   static const struct plc_callbacks callbacks
-      = { may_order, on_order, on_save, on_ask_quiesce, on_view, on_note };
+      = { may_order, on_order, on_save,   on_ask_quiesce,
+          on_view,   on_note,  never_will };
   static const struct plc_engine_spec specs[]
       = { { "A", "p", 100, true }, { "B", "p", 100, true } };
   static const struct plc_adapter_spec adapter = { "a", "1", "m", 5 };
--- a/regress/plc_script.c
+++ b/regress/plc_script.c
@@ -67,6 +67,14 @@
   return true;
 }
 
+static bool
+never_will (void *arg, bool checks_fencing)
+{
+  (void)arg;
+  (void)checks_fencing;
+  return false;
+}
+
 static void
 on_order (void *arg, const struct plc_order *order)
 {
@@ -199,8 +207,9 @@
 static void
 begin (void)
 {
-  static const struct plc_callbacks callbacks
-      = { on_may_order, on_order, on_save, on_ask, on_view, on_note };
+  static const struct plc_callbacks callbacks = {
+    on_may_order, on_order, on_save, on_ask, on_view, on_note, never_will
+  };
   GPtrArray *none = plc_pins_new ();
 
   plc = plc_new (tm, "z", &callbacks, NULL);
--- a/regress/sim.c
+++ b/regress/sim.c
@@ -302,6 +302,14 @@
   return own_may_order (instance->own, checks_fencing, fence);
 }
 
+static bool
+sim_on_will_order (void *arg, bool checks_fencing)
+{
+  struct sim_instance *instance = arg;
+
+  return own_will_order (instance->own, checks_fencing);
+}
+
 static void
 sim_on_order (void *arg, const struct plc_order *order)
 {
@@ -342,8 +350,8 @@
   static const struct own_callbacks own_callbacks
       = { sim_on_gained, sim_on_lost, sim_on_ask };
   static const struct plc_callbacks plc_callbacks
-      = { sim_on_may_order,   sim_on_order, sim_on_save,
-          sim_on_ask_quiesce, sim_on_view,  sim_on_note };
+      = { sim_on_may_order, sim_on_order, sim_on_save,      sim_on_ask_quiesce,
+          sim_on_view,      sim_on_note,  sim_on_will_order };
   struct sim_instance *instance = &sim->instances[index];
   struct own_config config = { .kv = sim_kv_store (instance),
                                .environment = "t",
