--- a/cowslipload/throughput.sh
+++ b/cowslipload/throughput.sh
@@ -60,7 +60,8 @@
  "pools": {"p": {"memory_bytes": 80000000000, "batch": 32,
    "checks_fencing": true, "endpoints": [$(endpoints engine $engines)]}},
  "models": {"m": {"pool": "p", "version": "1", "class": "c",
-   "bytes": 1000000000, "replicas": {"za": 8}}},
+   "bytes": 1000000000, "replicas": {"za": 8},
+   "keep_alive_min_ms": 600000}},
  "services": {"s": {"class": "c", "repeatable": true,
    "endpoints": [$(endpoints service $services)]}}}
 END
