Parse addresses in one place

Change: adr_parse and adr_parse_peer, ctl_print, read_lines. Conclusion: one rule for addresses, and the relay is as strict as the rest.

--- a/cowslipctl/call.c
+++ b/cowslipctl/call.c
@@ -116,6 +116,24 @@
   return ctl_answer_status (answer);
 }
 
+/* Print ANSWER with PRINT, or as JSON if OPTIONS ask for it, or the reason why
+   it is none.  Clear it and return the exit status.  */
+enum ctl_status
+ctl_print (const struct ctl_options *options, struct ctl_answer *answer,
+           void (*print) (struct json_object *object))
+{
+  enum ctl_status status = ctl_answer_status (answer);
+
+  if (status != CTL_OK)
+    status = ctl_print_error (answer);
+  else if (options->json)
+    ctl_print_json (answer->object);
+  else
+    print (answer->object);
+  ctl_answer_clear (answer);
+  return status;
+}
+
 /* Print OBJECT to standard output.  */
 void
 ctl_print_json (struct json_object *object)
--- a/cowslipctl/ctl.h
+++ b/cowslipctl/ctl.h
@@ -48,6 +48,9 @@
 void ctl_answer_clear (struct ctl_answer *answer);
 enum ctl_status ctl_answer_status (const struct ctl_answer *answer);
 enum ctl_status ctl_print_error (const struct ctl_answer *answer);
+enum ctl_status ctl_print (const struct ctl_options *options,
+                           struct ctl_answer *answer,
+                           void (*print) (struct json_object *object));
 void ctl_print_json (struct json_object *object);
 const char *ctl_text (struct json_object *object, const char *key);
 int64_t ctl_number (struct json_object *object, const char *key);
--- a/cowslipctl/documents.c
+++ b/cowslipctl/documents.c
@@ -187,22 +187,20 @@
   return documents_change_done (options, &answer);
 }
 
+static void
+documents_print_text (struct json_object *record)
+{
+  fputs (ctl_text (record, "document"), stdout);
+}
+
 /* Print the present document.  */
 enum ctl_status
 ctl_show (const struct ctl_options *options, char **args)
 {
   struct ctl_answer answer = documents_get (options, "");
-  enum ctl_status status = ctl_answer_status (&answer);
 
   (void)args;
-  if (status != CTL_OK)
-    status = ctl_print_error (&answer);
-  else if (options->json)
-    ctl_print_json (answer.object);
-  else
-    fputs (ctl_text (answer.object, "document"), stdout);
-  ctl_answer_clear (&answer);
-  return status;
+  return ctl_print (options, &answer, documents_print_text);
 }
 
 static void
@@ -220,21 +218,19 @@
           ctl_text (entry, "comment"));
 }
 
+static void
+documents_print_history (struct json_object *entries)
+{
+  for (size_t i = 0; i < json_object_array_length (entries); i++)
+    documents_print_entry (json_object_array_get_idx (entries, i));
+}
+
 /* Print who changed the environment and when.  */
 enum ctl_status
 ctl_history (const struct ctl_options *options, char **args)
 {
   struct ctl_answer answer = documents_get (options, "/history");
-  enum ctl_status status = ctl_answer_status (&answer);
 
   (void)args;
-  if (status != CTL_OK)
-    status = ctl_print_error (&answer);
-  else if (options->json)
-    ctl_print_json (answer.object);
-  else
-    for (size_t i = 0; i < json_object_array_length (answer.object); i++)
-      documents_print_entry (json_object_array_get_idx (answer.object, i));
-  ctl_answer_clear (&answer);
-  return status;
+  return ctl_print (options, &answer, documents_print_history);
 }
--- a/cowslipctl/state.c
+++ b/cowslipctl/state.c
@@ -95,17 +95,9 @@
 ctl_state (const struct ctl_options *options, char **args)
 {
   struct ctl_answer answer = state_get (options);
-  enum ctl_status status = ctl_answer_status (&answer);
 
   (void)args;
-  if (status != CTL_OK)
-    status = ctl_print_error (&answer);
-  else if (options->json)
-    ctl_print_json (answer.object);
-  else
-    state_print (answer.object);
-  ctl_answer_clear (&answer);
-  return status;
+  return ctl_print (options, &answer, state_print);
 }
 
 /* Print the state again each second until the instance does not answer.  */
--- a/cowslipload/check.c
+++ b/cowslipload/check.c
@@ -170,24 +170,33 @@
   return whole;
 }
 
-static void
-read_not_run (struct ld_check *check, const char *file)
+/* Return the lines of FILE, to be freed, or NULL after a complaint.  */
+static char **
+read_lines (struct ld_check *check, const char *file)
 {
-  char *text;
   char **lines;
+  char *text;
 
   if (!g_file_get_contents (file, &text, NULL, NULL))
     {
       fprintf (stderr, "cowslipload: %s: cannot read\n", file);
       check->failed = true;
-      return;
+      return NULL;
     }
   lines = g_strsplit (text, "\n", -1);
-  for (char **line = lines; *line != NULL; line++)
+  g_free (text);
+  return lines;
+}
+
+static void
+read_not_run (struct ld_check *check, const char *file)
+{
+  char **lines = read_lines (check, file);
+
+  for (char **line = lines; line != NULL && *line != NULL; line++)
     if ((*line)[0] != '\0')
       inv_not_run (check->invariants, *line);
   g_strfreev (lines);
-  g_free (text);
 }
 
 static void
@@ -206,21 +215,13 @@
 static void
 read_keys (struct ld_check *check, const char *file)
 {
-  char *text;
-  char **lines;
+  char **lines = read_lines (check, file);
 
-  if (!g_file_get_contents (file, &text, NULL, NULL))
-    {
-      fprintf (stderr, "cowslipload: %s: cannot read\n", file);
-      check->failed = true;
-      return;
-    }
-  lines = g_strsplit (text, "\n", -1);
-  for (char **line = lines; *line != NULL; line++)
+  /* The first line names the columns.  */
+  for (char **line = lines; line != NULL && *line != NULL; line++)
     if (line != lines && (*line)[0] != '\0' && !read_key_line (check, *line))
       check->failed = true;
   g_strfreev (lines);
-  g_free (text);
 }
 
 static error_t
--- /dev/null
+++ b/libcowslip/adr.h
@@ -0,0 +1,13 @@
+#ifndef COWSLIP_ADR_H
+#define COWSLIP_ADR_H
+
+#include <stdbool.h>
+
+#include <netinet/in.h>
+
+/* Addresses as settings and documents write them: "IP:PORT", IPv4.  */
+
+bool adr_parse (const char *text, struct sockaddr_in *address);
+bool adr_parse_peer (const char *text, struct sockaddr_in *address);
+
+#endif
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -1,10 +1,9 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 
-#include <arpa/inet.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "adr.h"
 #include "http_client.h"
 
 #define HTTP_POOL_IDLE_MS    5000
@@ -16,7 +15,6 @@
 #define HTTP_CONNECT_LIMIT_MS   1000
 #define HTTP_US_PER_MS          1000
 #define HTTP_CONTENT_TYPE_BYTES 128
-#define HTTP_ADDRESS_BYTES      64
 
 struct http_client
 {
@@ -102,27 +100,6 @@
   g_free (pool);
 }
 
-static bool
-http_parse_address (const char *address, struct sockaddr_in *out)
-{
-  char host[HTTP_ADDRESS_BYTES];
-  const char *colon = strrchr (address, ':');
-  char *end;
-  long port;
-
-  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
-    return false;
-  memcpy (host, address, (size_t)(colon - address));
-  host[colon - address] = '\0';
-  port = strtol (colon + 1, &end, 10);
-  if (*end != '\0' || port <= 0 || port > UINT16_MAX)
-    return false;
-  memset (out, 0, sizeof *out);
-  out->sin_family = AF_INET;
-  out->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &out->sin_addr) == 1;
-}
-
 static h2o_socketpool_t *
 http_pool (struct http_client *client, const char *address)
 {
@@ -131,7 +108,7 @@
 
   if (pool != NULL)
     return pool;
-  if (!http_parse_address (address, &peer))
+  if (!adr_parse_peer (address, &peer))
     return NULL;
   pool = g_new0 (h2o_socketpool_t, 1);
   h2o_socketpool_init_by_address (pool, (struct sockaddr *)&peer, sizeof peer,
@@ -354,7 +331,7 @@
     {
       const char *colon = strrchr (request->address, ':');
 
-      (void)http_parse_address (request->address, &peer);
+      (void)adr_parse_peer (request->address, &peer);
       h2o_http1client_connect (
           &call->connection, call, &client->context,
           h2o_iovec_init (request->address,
--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -6,10 +6,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "adr.h"
 #include "http_server.h"
 
 #define HTTP_BACKLOG            1024
-#define HTTP_ADDRESS_BYTES      64
 #define HTTP_REQUEST_TIMEOUT_MS 10000
 
 struct http_server
@@ -51,24 +51,6 @@
 static void http_exchange_dispose (void *memory);
 static void http_flush (struct http_exchange *exchange);
 
-static bool
-http_server_address (const char *address, struct sockaddr_in *out)
-{
-  char host[HTTP_ADDRESS_BYTES];
-  const char *colon = strrchr (address, ':');
-  char *end;
-  long port;
-
-  if (colon == NULL || (size_t)(colon - address) >= sizeof host)
-    return false;
-  memcpy (host, address, (size_t)(colon - address));
-  host[colon - address] = '\0';
-  port = strtol (colon + 1, &end, 10);
-  if (*end != '\0' || port < 0 || port > UINT16_MAX)
-    return false;
-  return uv_ip4_addr (host, (int)port, out) == 0;
-}
-
 static int
 http_on_request (h2o_handler_t *base, h2o_req_t *request)
 {
@@ -148,7 +130,7 @@
   server->listener = g_new0 (uv_tcp_t, 1);
   uv_tcp_init (loop, server->listener);
   server->listener->data = server;
-  if (http_server_address (address, &local))
+  if (adr_parse (address, &local))
     status = uv_tcp_bind (server->listener, (struct sockaddr *)&local, 0);
   if (status == 0)
     status = uv_listen ((uv_stream_t *)server->listener, HTTP_BACKLOG,
--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -1,13 +1,12 @@
-#include <arpa/inet.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "adr.h"
 #include "jsn.h"
 
 #define JSN_DEPTH_MAX      32
 #define JSN_NAME_MAX_CHARS 127
-#define JSN_HOST_MAX_CHARS 63
 
 G_DEFINE_QUARK (jsn - error - quark, jsn_error)
 
@@ -230,17 +229,7 @@
 bool
 jsn_is_address (const char *text)
 {
-  const char *colon = text == NULL ? NULL : strrchr (text, ':');
-  char host[JSN_HOST_MAX_CHARS + 1];
-  struct in_addr unused;
-  char *end;
-  unsigned long port;
-
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host
-      || !g_ascii_isdigit (colon[1]))
-    return false;
-  g_strlcpy (host, text, (gsize)(colon - text) + 1);
-  port = strtoul (colon + 1, &end, 10);
-  return *end == '\0' && port > 0 && port <= UINT16_MAX
-         && inet_pton (AF_INET, host, &unused) == 1;
+  struct sockaddr_in unused;
+
+  return adr_parse_peer (text, &unused);
 }
--- a/libcowslip/rpc_peer.c
+++ b/libcowslip/rpc_peer.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "adr.h"
 #include "rpc_peer.h"
 
 #define RPC_CONNECT_LIMIT_US 3000000
@@ -228,27 +229,13 @@
       conn, rpc_peer_call (peer, 0, NULLPROC, NULL, peer->hello_mac));
 }
 
-static bool
-rpc_peer_address (const char *address, struct sockaddr_in *out)
-{
-  char **parts = g_strsplit (address, ":", 2);
-  uint64_t port = 0;
-  bool good = parts[0] != NULL && parts[1] != NULL
-              && g_ascii_string_to_unsigned (parts[1], 10, 1, UINT16_MAX,
-                                             &port, NULL)
-              && uv_ip4_addr (parts[0], (int)port, out) == 0;
-
-  g_strfreev (parts);
-  return good;
-}
-
 static void
 rpc_peer_connect (struct rpc_peer *peer)
 {
   struct rpc_node *node = peer->node;
   struct sockaddr_in address;
 
-  if (!rpc_peer_address (peer->address, &address)
+  if (!adr_parse_peer (peer->address, &address)
       || tm_now_us (node->tm) < peer->retry_us)
     {
       rpc_fail_waiting (peer);
--- a/libcowslip/rpc_server.c
+++ b/libcowslip/rpc_server.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "adr.h"
 #include "rpc_impl.h"
 
 #define RPC_BACKLOG       512
@@ -222,18 +223,15 @@
 bool
 rpc_server_listen (struct rpc_node *node, const char *address, GError **error)
 {
-  char **parts = g_strsplit (address, ":", 2);
   struct sockaddr_in local;
+  char host[INET_ADDRSTRLEN];
   int bytes = sizeof local;
-  uint64_t port = 0;
   int status = UV_EINVAL;
 
   node->listener = g_new0 (uv_tcp_t, 1);
   uv_tcp_init (node->loop, node->listener);
   node->listener->data = node;
-  if (parts[0] != NULL && parts[1] != NULL
-      && g_ascii_string_to_unsigned (parts[1], 10, 0, UINT16_MAX, &port, NULL)
-      && uv_ip4_addr (parts[0], (int)port, &local) == 0)
+  if (adr_parse (address, &local))
     status = uv_tcp_bind (node->listener, (struct sockaddr *)&local, 0);
   if (status == 0)
     status = uv_listen ((uv_stream_t *)node->listener, RPC_BACKLOG,
@@ -241,13 +239,13 @@
   if (status == 0)
     {
       uv_tcp_getsockname (node->listener, (struct sockaddr *)&local, &bytes);
-      g_snprintf (node->address, sizeof node->address, "%s:%u", parts[0],
+      uv_ip4_name (&local, host, sizeof host);
+      g_snprintf (node->address, sizeof node->address, "%s:%u", host,
                   ntohs (local.sin_port));
     }
   else
     g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "%s: %s", address,
                  uv_strerror (status));
-  g_strfreev (parts);
   return status == 0;
 }
 
--- a/standin/relay/main.c
+++ b/standin/relay/main.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "adr.h"
 #include "standin.h"
 
 #define RLY_BACKLOG     64
@@ -68,22 +69,6 @@
 static const char *listen_address = "127.0.0.1:7004";
 static struct rly relay;
 
-static bool
-rly_parse_address (const char *text, struct sockaddr_in *address)
-{
-  const char *colon = strrchr (text, ':');
-  char ip[INET_ADDRSTRLEN];
-  unsigned long port;
-
-  if (colon == NULL || (size_t)(colon - text) >= sizeof ip)
-    return false;
-  memcpy (ip, text, (size_t)(colon - text));
-  ip[colon - text] = '\0';
-  port = strtoul (colon + 1, NULL, 10);
-  return port > 0 && port <= UINT16_MAX
-         && uv_ip4_addr (ip, (int)port, address) == 0;
-}
-
 static bool
 rly_add_forward (const char *text)
 {
@@ -91,8 +76,8 @@
   char **parts = g_strsplit (text, "=", 2);
   struct sockaddr_in from;
   bool good = relay.count < RLY_FORWARD_MAX && g_strv_length (parts) == 2
-              && rly_parse_address (parts[0], &from)
-              && rly_parse_address (parts[1], &forward->target);
+              && adr_parse_peer (parts[0], &from)
+              && adr_parse_peer (parts[1], &forward->target);
 
   g_strfreev (parts);
   if (!good)
