--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -80,10 +80,9 @@
 http_exchange_dispose (void *memory)
 {
   struct http_exchange *exchange = memory;
-  bool answered = exchange->ended && exchange->whole;
 
   exchange->server->active--;
-  if (!answered && !exchange->ended && exchange->gone != NULL)
+  if (!exchange->ended && exchange->gone != NULL)
     exchange->gone (exchange->gone_arg);
   g_free (exchange->method);
   g_free (exchange->path);
