Record the end of the engine that the demo kills

Cause: a demo on a fresh clone ended with "2 replicas of 1 allowed" for damage-2. The log of the killed engine had no end, so its replica counted as loaded when the slot had moved 8 s later. Ruled out: a second load by the controller; its log shows the engine in doubt, then leaving, and the load elsewhere 8.0 s after the first and 6.6 s after the list showed the engine gone. Change: the fault run's way of recording the end of an engine is shared with the demo, and the kill is waited for. Conclusion: the check is as strict as before; it lacked a fact.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -48,7 +48,10 @@
 kill -9 "$(pid_of instance 1 1)"
 sleep $((seconds / 5))
 echo "killing an engine of ulsan-c"
-kill -9 "$(pid_of engine 2 2)"
+engine_pid=$(pid_of engine 2 2)
+kill -9 "$engine_pid"
+wait "$engine_pid" 2>/dev/null
+record_end 2 2
 "$load" call POST "$list" /set "$(write_instance_list "$killed_engine" gone)" \
     >/dev/null
 wait "$load_pid"
--- a/regress/cluster.sh
+++ b/regress/cluster.sh
@@ -341,6 +341,18 @@
 	done
 }
 
+# The time of the stand-ins' records.
+now_us () {
+	read -r up _ </proc/uptime
+	echo "${up%.*}${up#*.}0000"
+}
+
+# An engine that is killed cannot record its end.
+record_end () { # zone number, engine number
+	echo "{\"list\": \"ended\", \"time_us\": $(now_us)}" \
+	    >>"$dir/engine-$1-$2.records"
+}
+
 # Options of "cowslipload check" that name the records of all stand-ins.  Those
 # of engines are in files, so that they outlive a killed engine.
 record_options () {
--- a/regress/fault_actions.sh
+++ b/regress/fault_actions.sh
@@ -2,11 +2,6 @@
 # schedule, and watch_NAME follows up what it began.
 
 # Times are those of the stand-ins' records.
-now_us () {
-	read -r up _ </proc/uptime
-	echo "${up%.*}${up#*.}0000"
-}
-
 now_ms () {
 	read -r up _ </proc/uptime
 	echo $((${up%.*} * 1000 + 1${up#*.} * 10 - 1000))
@@ -133,8 +128,7 @@
 			alive "$process" && continue
 			wait "$process"
 			ended=$?
-			echo "{\"list\": \"ended\", \"time_us\": $(now_us)}" \
-			    >>"$dir/engine-$z-$n.records"
+			record_end $z "$n"
 			say "engine $n of $(zone_name $z) ended with status $ended"
 			start_engine $z "$n"
 		done
