Remove three functions that nothing calls

Cause: a read of the whole change found lg_event_text, rpc_outcome_text and tm_on_change without a caller, the last with state that every tm_after looked at; the libuv driver recomputes its wake-up on each turn of the loop instead. Change: the functions and that state are gone, 38 lines. Measured: 93 passed, 0 failed, formatter clean, linter clean on the three files. The sanitizer run was not repeated after this removal.

--- a/libcowslip/lg.c
+++ b/libcowslip/lg.c
@@ -46,13 +46,6 @@
   lg_threshold = threshold;
 }
 
-/* Return the fixed text of EVENT.  */
-const char *
-lg_event_text (enum lg_event event)
-{
-  return lg_find (event)->text;
-}
-
 /* Write EVENT with details made from FORMAT as one syslog-style line to
    standard error: "<severity>time ident[pid]: E404 text: details".  Lines
    longer than 1,024 bytes are cut.  */
--- a/libcowslip/lg.h
+++ b/libcowslip/lg.h
@@ -25,6 +25,5 @@
 void lg_set_threshold (enum lg_severity threshold);
 void lg_write (enum lg_event event, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
-const char *lg_event_text (enum lg_event event);
 
 #endif
--- a/libcowslip/rpc.c
+++ b/libcowslip/rpc.c
@@ -75,16 +75,3 @@
 {
   return node->bytes_received;
 }
-
-/* Return the name of OUTCOME in log lines.  */
-const char *
-rpc_outcome_text (enum rpc_outcome outcome)
-{
-  static const char *const texts[] = { [RPC_OK] = "ok",
-                                       [RPC_CONNECT_FAILED] = "connect failed",
-                                       [RPC_BROKEN] = "connection broken",
-                                       [RPC_TIMEOUT] = "timeout",
-                                       [RPC_REFUSED] = "refused" };
-
-  return texts[outcome];
-}
--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -89,6 +89,5 @@
 uint64_t rpc_bytes_sent (const struct rpc_node *node);
 uint64_t rpc_bytes_received (const struct rpc_node *node);
 bool_t rpc_xdr_void (XDR *xdr, void *value);
-const char *rpc_outcome_text (enum rpc_outcome outcome);
 
 #endif
--- a/libcowslip/tm.c
+++ b/libcowslip/tm.c
@@ -8,8 +8,6 @@
   uint64_t (*clock_us) (void);
   uint64_t next_order;
   GSequence *timers;
-  void (*changed) (void *arg);
-  void *changed_arg;
 };
 
 static gint
@@ -78,8 +76,6 @@
   timer->arg = arg;
   timer->node
       = g_sequence_insert_sorted (service->timers, timer, tm_compare, NULL);
-  if (service->changed != NULL)
-    service->changed (service->changed_arg);
 }
 
 /* Stop TIMER; nothing happens if it is not pending.  */
@@ -134,13 +130,3 @@
   timer = g_sequence_get (g_sequence_get_begin_iter (service->timers));
   return timer->due_us;
 }
-
-/* Call CHANGED with ARG whenever a timer was set, so that a driver can wake up
-   in time.  */
-void
-tm_on_change (struct tm_service *service, void (*changed) (void *arg),
-              void *arg)
-{
-  service->changed = changed;
-  service->changed_arg = arg;
-}
--- a/libcowslip/tm.h
+++ b/libcowslip/tm.h
@@ -28,7 +28,5 @@
 bool tm_pending (const struct tm_timer *timer);
 void tm_advance (struct tm_service *service, uint64_t now_us);
 uint64_t tm_next_due_us (const struct tm_service *service);
-void tm_on_change (struct tm_service *service, void (*changed) (void *arg),
-                   void *arg);
 
 #endif
