--- a/cowslipcoved/gw_wait.c
+++ b/cowslipcoved/gw_wait.c
@@ -20,7 +20,9 @@
   struct wtq_facts facts
       = { .cold = request->model != NULL,
           .leader = ldr_leader (gw->ldr) != NULL,
+          .stream = request->route->kind == RTE_STREAM,
           .target_ms = request->route->target_ms,
+          .gap_ms = request->route->gap_ms,
           .total_ms
           = (uint32_t)((request->deadline_us - request->arrived_us)
                        / GW_US_PER_MS),
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -11,6 +11,18 @@
 /* An unload that has not happened by then has failed.  It waits for the runs
    under way, which last a few seconds.  */
 #define FLT_CLOSING_MS 10000
+/* Reports are some 100 ms old and entries reach the watch within 400 ms, so
+   what the leader told of an engine stands against both for this long.  */
+#define FLT_TOLD_MS 1000
+
+/* News of the leader about a model or adapter of one engine.  */
+struct flt_told
+{
+  char *model;
+  char *adapter; /* NULL: the model */
+  enum flt_news news;
+  uint64_t told_us;
+};
 
 struct flt_fleet
 {
@@ -139,11 +151,22 @@
   g_free (entry);
 }
 
+static void
+flt_told_clear (gpointer data)
+{
+  struct flt_told *told = data;
+
+  g_free (told->model);
+  g_free (told->adapter);
+}
+
 static void
 flt_endpoint_free (gpointer data)
 {
   struct flt_endpoint *endpoint = data;
 
+  g_array_free (endpoint->told, TRUE);
+
   flt_entry_clear (&endpoint->entry);
   g_free (endpoint->closing);
   g_free (endpoint);
@@ -194,59 +217,92 @@
   g_hash_table_remove (fleet->by_id, endpoint->entry.id);
 }
 
-/* Take over ENTRY, which is freed.  What an engine said of its weights counts
-   only if it is from the present start and not older than what is known, since
-   announcements lag behind reports.  */
+static void flt_apply_news (struct flt_fleet *fleet,
+                            struct flt_endpoint *endpoint,
+                            const struct flt_told *told);
+
+/* Give ENDPOINT the models and copies of WEIGHTS, which gets the old ones, and
+   apply the news that are younger than what WEIGHTS may show.  */
+static void
+flt_set_weights (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+                 struct flt_weights *weights)
+{
+  uint64_t now_us = tm_now_us (fleet->tm);
+  struct flt_weights old = endpoint->entry.weights;
+
+  endpoint->entry.weights = *weights;
+  *weights = old;
+  for (guint i = endpoint->told->len; i-- > 0;)
+    if (now_us - g_array_index (endpoint->told, struct flt_told, i).told_us
+        >= FLT_TOLD_MS * FLT_US_PER_MS)
+      g_array_remove_index (endpoint->told, i);
+  for (guint i = 0; i < endpoint->told->len; i++)
+    flt_apply_news (fleet, endpoint,
+                    &g_array_index (endpoint->told, struct flt_told, i));
+}
+
+static struct flt_endpoint *
+flt_new_endpoint (struct flt_fleet *fleet, struct flt_entry *entry)
+{
+  struct flt_endpoint *endpoint = g_new0 (struct flt_endpoint, 1);
+
+  endpoint->entry = *entry;
+  endpoint->pace_percent = 100;
+  endpoint->listed = true;
+  endpoint->told = g_array_new (FALSE, FALSE, sizeof (struct flt_told));
+  g_array_set_clear_func (endpoint->told, flt_told_clear);
+  g_free (entry);
+  g_hash_table_insert (fleet->by_id, endpoint->entry.id, endpoint);
+  g_ptr_array_add (fleet->all, endpoint);
+  return endpoint;
+}
+
+/* The process behind ENDPOINT was started anew: what was known of the one
+   before is void.  */
+static void
+flt_restarted (struct flt_endpoint *endpoint)
+{
+  endpoint->avoid_until_us = 0;
+  endpoint->failures = 0;
+  endpoint->load_us = 0;
+  endpoint->orders_known = false;
+  endpoint->entry.weights.orders = 0;
+  g_array_set_size (endpoint->told, 0);
+  g_free (endpoint->closing);
+  endpoint->closing = NULL;
+}
+
+/* Take over ENTRY, which is freed.  */
 struct flt_endpoint *
 flt_announced (struct flt_fleet *fleet, struct flt_entry *entry)
 {
   struct flt_endpoint *endpoint = flt_find (fleet, entry->id);
-  bool restarted;
+  struct flt_entry *known;
+  char *address;
+  char *service;
 
   if (endpoint == NULL)
-    {
-      endpoint = g_new0 (struct flt_endpoint, 1);
-      endpoint->entry = *entry;
-      endpoint->pace_percent = 100;
-      endpoint->weights_us = tm_now_us (fleet->tm);
-      endpoint->listed = true;
-      g_free (entry);
-      g_hash_table_insert (fleet->by_id, endpoint->entry.id, endpoint);
-      g_ptr_array_add (fleet->all, endpoint);
-      return endpoint;
-    }
+    return flt_new_endpoint (fleet, entry);
+  known = &endpoint->entry;
   endpoint->gone = false;
   endpoint->gone_us = 0;
   endpoint->listed = true;
-  restarted = endpoint->entry.started_ms != entry->started_ms
-              || !g_str_equal (endpoint->entry.address, entry->address);
-  if (restarted)
-    {
-      endpoint->avoid_until_us = 0;
-      endpoint->failures = 0;
-      endpoint->load_us = 0;
-    }
-  if (restarted || entry->weights.orders >= endpoint->entry.weights.orders)
-    {
-      struct flt_weights old = endpoint->entry.weights;
-
-      endpoint->entry.weights = entry->weights;
-      entry->weights = old;
-      endpoint->weights_us = tm_now_us (fleet->tm);
-    }
-  endpoint->entry.leaving = entry->leaving;
-  endpoint->entry.leaves_in_ms = entry->leaves_in_ms;
-  endpoint->entry.slots = entry->slots;
-  endpoint->entry.started_ms = entry->started_ms;
-  {
-    char *address = endpoint->entry.address;
-    char *service = endpoint->entry.service;
-
-    endpoint->entry.address = entry->address;
-    endpoint->entry.service = entry->service;
-    entry->address = address;
-    entry->service = service;
-  }
+  if (known->started_ms != entry->started_ms
+      || !g_str_equal (known->address, entry->address))
+    flt_restarted (endpoint);
+  entry->weights.orders = known->weights.orders;
+  entry->weights.busy = known->weights.busy;
+  flt_set_weights (fleet, endpoint, &entry->weights);
+  known->leaving = entry->leaving;
+  known->leaves_in_ms = entry->leaves_in_ms;
+  known->slots = entry->slots;
+  known->started_ms = entry->started_ms;
+  address = known->address;
+  service = known->service;
+  known->address = entry->address;
+  known->service = entry->service;
+  entry->address = address;
+  entry->service = service;
   flt_entry_free (entry);
   return endpoint;
 }
@@ -308,18 +364,17 @@
     }
 }
 
-/* ENDPOINT said WEIGHTS, which is taken over, of itself.  */
+/* ENDPOINT said WEIGHTS, which is taken over, in a report.  A report from
+   before the last order that it accepted is ignored.  */
 void
 flt_told_weights (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                   struct flt_weights *weights)
 {
-  if (weights->orders >= endpoint->entry.weights.orders)
+  if (!endpoint->orders_known
+      || weights->orders >= endpoint->entry.weights.orders)
     {
-      struct flt_weights old = endpoint->entry.weights;
-
-      endpoint->entry.weights = *weights;
-      *weights = old;
-      endpoint->weights_us = tm_now_us (fleet->tm);
+      endpoint->orders_known = true;
+      flt_set_weights (fleet, endpoint, weights);
     }
   flt_weights_clear (weights);
 }
@@ -367,18 +422,43 @@
     }
 }
 
+static void
+flt_apply_news (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+                const struct flt_told *told)
+{
+  struct flt_model *held
+      = flt_weights_find (&endpoint->entry.weights, told->model);
+
+  if (told->adapter == NULL)
+    flt_news_model (fleet, endpoint, told->news, told->model);
+  else if (held != NULL)
+    flt_news_adapter (held, told->news, told->adapter);
+}
+
 /* The leader tells NEWS of MODEL, or of its ADAPTER, at ENDPOINT.  */
 void
 flt_told_news (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                enum flt_news news, const char *model, const char *adapter)
 {
-  struct flt_model *held
-      = flt_weights_find (&endpoint->entry.weights, model);
+  struct flt_told told = { .model = g_strdup (model),
+                           .adapter = g_strdup (adapter),
+                           .news = news,
+                           .told_us = tm_now_us (fleet->tm) };
 
-  if (adapter == NULL)
-    flt_news_model (fleet, endpoint, news, model);
-  else if (held != NULL)
-    flt_news_adapter (held, news, adapter);
+  flt_apply_news (fleet, endpoint, &told);
+  for (guint i = 0; i < endpoint->told->len; i++)
+    {
+      const struct flt_told *old
+          = &g_array_index (endpoint->told, struct flt_told, i);
+
+      if (g_str_equal (old->model, told.model)
+          && g_strcmp0 (old->adapter, told.adapter) == 0)
+        {
+          g_array_remove_index (endpoint->told, i);
+          break;
+        }
+    }
+  g_array_append_val (endpoint->told, told);
 }
 
 /* Return whether ENDPOINT can run requests for MODEL and, unless it is NULL,
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -27,8 +27,9 @@
   GPtrArray *in_memory; /* char *: copies in the engine's host memory */
   GPtrArray *on_disk;   /* char *: copies on the engine's disk */
   GPtrArray *incoming;  /* char *: MODEL/ADAPTER on their way */
-  uint64_t orders;      /* accepted since the engine's start */
-  bool busy;            /* an order is being carried out */
+  /* Reports only.  */
+  uint64_t orders; /* accepted since the engine's start */
+  bool busy;       /* an order is being carried out */
 };
 
 /* What an endpoint announces.  */
@@ -48,7 +49,8 @@
 struct flt_endpoint
 {
   struct flt_entry entry;
-  uint64_t weights_us;  /* when WEIGHTS was learnt */
+  bool orders_known;    /* ENTRY.WEIGHTS.ORDERS is from a report */
+  GArray *told;         /* struct flt_told, the latest news */
   bool gone;            /* no longer announced; kept while in use */
   uint64_t gone_us;     /* when an unlisted endpoint counts as gone; 0: it
                            was listed */
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -157,7 +157,10 @@
 bool
 res_can_order (const struct res_table *table, const struct res_engine *engine)
 {
-  return engine->adapter_order == 0 && engine->phase != RES_SENT
+  const struct flt_endpoint *endpoint = flt_find (table->fleet, engine->id);
+
+  return endpoint != NULL && endpoint->orders_known
+         && engine->adapter_order == 0 && engine->phase != RES_SENT
          && engine->phase != RES_DOUBTFUL
          && res_now (table) >= engine->not_before_us;
 }
@@ -424,6 +427,12 @@
       g_free (engine->reserved);
       engine->reserved = NULL;
     }
+  if (!endpoint->orders_known)
+    {
+      if (!engine->refreshing && now_us >= engine->next_refresh_us)
+        res_refresh (table, engine);
+      return;
+    }
   if (engine->phase != RES_WORKING && engine->phase != RES_DOUBTFUL)
     return;
   if (engine->phase == RES_WORKING && res_shows (engine, endpoint))
