Do not order engines that carry out an earlier leader's order

Cause of the broken rule LIMIT: an engine's count of orders does not change when an order completes, so a new leader's order with the right count was accepted after the earlier leader's load had filled the memory; and an adapter whose unload was refused no longer counted. Both are counted now.

--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -31,12 +31,17 @@
 {
   struct gw_engine_call *call = arg;
   struct gw *gw = call->gw;
+  struct flt_endpoint *endpoint = flt_find (gw->fleet, call->endpoint);
   enum prt_order_result result = PRT_NO_ANSWER;
 
   if (answer->outcome == HTTP_COMPLETE)
     result = gw->protocol->read_order (answer->status);
   else if (!answer->sent)
     result = PRT_REFUSED;
+  /* Neither an engine that cannot be reached nor another one that has its
+     address is asked again at once.  */
+  if (endpoint != NULL && result == PRT_REFUSED)
+    flt_failed (gw->fleet, endpoint, true);
   lg_write (LG_ORDER_ANSWERED, "order=%" G_GUINT64_FORMAT
             " endpoint=%s http=\"%s\" status=%u result=%d",
             call->order, call->endpoint, http_outcome_text (answer->outcome),
@@ -127,6 +132,18 @@
           flt_weights_clear (&weights);
         }
     }
+  if (!good)
+    lg_write (LG_REPORT_FAILED, "endpoint=%s http=\"%s\" status=%u",
+              call->endpoint, http_outcome_text (answer->outcome),
+              answer->status);
+  else
+    lg_write (LG_REPORT, "endpoint=%s orders=%" G_GUINT64_FORMAT
+              " busy=%d models=%u in_memory=%u on_disk=%u",
+              call->endpoint, endpoint->entry.weights.orders,
+              endpoint->entry.weights.busy,
+              endpoint->entry.weights.models->len,
+              endpoint->entry.weights.in_memory->len,
+              endpoint->entry.weights.on_disk->len);
   res_refreshed (gw->res, call->endpoint, good);
   gw_engine_call_free (call);
   gw_lead_step (gw);
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -15,6 +15,7 @@
   if (ldr->calls == 0)
     {
       ldr_table_clear (ldr);
+      g_free (ldr->term_holder);
       g_ptr_array_free (ldr->members, TRUE);
       g_free (ldr);
     }
@@ -36,17 +37,38 @@
   if (!ldr->leading)
     return;
   ldr->leading = false;
+  ldr->lost_us = tm_now_us (ldr->config.tm);
   ldr->callbacks.lost (ldr->arg);
 }
 
-static void
-ldr_gain (struct ldr *ldr, bool first_term)
+/* Return how long after its election this instance must not order yet.  */
+uint32_t
+ldr_wait_ms (const struct ldr *ldr)
 {
-  uint64_t wait_ms = first_term ? 0 : LDR_SAFE_MS + ldr->config.apart_ms;
+  uint64_t now_us = tm_now_us (ldr->config.tm);
+  uint64_t apart_us = ldr->config.apart_ms * LDR_US_PER_MS;
+  uint64_t own_us = ldr->lost_us != 0 ? ldr->lost_us : ldr->started_us;
+
+  /* Nobody has led, or nobody since this instance did.  A process of the same
+     instance that led before has ended.  */
+  if (ldr->term_holder == NULL
+      || g_str_equal (ldr->term_holder, ldr->config.instance))
+    return 0;
+  /* Engines must not hear two leaders in turns.  A process that has just
+     started cannot know whether the one before it led.  */
+  if (now_us - own_us < apart_us)
+    return MAX (LDR_SAFE_MS,
+                (uint32_t)((own_us + apart_us - now_us) / LDR_US_PER_MS));
+  return ldr->term_holder[0] == '\0' ? 0 : LDR_SAFE_MS;
+}
 
+static void
+ldr_gain (struct ldr *ldr)
+{
   ldr->leading = true;
   ldr->fence = (uint64_t)ldr->leader.revision;
-  ldr->orders_from_us = tm_now_us (ldr->config.tm) + wait_ms * LDR_US_PER_MS;
+  ldr->orders_from_us
+      = tm_now_us (ldr->config.tm) + ldr->wait_ms * LDR_US_PER_MS;
   ldr->callbacks.gained (ldr->arg, ldr->fence);
 }
 
@@ -62,9 +84,8 @@
     ldr->vacant_us = tm_now_us (ldr->config.tm);
   if (ldr->leading && (!own || ldr->fence != (uint64_t)ldr->leader.revision))
     ldr_lose (ldr);
-  /* The first leader wrote the mark of terms in the same transaction.  */
   if (own && !ldr->leading)
-    ldr_gain (ldr, ldr->term_revision == 0);
+    ldr_gain (ldr);
   ldr->callbacks.members (ldr->arg);
 }
 
@@ -178,7 +199,10 @@
     {
       ldr->renewing = true;
       ldr->renew_us = now_us;
-      ldr->next_renew_us = now_us + LDR_RENEW_MS * LDR_US_PER_MS;
+      ldr->next_renew_us
+          = now_us
+            + (ldr->leading ? LDR_LEADER_RENEW_MS : LDR_RENEW_MS)
+                  * LDR_US_PER_MS;
       ldr->calls++;
       ldr->config.kv.methods->lease_renew (ldr->config.kv.context, ldr->lease,
                                            ldr_renewed, ldr);
@@ -210,6 +234,7 @@
   ldr->config = *config;
   ldr->callbacks = *callbacks;
   ldr->arg = arg;
+  ldr->started_us = tm_now_us (config->tm);
   ldr_table_clear (ldr);
   tm_after (config->tm, &ldr->tick, 0, ldr_tick, ldr);
   return ldr;
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -16,14 +16,15 @@
 
 #define LDR_KEY_BYTES 32
 
-/* The lease is renewed this often and lasts this long at the store.  Three
-   renewals may fail before other instances take over.  */
-#define LDR_RENEW_MS 500
-#define LDR_TTL_S    2
+/* The lease is renewed this often, by the leader and by others, and lasts this
+   long at the store.  Three renewals may fail before others take over.  */
+#define LDR_LEADER_RENEW_MS 300
+#define LDR_RENEW_MS        600
+#define LDR_TTL_S           2
 /* Orders are sent only this long after a renewal that succeeded was sent.  The
    store may drop a lease early without a word, so a successor counts this time
    from its own election.  */
-#define LDR_SAFE_MS 1300
+#define LDR_SAFE_MS 900
 
 struct ldr_member
 {
@@ -40,7 +41,8 @@
   const char *zone;
   const char *address;
   uint64_t incarnation;
-  /* Orders of two leaders to one engine are at least this far apart.  */
+  /* An instance that led before, or may have, orders again only this long
+     after it stopped, if another has led meanwhile.  */
   uint32_t apart_ms;
   /* Offered as the key of the instances if the store has none.  */
   unsigned char key[LDR_KEY_BYTES];
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -32,6 +32,7 @@
   GPtrArray *members; /* struct ldr_member, by name */
   struct ldr_record leader;
   int64_t term_revision; /* 0: there never was a leader */
+  char *term_holder;     /* who led last; empty: it resigned */
   bool key_known;
   bool registered; /* the own record stands under the present lease */
 
@@ -45,8 +46,11 @@
   uint64_t safe_us;  /* the lease is safe until then */
 
   bool resigned;
+  uint64_t started_us;
+  uint64_t lost_us; /* when the own lead ended; 0: never */
   bool leading;
   uint64_t fence;
+  uint32_t wait_ms; /* before the first order, if the lead is gained now */
   uint64_t orders_from_us;
   uint64_t vacant_us; /* since when there is no leader; 0: there is one */
 };
@@ -69,5 +73,6 @@
 /* ldr.c */
 void ldr_evaluate (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
+uint32_t ldr_wait_ms (const struct ldr *ldr);
 
 #endif
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -30,6 +30,8 @@
   g_free (ldr->leader.instance);
   ldr->leader = (struct ldr_record){ 0 };
   ldr->term_revision = 0;
+  g_free (ldr->term_holder);
+  ldr->term_holder = NULL;
   ldr->registered = false;
 }
 
@@ -187,7 +189,11 @@
   else if (g_str_equal (key, ldr_leader_key))
     ldr_apply_leader (ldr, value, bytes, revision, lease);
   else if (g_str_equal (key, ldr_term_key))
-    ldr->term_revision = revision;
+    {
+      ldr->term_revision = revision;
+      g_free (ldr->term_holder);
+      ldr->term_holder = value == NULL ? NULL : g_strndup (value, bytes);
+    }
   else if (g_str_equal (key, ldr_key_key))
     ldr_apply_key (ldr, value, bytes);
 }
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -122,6 +122,9 @@
                             .value = ldr->config.instance,
                             .value_bytes = strlen (ldr->config.instance) } };
 
+  /* The mark that is compared tells who led before; the watch may show the new
+     one before the answer arrives.  */
+  ldr->wait_ms = ldr_wait_ms (ldr);
   ldr_put (ldr, compares, G_N_ELEMENTS (compares), puts, G_N_ELEMENTS (puts),
            ldr_take_done);
   g_free (text);
@@ -182,13 +185,14 @@
 {
   char *key = ldr_member_key (ldr);
   struct kv_compare mine = { ldr_leader_key, (int64_t)ldr->fence };
-  struct kv_op deletes[]
-      = { { .kind = KV_DELETE, .key = key },
-          { .kind = KV_DELETE, .key = ldr_leader_key } };
+  /* A successor of a leader that resigned need not wait.  */
+  struct kv_op ops[] = { { .kind = KV_DELETE, .key = key },
+                         { .kind = KV_DELETE, .key = ldr_leader_key },
+                         { .kind = KV_PUT, .key = ldr_term_key, .value = "" } };
 
   if (ldr->leading)
-    ldr_put (ldr, &mine, 1, deletes, 2, ldr_resign_done);
+    ldr_put (ldr, &mine, 1, ops, G_N_ELEMENTS (ops), ldr_resign_done);
   else
-    ldr_put (ldr, NULL, 0, deletes, 1, ldr_resign_done);
+    ldr_put (ldr, NULL, 0, ops, 1, ldr_resign_done);
   g_free (key);
 }
--- a/libcowslip/res_adapter.c
+++ b/libcowslip/res_adapter.c
@@ -12,15 +12,8 @@
 static bool
 res_is_incoming (const struct res_engine *engine, const struct res_item *item)
 {
-  for (guint i = 0; i < engine->incoming->len; i++)
-    {
-      const struct res_incoming *incoming
-          = &g_array_index (engine->incoming, struct res_incoming, i);
-
-      if (g_str_equal (incoming->model, item->model)
-          && g_str_equal (incoming->adapter, item->adapter))
-        return true;
-    }
+  if (res_sent_adapter (engine, item->model, item->adapter))
+    return true;
   return engine->adapter_order != 0 && engine->adapter_kind == PRT_LOAD
          && g_str_equal (engine->adapter_model, item->model)
          && g_str_equal (engine->adapter, item->adapter);
@@ -71,7 +64,8 @@
           || !flt_holds (table->fleet, endpoint, item->model, NULL))
         continue;
       engine = res_engine (table, endpoint);
-      if (!res_can_order (table, engine)
+      /* An engine that carries out an order for a model takes no other.  */
+      if (!res_can_order (table, engine) || engine->phase != RES_IDLE
           || engine->incoming->len >= RES_INCOMING_MAX)
         continue;
       fits = res_adapter_fits (table, service, endpoint, model);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "res_impl.h"
 
 /* A report is read this long after an order should have been carried out, and
@@ -70,12 +72,58 @@
              : NULL;
 }
 
+/* Return whether ADAPTER of MODEL was ordered and may not be loaded yet.  */
+bool
+res_sent_adapter (const struct res_engine *engine, const char *model,
+                  const char *adapter)
+{
+  for (guint i = 0; i < engine->incoming->len; i++)
+    {
+      const struct res_incoming *incoming
+          = &g_array_index (engine->incoming, struct res_incoming, i);
+
+      if (g_str_equal (incoming->model, model)
+          && g_str_equal (incoming->adapter, adapter))
+        return true;
+    }
+  return false;
+}
+
+/* Return how many adapters ENDPOINT reports as on their way that neither it
+   holds nor this leader has ordered.  An earlier leader has.  */
+static uint32_t
+res_foreign_adapters (const struct res_engine *engine,
+                      const struct flt_weights *weights)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < weights->incoming->len; i++)
+    {
+      const char *name = g_ptr_array_index (weights->incoming, i);
+      const char *slash = strchr (name, '/');
+      const struct flt_model *held;
+      char *model;
+
+      if (slash == NULL)
+        continue;
+      model = g_strndup (name, (gsize)(slash - name));
+      held = flt_weights_find (weights, model);
+      if ((held == NULL || !flt_model_has (held, slash + 1))
+          && !res_sent_adapter (engine, model, slash + 1))
+        count++;
+      g_free (model);
+    }
+  return count;
+}
+
 /* Return how many adapters ENDPOINT holds or is fetching.  */
 uint32_t
 res_adapters (struct res_table *table, struct flt_endpoint *endpoint)
 {
   const struct flt_weights *weights = &endpoint->entry.weights;
-  uint32_t count = res_engine (table, endpoint)->incoming->len;
+  const struct res_engine *engine = res_engine (table, endpoint);
+  uint32_t count
+      = engine->incoming->len + res_foreign_adapters (engine, weights);
 
   for (guint i = 0; i < weights->models->len; i++)
     {
@@ -110,7 +158,8 @@
       spec = g_ptr_array_index (service->models, i);
       adapter_mb = MAX (adapter_mb, spec->adapter_mb);
     }
-  if (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
+  if (engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
+      && engine->kind == PRT_LOAD
       && flt_weights_find (weights, engine->model) == NULL)
     {
       spec = rte_model (service, engine->model);
@@ -161,7 +210,7 @@
 
   return endpoint != NULL && endpoint->orders_known
          && engine->adapter_order == 0 && engine->phase != RES_SENT
-         && engine->phase != RES_DOUBTFUL
+         && engine->phase != RES_DOUBTFUL && engine->phase != RES_FOREIGN
          && res_now (table) >= engine->not_before_us;
 }
 
@@ -321,7 +370,10 @@
     }
   else if (result != PRT_STARTED && result != PRT_HOLDS)
     {
-      /* The report shows which adapters the engine holds now.  */
+      /* What was to be unloaded still takes a place.  */
+      if (engine->adapter_kind == PRT_UNLOAD)
+        table->callbacks.news (table->arg, engine->id, FLT_READY,
+                               engine->adapter_model, engine->adapter);
       engine->not_before_us = res_now (table) + RES_PAUSE_MS * RES_US_PER_MS;
       res_refresh (table, engine);
     }
@@ -380,8 +432,15 @@
     return;
   engine->refreshing = false;
   engine->next_refresh_us = now_us + RES_REFRESH_MS * RES_US_PER_MS;
-  if (!good
-      || (engine->phase != RES_WORKING && engine->phase != RES_DOUBTFUL))
+  if (!good)
+    return;
+  /* The count of orders does not change when an order is completed, so what
+     an engine holds is known only when none is under way.  */
+  if (engine->phase == RES_IDLE && endpoint->entry.weights.busy)
+    res_set_phase (table, engine, RES_FOREIGN);
+  else if (engine->phase == RES_FOREIGN && !endpoint->entry.weights.busy)
+    res_set_phase (table, engine, RES_IDLE);
+  if (engine->phase != RES_WORKING && engine->phase != RES_DOUBTFUL)
     return;
   if (res_shows (engine, endpoint))
     res_done (table, engine);
@@ -433,11 +492,12 @@
         res_refresh (table, engine);
       return;
     }
-  if (engine->phase != RES_WORKING && engine->phase != RES_DOUBTFUL)
+  if (engine->phase == RES_IDLE || engine->phase == RES_SENT)
     return;
   if (engine->phase == RES_WORKING && res_shows (engine, endpoint))
     res_done (table, engine);
-  else if (now_us - engine->phase_us > RES_ORDER_MAX_MS * RES_US_PER_MS)
+  else if (engine->phase != RES_FOREIGN
+           && now_us - engine->phase_us > RES_ORDER_MAX_MS * RES_US_PER_MS)
     res_failed (table, engine);
   else if (!engine->refreshing && now_us >= engine->next_refresh_us)
     res_refresh (table, engine);
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -12,7 +12,8 @@
   RES_IDLE,
   RES_SENT,    /* an order waits for its answer */
   RES_WORKING, /* a model is being loaded or unloaded */
-  RES_DOUBTFUL /* an order was not answered */
+  RES_DOUBTFUL, /* an order was not answered */
+  RES_FOREIGN   /* an order of an earlier leader is carried out */
 };
 
 /* What the leader knows of an engine beside what the engine says.  */
@@ -116,6 +117,8 @@
 uint32_t res_used_mb (struct res_table *table,
                       const struct rte_service *service,
                       struct flt_endpoint *endpoint);
+bool res_sent_adapter (const struct res_engine *engine, const char *model,
+                       const char *adapter);
 uint32_t res_adapters (struct res_table *table,
                        struct flt_endpoint *endpoint);
 uint32_t res_load_ms (const struct flt_endpoint *endpoint,
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -11,8 +11,14 @@
 /* A model that is asked for this often has a second replica, so that the loss
    of an engine does not make it cold.  In requests per second.  */
 #define RES_SPARE_RATE 1.0
-/* Replicas of a model that is asked for often.  */
-#define RES_SPARE_REPLICAS 2
+/* Requests per second that one replica serves without pauses between events:
+   an engine reads about 15 such prompts a second if it does nothing else
+   (SYSTEM: 1,460 tokens at 22 to 26 per ms), and each keeps the streams of the
+   others waiting meanwhile.  */
+#define RES_REPLICA_RATE 2.5
+/* What one request per second that an engine serves already counts against a
+   further load there, in milliseconds.  */
+#define RES_CROWD_MS 250.0
 /* Runs under way delay an unload by about this much.  */
 #define RES_ACTIVE_MS 1500.0
 /* An unload that finds the model unused takes about this long, with the
@@ -61,14 +67,43 @@
   return count;
 }
 
+/* Return the replicas that MODEL should have.  */
+static uint32_t
+res_wanted (const struct res_table *table, const char *model)
+{
+  double rate = res_rate (table, model);
+  uint32_t by_rate = (uint32_t)(rate / RES_REPLICA_RATE + 1);
+
+  return rate < RES_SPARE_RATE ? 1 : MAX (by_rate, 2);
+}
+
+/* Return the requests per second that ENDPOINT serves, if each model's spread
+   evenly over its replicas.  */
+static double
+res_crowd (struct res_table *table, const struct rte_service *service,
+           const struct flt_endpoint *endpoint)
+{
+  const GPtrArray *models = endpoint->entry.weights.models;
+  double rate = 0;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (models, i);
+
+      rate += res_rate (table, model->name)
+              / MAX (res_replicas (table, service, model->name), 1);
+    }
+  return rate;
+}
+
 static bool
 res_works_on (struct res_table *table, struct flt_endpoint *endpoint,
               const char *model)
 {
   const struct res_engine *engine = res_engine (table, endpoint);
 
-  return (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
-          && g_str_equal (engine->model, model))
+  return (engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
+          && engine->kind == PRT_LOAD && g_str_equal (engine->model, model))
          || (engine->reserved != NULL
              && g_str_equal (engine->reserved, model));
 }
@@ -102,9 +137,10 @@
     {
       const struct res_engine *engine = value;
 
-      /* An order in doubt may have begun a load.  */
-      if (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
-          && (engine->from_store || engine->phase != RES_WORKING))
+      /* An order in doubt, or of an earlier leader, may be such a load.  */
+      if (engine->phase == RES_FOREIGN
+          || (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
+              && (engine->from_store || engine->phase != RES_WORKING)))
         count++;
     }
   return count;
@@ -194,7 +230,8 @@
     return false;
   *choice = (struct res_choice){ .endpoint = endpoint };
   choice->cost_ms = res_load_ms (endpoint, model, &from_store)
-                    + res_busy_ms (table, engine);
+                    + res_busy_ms (table, engine)
+                    + RES_CROWD_MS * res_crowd (table, service, endpoint);
   choice->now = engine->phase == RES_IDLE && res_can_order (table, engine);
   if (from_store && res_store_loads (table) >= store_max)
     return false;
@@ -379,23 +416,51 @@
     }
 }
 
-/* Give models that are asked for often a second replica.  */
+/* Return whether the replicas of MODEL are worth more than what VICTIM, which
+   would give way, serves: one of the requests per second of a crowded replica
+   against all of the victim's.  */
+static bool
+res_is_worth (struct res_table *table, const struct rte_service *service,
+              const char *model, const char *victim)
+{
+  uint32_t replicas = res_replicas (table, service, model);
+  uint32_t others
+      = victim == NULL ? 0 : res_replicas (table, service, victim);
+
+  if (victim == NULL)
+    return true;
+  return res_rate (table, model) / (replicas + 1)
+         > res_rate (table, victim) / MAX (others, 1);
+}
+
+/* Give models that are asked for often as many replicas as their rate needs,
+   the most crowded first.  */
 static void
 res_load_spares (struct res_table *table, const struct rte_service *service)
 {
+  const struct rte_model *crowded = NULL;
+  double most = 0;
+  struct res_choice choice;
+
   for (guint i = 0; i < service->models->len; i++)
     {
       const struct rte_model *model = g_ptr_array_index (service->models, i);
-      struct res_choice choice;
+      uint32_t replicas = res_replicas (table, service, model->name);
+      double each = res_rate (table, model->name) / MAX (replicas, 1);
 
-      if (res_rate (table, model->name) < RES_SPARE_RATE
-          || res_replicas (table, service, model->name) >= RES_SPARE_REPLICAS
-          || res_under_way (table, service, model->name))
-        continue;
-      choice = res_choose (table, service, model, RES_STORE_AHEAD);
-      if (choice.endpoint != NULL && choice.now)
-        res_carry_out (table, model, &choice, "asked for often");
+      if (replicas < res_wanted (table, model->name) && each > most
+          && !res_under_way (table, service, model->name))
+        {
+          crowded = model;
+          most = each;
+        }
     }
+  if (crowded == NULL)
+    return;
+  choice = res_choose (table, service, crowded, RES_STORE_AHEAD);
+  if (choice.endpoint != NULL && choice.now
+      && res_is_worth (table, service, crowded->name, choice.victim))
+    res_carry_out (table, crowded, &choice, "asked for often");
 }
 
 /* Order the loads of models of SERVICE.  Requests that wait come first, the
