--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -84,8 +84,8 @@
   gw->fleet = flt_new (gw->tm);
   gw->budgets = rbg_new (gw->tm);
   gw->latencies = hst_new ("request_seconds");
-  gw->demand = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                      gw_demand_free);
+  gw->demand
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_demand_free);
   gw->requests = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gw->waiting);
   gw_lead_start (gw);
@@ -102,9 +102,9 @@
 
   gw->client = http_client_new (gw->loop, gw->tm);
   gw->pool = h1_pool_new (gw->loop, gw->tm);
-  gw->kv = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
-                                      gw->settings->store_address,
-                                      gw->random));
+  gw->kv
+      = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
+                                   gw->settings->store_address, gw->random));
   gw->callers = h1_server_new (gw->loop, gw->tm, gw->settings->caller_address,
                                &events, gw, error);
   return gw->callers != NULL && gw_status_start (gw, error);
--- a/cowslipcoved/gw_answer.c
+++ b/cowslipcoved/gw_answer.c
@@ -15,9 +15,8 @@
 {
   struct gw *gw = request->gw;
   struct h1_exchange *exchange = request->exchange;
-  double after_s
-      = MAX (GW_RETRY_MIN_S,
-             gw_left_ms (request) * GW_RETRY_SHARE / GW_MS_PER_S);
+  double after_s = MAX (GW_RETRY_MIN_S,
+                        gw_left_ms (request) * GW_RETRY_SHARE / GW_MS_PER_S);
   char after[32];
   struct h1_field field = { "Retry-After", after };
 
@@ -61,6 +60,6 @@
   if (may_have_run)
     gw_fail (request, RSN_DEADLINE);
   else
-    gw_refuse (request, request->model == NULL ? RSN_NO_ENDPOINT
-                                               : RSN_COLD_TOO_LATE);
+    gw_refuse (request,
+               request->model == NULL ? RSN_NO_ENDPOINT : RSN_COLD_TOO_LATE);
 }
--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -133,8 +133,7 @@
 static void
 gw_note_load (struct gw_request *request, const struct h1_head *head)
 {
-  const char *value
-      = h1_head_get (head, request->gw->protocol->fields.load);
+  const char *value = h1_head_get (head, request->gw->protocol->fields.load);
   unsigned int running = 0;
   unsigned int waiting = 0;
   unsigned int slots = 0;
@@ -158,8 +157,7 @@
   if (id != NULL && !g_str_equal (id, request->endpoint->entry.id))
     flt_failed (gw->fleet, request->endpoint, true);
   else if (request->model != NULL)
-    flt_told_news (gw->fleet, request->endpoint, FLT_GONE, request->model,
-                   request->adapter);
+    flt_lacks (gw->fleet, request->endpoint, request->model, request->adapter);
 }
 
 static bool
@@ -243,11 +241,10 @@
 {
   const char *type = h1_head_get (head, "Content-Type");
 
-  request->event_stream
-      = type != NULL
-        && g_ascii_strncasecmp (type, "text/event-stream",
-                                strlen ("text/event-stream"))
-               == 0;
+  request->event_stream = type != NULL
+                          && g_ascii_strncasecmp (type, "text/event-stream",
+                                                  strlen ("text/event-stream"))
+                                 == 0;
   h1_head_init (&request->answer);
   request->answer.status = head->status;
   request->answer.has_length = head->has_length && !request->event_stream;
@@ -380,8 +377,8 @@
 static void
 gw_fail_or_pass (struct gw_request *request)
 {
-  enum rsn_refusal reason = request->answer_begun ? RSN_ANSWER_CUT
-                                                  : RSN_ENDPOINT_FAILED;
+  enum rsn_refusal reason
+      = request->answer_begun ? RSN_ANSWER_CUT : RSN_ENDPOINT_FAILED;
 
   gw_fail (request, reason);
 }
@@ -439,8 +436,7 @@
 
   send.body = h1_exchange_body (request->exchange, &send.body_bytes);
   gw_write_head (request, endpoint, &head);
-  request->call
-      = h1_call_start (gw->pool, &send, &gw_call_events, request);
+  request->call = h1_call_start (gw->pool, &send, &gw_call_events, request);
   h1_head_clear (&head);
   if (request->call == NULL)
     return false;
@@ -471,8 +467,8 @@
       if (request->answer_held || request->answer_begun)
         return;
       heard_us = request->state_us;
-      limit_ms = MAX (GW_SLOW_MIN_MS,
-                      GW_SLOW_TARGETS * request->route->target_ms);
+      limit_ms
+          = MAX (GW_SLOW_MIN_MS, GW_SLOW_TARGETS * request->route->target_ms);
     }
   if ((double)(now_us - heard_us) < limit_ms * GW_US_PER_MS
       || gw_decide (request, FWD_SLOW) != FWD_AGAIN)
--- a/cowslipcoved/gw_config.c
+++ b/cowslipcoved/gw_config.c
@@ -41,8 +41,7 @@
                  int64_t revision)
 {
   GError *error = NULL;
-  struct rte_config *config
-      = gw->protocol->read_config (value, bytes, &error);
+  struct rte_config *config = gw->protocol->read_config (value, bytes, &error);
 
   if (config == NULL)
     {
@@ -67,8 +66,7 @@
 
   if (change->value != NULL
       && g_str_equal (change->key, gw->protocol->keys.config))
-    gw_config_apply (gw, change->value, change->value_bytes,
-                     change->revision);
+    gw_config_apply (gw, change->value, change->value_bytes, change->revision);
 }
 
 static void
@@ -89,8 +87,7 @@
       return;
     }
   if (result->pair_count > 0)
-    gw_config_apply (gw, result->pairs[0].value,
-                     result->pairs[0].value_bytes,
+    gw_config_apply (gw, result->pairs[0].value, result->pairs[0].value_bytes,
                      result->pairs[0].revision);
   (void)gw->kv.methods->watch (gw->kv.context, gw->protocol->keys.config,
                                result->revision + 1, gw_config_changed,
--- a/cowslipcoved/gw_demand.c
+++ b/cowslipcoved/gw_demand.c
@@ -40,8 +40,7 @@
     {
       const struct gw_request *request = item->data;
 
-      if (request->model_demand == demand
-          || request->adapter_demand == demand)
+      if (request->model_demand == demand || request->adapter_demand == demand)
         return (uint32_t)((tm_now_us (gw->tm) - request->state_us)
                           / GW_US_PER_MS);
     }
@@ -66,8 +65,7 @@
     {
       struct gw_demand *demand = value;
 
-      if (demand->arrivals == 0 && demand->active == 0
-          && demand->waiting == 0)
+      if (demand->arrivals == 0 && demand->active == 0 && demand->waiting == 0)
         {
           /* Names come from callers; unused ones are not kept.  */
           g_hash_table_iter_remove (&iter);
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -101,8 +101,8 @@
   flt_list_end (gw->fleet, GW_FLEET_GRACE_MS);
   gw->fleet_known = true;
   (void)gw->kv.methods->watch (
-      gw->kv.context, gw->protocol->keys.endpoint_prefix,
-      result->revision + 1, gw_fleet_on_change, gw_fleet_watch_ended, gw);
+      gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
+      gw_fleet_on_change, gw_fleet_watch_ended, gw);
   gw_fleet_changed (gw);
 }
 
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -42,7 +42,8 @@
      address is asked again at once.  */
   if (endpoint != NULL && result == PRT_REFUSED)
     flt_failed (gw->fleet, endpoint, true);
-  lg_write (LG_ORDER_ANSWERED, "order=%" G_GUINT64_FORMAT
+  lg_write (LG_ORDER_ANSWERED,
+            "order=%" G_GUINT64_FORMAT
             " endpoint=%s http=\"%s\" status=%u result=%d",
             call->order, call->endpoint, http_outcome_text (answer->outcome),
             answer->status, result);
@@ -61,7 +62,7 @@
                             .adapter = order->adapter,
                             .holder = gw->settings->instance,
                             .fence = fence,
-                            .orders = endpoint->entry.weights.orders };
+                            .orders = endpoint->reported.orders };
   struct http_header headers[]
       = { { "Content-Type", "application/json" },
           { gw->protocol->fields.expected_endpoint, order->endpoint },
@@ -84,8 +85,8 @@
             "fence=%" G_GUINT64_FORMAT " orders=%" G_GUINT64_FORMAT,
             order->id, order->endpoint,
             order->kind == PRT_LOAD ? "load" : "unload", order->model,
-            order->adapter == NULL ? "" : order->adapter, order->reason,
-            fence, body.orders);
+            order->adapter == NULL ? "" : order->adapter, order->reason, fence,
+            body.orders);
   (void)http_fetch (gw->client, &request, gw_order_answered, call);
 }
 
@@ -126,8 +127,8 @@
         flt_told_weights (gw->fleet, endpoint, &weights);
       else
         {
-          lg_write (LG_ENTRY_BAD, "report of endpoint=%s: %s",
-                    call->endpoint, error->message);
+          lg_write (LG_ENTRY_BAD, "report of endpoint=%s: %s", call->endpoint,
+                    error->message);
           g_error_free (error);
           flt_weights_clear (&weights);
         }
@@ -137,13 +138,13 @@
               call->endpoint, http_outcome_text (answer->outcome),
               answer->status);
   else
-    lg_write (LG_REPORT, "endpoint=%s orders=%" G_GUINT64_FORMAT
+    lg_write (LG_REPORT,
+              "endpoint=%s orders=%" G_GUINT64_FORMAT
               " busy=%d models=%u in_memory=%u on_disk=%u",
-              call->endpoint, endpoint->entry.weights.orders,
-              endpoint->entry.weights.busy,
-              endpoint->entry.weights.models->len,
-              endpoint->entry.weights.in_memory->len,
-              endpoint->entry.weights.on_disk->len);
+              call->endpoint, endpoint->reported.orders,
+              endpoint->reported.busy, endpoint->reported.models->len,
+              endpoint->reported.in_memory->len,
+              endpoint->reported.on_disk->len);
   res_refreshed (gw->res, call->endpoint, good);
   gw_engine_call_free (call);
   gw_lead_step (gw);
@@ -261,6 +262,7 @@
 gw_lead_gained (struct gw *gw, uint64_t fence)
 {
   lg_write (LG_LEADER_GAINED, "fence=%" G_GUINT64_FORMAT, fence);
+  flt_forget_reports (gw->fleet);
   res_begin (gw->res);
 }
 
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -13,13 +13,17 @@
   return MAX (ldr_members (gw->ldr)->len, 1);
 }
 
+/* Until the number of instances is known, no part of what they share is
+   taken.  */
 static void
 gw_set_budgets (struct gw *gw)
 {
-  struct rbg_limits limits = { .ratio = gw->settings->retry_ratio,
-                               .extra = gw->settings->retry_extra,
-                               .window_ms = gw->settings->retry_window_ms,
-                               .instances = gw_instances (gw) };
+  uint32_t strength = ldr_strength (gw->ldr);
+  struct rbg_limits limits
+      = { .ratio = gw->settings->retry_ratio,
+          .extra = strength == 0 ? 0 : gw->settings->retry_extra,
+          .window_ms = gw->settings->retry_window_ms,
+          .instances = strength };
 
   rbg_set_limits (gw->budgets, &limits);
 }
@@ -81,8 +85,7 @@
                                .key_bytes = bytes };
   GError *error = NULL;
 
-  gw->rpc
-      = rpc_node_new (gw->loop, gw->tm, gw->counters, &config, &error);
+  gw->rpc = rpc_node_new (gw->loop, gw->tm, gw->counters, &config, &error);
   if (gw->rpc == NULL)
     {
       lg_write (LG_LISTEN_FAILED, "%s", error->message);
@@ -100,14 +103,13 @@
 {
   static const struct ldr_callbacks callbacks
       = { gw_peers_gained, gw_peers_lost, gw_peers_key, gw_peers_changed };
-  struct ldr_config config
-      = { .kv = gw->kv,
-          .tm = gw->tm,
-          .instance = gw->settings->instance,
-          .zone = gw->settings->zone,
-          .address = gw->settings->peer_address,
-          .incarnation = gw->incarnation,
-          .apart_ms = gw->settings->orders_apart_ms };
+  struct ldr_config config = { .kv = gw->kv,
+                               .tm = gw->tm,
+                               .instance = gw->settings->instance,
+                               .zone = gw->settings->zone,
+                               .address = gw->settings->peer_address,
+                               .incarnation = gw->incarnation,
+                               .apart_ms = gw->settings->orders_apart_ms };
 
   if (RAND_bytes (config.key, sizeof config.key) != 1)
     {
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include "drn.h"
 #include "gw_impl.h"
 #include "lg.h"
 #include "pck.h"
@@ -72,8 +73,8 @@
   lg_write (LG_REQUEST,
             "id=%s route=%s service=%s model=%s/%s outcome=%s status=%u "
             "endpoint=%s sends=%u runs=%u took_ms=%" G_GUINT64_FORMAT
-            " waited_ms=%" G_GUINT64_FORMAT " left_ms=%u config=%"
-            G_GUINT64_FORMAT,
+            " waited_ms=%" G_GUINT64_FORMAT
+            " left_ms=%u config=%" G_GUINT64_FORMAT,
             request->id, request->route->name, request->service_name,
             request->model == NULL ? "" : request->model,
             request->adapter == NULL ? "" : request->adapter, outcome, status,
@@ -202,16 +203,31 @@
   uint16_t status = rsn_refusal_status (reason);
 
   ctr_refusal (gw->counters, reason);
-  lg_write (LG_REFUSED,
-            "id=%s reason=%s status=%u host=%s target=%s config=%"
-            G_GUINT64_FORMAT,
-            id == NULL ? "-" : id, rsn_refusal_text (reason), status,
-            h1_head_get (head, "Host") == NULL ? "-"
-                                               : h1_head_get (head, "Host"),
-            head->target, gw->config == NULL ? 0 : gw->config->version);
+  lg_write (
+      LG_REFUSED,
+      "id=%s reason=%s status=%u host=%s target=%s config=%" G_GUINT64_FORMAT,
+      id == NULL ? "-" : id, rsn_refusal_text (reason), status,
+      h1_head_get (head, "Host") == NULL ? "-" : h1_head_get (head, "Host"),
+      head->target, gw->config == NULL ? 0 : gw->config->version);
   h1_answer (exchange, status, &soon, status == 503 ? 1 : 0, "");
 }
 
+/* Return whether REQUEST can be answered before this process ends.  */
+static bool
+gw_accepts (const struct gw_request *request)
+{
+  const struct gw *gw = request->gw;
+  uint64_t since_ms = (tm_now_us (gw->tm) - gw->drain_us) / GW_US_PER_MS;
+  struct drn_facts facts
+      = { .stream = request->route->kind == RTE_STREAM,
+          .left_ms = gw_left_ms (request),
+          .grace_ms = since_ms < gw->settings->grace_ms
+                          ? (uint32_t)(gw->settings->grace_ms - since_ms)
+                          : 0 };
+
+  return !gw->draining || drn_accepts (&facts);
+}
+
 /* Take a request of a caller.  */
 void
 gw_on_request (void *arg, struct h1_exchange *exchange)
@@ -240,6 +256,11 @@
       gw_refuse (request, RSN_QUEUE_DEADLINE);
       return;
     }
+  if (!gw_accepts (request))
+    {
+      gw_refuse (request, RSN_DRAINING);
+      return;
+    }
   tm_after (gw->tm, &request->timer,
             MIN (GW_TICK_MS, gw_left_ms (request) + 1) * GW_US_PER_MS,
             gw_request_tick, request);
--- a/cowslipcoved/gw_status.c
+++ b/cowslipcoved/gw_status.c
@@ -15,8 +15,11 @@
   const char *target = h1_exchange_head (exchange)->target;
   bool known = g_str_equal (target, gw->protocol->ready_path);
 
-  h1_answer (exchange, !known ? 404 : gw_is_ready (gw) ? 200 : 503, NULL, 0,
-             "");
+  h1_answer (exchange,
+             !known             ? 404
+             : gw_is_ready (gw) ? 200
+                                : 503,
+             NULL, 0, "");
 }
 
 static void
@@ -56,8 +59,7 @@
                              &ready, gw, error);
   if (gw->ready == NULL)
     return false;
-  gw->metrics
-      = h1_server_new (gw->loop, gw->tm, gw->settings->metrics_address,
-                       &metrics, gw, error);
+  gw->metrics = h1_server_new (gw->loop, gw->tm, gw->settings->metrics_address,
+                               &metrics, gw, error);
   return gw->metrics != NULL;
 }
--- a/cowslipcoved/gw_wait.c
+++ b/cowslipcoved/gw_wait.c
@@ -2,8 +2,10 @@
 #include "wtq.h"
 
 #define GW_WAKE_MS 50
-/* An endpoint that refused a request is not asked again sooner.  */
-#define GW_AGAIN_MS 60
+/* A request that an endpoint refused is sent again after this, doubled with
+   each further refusal.  Full endpoints need about a request's time, a second,
+   to have room.  */
+#define GW_AGAIN_MS 250
 
 static struct gw_demand *
 gw_wanted (const struct gw_request *request)
@@ -17,18 +19,17 @@
 {
   const struct gw *gw = request->gw;
   uint64_t now_us = tm_now_us (gw->tm);
-  struct wtq_facts facts
-      = { .cold = request->model != NULL,
-          .leader = ldr_leader (gw->ldr) != NULL,
-          .stream = request->route->kind == RTE_STREAM,
-          .target_ms = request->route->target_ms,
-          .gap_ms = request->route->gap_ms,
-          .total_ms
-          = (uint32_t)((request->deadline_us - request->arrived_us)
-                       / GW_US_PER_MS),
-          .waited_ms
-          = (uint32_t)((now_us - request->state_us + request->waited_us)
-                       / GW_US_PER_MS) };
+  struct wtq_facts facts = {
+    .cold = request->model != NULL,
+    .leader = ldr_leader (gw->ldr) != NULL,
+    .stream = request->route->kind == RTE_STREAM,
+    .target_ms = request->route->target_ms,
+    .gap_ms = request->route->gap_ms,
+    .total_ms
+    = (uint32_t)((request->deadline_us - request->arrived_us) / GW_US_PER_MS),
+    .waited_ms = (uint32_t)((now_us - request->state_us + request->waited_us)
+                            / GW_US_PER_MS)
+  };
 
   facts.known_model = request->model != NULL
                       && rte_model (request->service, request->model) != NULL;
@@ -69,8 +70,8 @@
   if (request->runs > 0)
     gw_fail (request, RSN_ENDPOINT_FAILED);
   else
-    gw_refuse (request, request->model == NULL ? RSN_NO_ENDPOINT
-                                               : RSN_COLD_TOO_LATE);
+    gw_refuse (request,
+               request->model == NULL ? RSN_NO_ENDPOINT : RSN_COLD_TOO_LATE);
 }
 
 /* REQUEST no longer waits.  */
@@ -89,6 +90,14 @@
     gw_wanted (request)->waiting--;
 }
 
+static uint64_t
+gw_again_us (const struct gw_request *request)
+{
+  if (request->arrivals == 0)
+    return 0;
+  return (GW_AGAIN_MS * GW_US_PER_MS) << (request->arrivals - 1);
+}
+
 /* Look again at all requests that wait, the longest wait first.  */
 void
 gw_wake (struct gw *gw)
@@ -101,8 +110,7 @@
       struct gw_request *request = item->data;
 
       next = item->next;
-      if (request->arrivals == 0
-          || now_us - request->state_us >= GW_AGAIN_MS * GW_US_PER_MS)
+      if (now_us - request->state_us >= gw_again_us (request))
         gw_request_dispatch (request);
     }
   if (!g_queue_is_empty (&gw->waiting) && !tm_pending (&gw->wake_timer))
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -15,6 +15,19 @@
    what the leader told of an engine stands against both for this long.  */
 #define FLT_TOLD_MS 1000
 
+/* An engine that said it lacks a model or adapter is not asked for it for this
+   long, unless the leader says that it was loaded.  The next announcement,
+   about a second later, settles it.  */
+#define FLT_ABSENT_MS 1000
+
+/* What an engine said it lacks.  */
+struct flt_absent
+{
+  char *model;
+  char *adapter; /* NULL: the model */
+  uint64_t until_us;
+};
+
 /* News of the leader about a model or adapter of one engine.  */
 struct flt_told
 {
@@ -160,11 +173,22 @@
   g_free (told->adapter);
 }
 
+static void
+flt_absent_clear (gpointer data)
+{
+  struct flt_absent *absent = data;
+
+  g_free (absent->model);
+  g_free (absent->adapter);
+}
+
 static void
 flt_endpoint_free (gpointer data)
 {
   struct flt_endpoint *endpoint = data;
 
+  flt_weights_clear (&endpoint->reported);
+  g_array_free (endpoint->absent, TRUE);
   g_array_free (endpoint->told, TRUE);
 
   flt_entry_clear (&endpoint->entry);
@@ -251,6 +275,9 @@
   endpoint->listed = true;
   endpoint->told = g_array_new (FALSE, FALSE, sizeof (struct flt_told));
   g_array_set_clear_func (endpoint->told, flt_told_clear);
+  endpoint->absent = g_array_new (FALSE, FALSE, sizeof (struct flt_absent));
+  g_array_set_clear_func (endpoint->absent, flt_absent_clear);
+  flt_weights_init (&endpoint->reported);
   g_free (entry);
   g_hash_table_insert (fleet->by_id, endpoint->entry.id, endpoint);
   g_ptr_array_add (fleet->all, endpoint);
@@ -265,9 +292,10 @@
   endpoint->avoid_until_us = 0;
   endpoint->failures = 0;
   endpoint->load_us = 0;
-  endpoint->orders_known = false;
-  endpoint->entry.weights.orders = 0;
+  endpoint->reported_known = false;
+  endpoint->reported.orders = 0;
   g_array_set_size (endpoint->told, 0);
+  g_array_set_size (endpoint->absent, 0);
   g_free (endpoint->closing);
   endpoint->closing = NULL;
 }
@@ -290,8 +318,6 @@
   if (known->started_ms != entry->started_ms
       || !g_str_equal (known->address, entry->address))
     flt_restarted (endpoint);
-  entry->weights.orders = known->weights.orders;
-  entry->weights.busy = known->weights.busy;
   flt_set_weights (fleet, endpoint, &entry->weights);
   known->leaving = entry->leaving;
   known->leaves_in_ms = entry->leaves_in_ms;
@@ -364,19 +390,61 @@
     }
 }
 
+static void
+flt_copy_strings (GPtrArray *to, const GPtrArray *from)
+{
+  for (guint i = 0; i < from->len; i++)
+    g_ptr_array_add (to, g_strdup (g_ptr_array_index (from, i)));
+}
+
+/* Fill TO, which is prepared, with the models and copies of FROM.  */
+static void
+flt_weights_copy (struct flt_weights *to, const struct flt_weights *from)
+{
+  for (guint i = 0; i < from->models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (from->models, i);
+
+      flt_copy_strings (
+          flt_weights_add (to, model->name, model->version)->adapters,
+          model->adapters);
+    }
+  flt_copy_strings (to->in_memory, from->in_memory);
+  flt_copy_strings (to->on_disk, from->on_disk);
+}
+
 /* ENDPOINT said WEIGHTS, which is taken over, in a report.  A report from
    before the last order that it accepted is ignored.  */
 void
 flt_told_weights (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                   struct flt_weights *weights)
 {
-  if (!endpoint->orders_known
-      || weights->orders >= endpoint->entry.weights.orders)
+  struct flt_weights routed;
+
+  if (endpoint->reported_known && weights->orders < endpoint->reported.orders)
     {
-      endpoint->orders_known = true;
-      flt_set_weights (fleet, endpoint, weights);
+      flt_weights_clear (weights);
+      return;
+    }
+  flt_weights_init (&routed);
+  flt_weights_copy (&routed, weights);
+  flt_set_weights (fleet, endpoint, &routed);
+  flt_weights_clear (&routed);
+  flt_weights_clear (&endpoint->reported);
+  endpoint->reported = *weights;
+  endpoint->reported_known = true;
+}
+
+/* What was read of reports so far may be out of date.  */
+void
+flt_forget_reports (struct flt_fleet *fleet)
+{
+  for (guint i = 0; i < fleet->all->len; i++)
+    {
+      struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
+
+      endpoint->reported_known = false;
     }
-  flt_weights_clear (weights);
 }
 
 /* ENDPOINT told its load with an answer.  */
@@ -435,6 +503,64 @@
     flt_news_adapter (held, told->news, told->adapter);
 }
 
+/* Return the place of a mark that ADAPTER of MODEL, or MODEL, is absent; the
+   number of marks if there is none.  */
+static guint
+flt_find_absent (const struct flt_endpoint *endpoint, const char *model,
+                 const char *adapter)
+{
+  guint i;
+
+  for (i = 0; i < endpoint->absent->len; i++)
+    {
+      const struct flt_absent *absent
+          = &g_array_index (endpoint->absent, struct flt_absent, i);
+
+      if (g_str_equal (absent->model, model)
+          && g_strcmp0 (absent->adapter, adapter) == 0)
+        break;
+    }
+  return i;
+}
+
+static void
+flt_drop_absent (struct flt_endpoint *endpoint, const char *model,
+                 const char *adapter)
+{
+  guint i = flt_find_absent (endpoint, model, adapter);
+
+  if (i < endpoint->absent->len)
+    g_array_remove_index (endpoint->absent, i);
+}
+
+/* ENDPOINT refused a request because it lacks MODEL or, unless it is NULL, its
+   ADAPTER.  */
+void
+flt_lacks (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+           const char *model, const char *adapter)
+{
+  struct flt_absent absent
+      = { .model = g_strdup (model),
+          .adapter = g_strdup (adapter),
+          .until_us = tm_now_us (fleet->tm) + FLT_ABSENT_MS * FLT_US_PER_MS };
+
+  flt_drop_absent (endpoint, model, adapter);
+  g_array_append_val (endpoint->absent, absent);
+}
+
+static bool
+flt_is_absent (const struct flt_fleet *fleet,
+               const struct flt_endpoint *endpoint, const char *model,
+               const char *adapter)
+{
+  guint i = flt_find_absent (endpoint, model, adapter);
+
+  return i < endpoint->absent->len
+         && tm_now_us (fleet->tm)
+                < g_array_index (endpoint->absent, struct flt_absent, i)
+                      .until_us;
+}
+
 /* The leader tells NEWS of MODEL, or of its ADAPTER, at ENDPOINT.  */
 void
 flt_told_news (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
@@ -446,6 +572,8 @@
                            .told_us = tm_now_us (fleet->tm) };
 
   flt_apply_news (fleet, endpoint, &told);
+  if (news == FLT_READY)
+    flt_drop_absent (endpoint, model, adapter);
   for (guint i = 0; i < endpoint->told->len; i++)
     {
       const struct flt_told *old
@@ -476,6 +604,8 @@
       && tm_now_us (fleet->tm) - endpoint->closing_us
              < FLT_CLOSING_MS * FLT_US_PER_MS)
     return false;
+  if (flt_is_absent (fleet, endpoint, model, adapter))
+    return false;
   return adapter == NULL || flt_model_has (held, adapter);
 }
 
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -26,10 +26,10 @@
   GPtrArray *models;    /* struct flt_model */
   GPtrArray *in_memory; /* char *: copies in the engine's host memory */
   GPtrArray *on_disk;   /* char *: copies on the engine's disk */
-  GPtrArray *incoming;  /* char *: MODEL/ADAPTER on their way */
   /* Reports only.  */
-  uint64_t orders; /* accepted since the engine's start */
-  bool busy;       /* an order is being carried out */
+  GPtrArray *incoming; /* char *: MODEL/ADAPTER on their way */
+  uint64_t orders;     /* accepted since the engine's start */
+  bool busy;           /* an order is being carried out */
 };
 
 /* What an endpoint announces.  */
@@ -49,11 +49,16 @@
 struct flt_endpoint
 {
   struct flt_entry entry;
-  bool orders_known;    /* ENTRY.WEIGHTS.ORDERS is from a report */
-  GArray *told;         /* struct flt_told, the latest news */
-  bool gone;            /* no longer announced; kept while in use */
-  uint64_t gone_us;     /* when an unlisted endpoint counts as gone; 0: it
-                           was listed */
+  /* What the engine's last report says.  ENTRY.WEIGHTS is what requests are
+     sent by: it follows announcements and news, which may be late or wrong,
+     whereas orders must rest on what the engine itself has confirmed.  */
+  struct flt_weights reported;
+  bool reported_known;
+  GArray *told;     /* struct flt_told, the latest news */
+  GArray *absent;   /* struct flt_absent */
+  bool gone;        /* no longer announced; kept while in use */
+  uint64_t gone_us; /* when an unlisted endpoint counts as gone; 0: it
+                       was listed */
   bool listed;
   uint64_t avoid_until_us;
   uint32_t failures; /* in a row */
@@ -102,11 +107,13 @@
 void flt_told_weights (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                        struct flt_weights *weights);
 void flt_told_load (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
-                    uint32_t running, uint32_t waiting,
-                    uint32_t pace_percent);
+                    uint32_t running, uint32_t waiting, uint32_t pace_percent);
 void flt_told_news (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                     enum flt_news news, const char *model,
                     const char *adapter);
+void flt_lacks (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+                const char *model, const char *adapter);
+void flt_forget_reports (struct flt_fleet *fleet);
 bool flt_holds (const struct flt_fleet *fleet,
                 const struct flt_endpoint *endpoint, const char *model,
                 const char *adapter);
--- a/libcowslip/fwd.h
+++ b/libcowslip/fwd.h
@@ -20,15 +20,15 @@
 struct fwd_facts
 {
   enum fwd_end end;
-  bool may_repeat;     /* the request's kind allows a second run */
-  bool has_run;        /* an earlier send may have run */
-  bool answer_begun;   /* bytes of an answer went to the caller */
-  bool can_resume;     /* the answer can go on at another endpoint */
-  uint32_t runs;       /* endpoints on which it may have run, this included */
+  bool may_repeat;   /* the request's kind allows a second run */
+  bool has_run;      /* an earlier send may have run */
+  bool answer_begun; /* bytes of an answer went to the caller */
+  bool can_resume;   /* the answer can go on at another endpoint */
+  uint32_t runs;     /* endpoints on which it may have run, this included */
   uint32_t runs_max;
-  uint32_t sends;      /* connections tried, this included */
-  uint32_t left_ms;    /* until the caller's time is over */
-  bool endpoint_left;  /* another endpoint can take it */
+  uint32_t sends;     /* connections tried, this included */
+  uint32_t left_ms;   /* until the caller's time is over */
+  bool endpoint_left; /* another endpoint can take it */
 };
 
 enum fwd_step
--- a/libcowslip/gws.c
+++ b/libcowslip/gws.c
@@ -2,9 +2,9 @@
 #include "jsn.h"
 #include "lg.h"
 
-#define GWS_MS_PER_S 1000.0
-#define GWS_TIME_MAX_S 3600.0
-#define GWS_TIME_MAX_MS 3600000
+#define GWS_MS_PER_S          1000.0
+#define GWS_TIME_MAX_S        3600.0
+#define GWS_TIME_MAX_MS       3600000
 #define GWS_LOG_LINES_DEFAULT 200
 
 static char *
@@ -30,8 +30,8 @@
 static uint32_t
 gws_count (struct jsn_reader *reader, const char *key, uint64_t max)
 {
-  return (uint32_t)jsn_number (
-      reader, key, (struct jsn_range){ 0, max, .required = true });
+  return (uint32_t)jsn_number (reader, key,
+                               (struct jsn_range){ 0, max, .required = true });
 }
 
 static uint32_t
--- a/libcowslip/h1_answer.c
+++ b/libcowslip/h1_answer.c
@@ -17,11 +17,10 @@
           = &g_array_index (head->fields, struct h1_field, i);
 
       if (!h1_field_is_hop_by_hop (field->name))
-        g_string_append_printf (text, "%s: %s\r\n", field->name,
-                                field->value);
+        g_string_append_printf (text, "%s: %s\r\n", field->name, field->value);
     }
-  exchange->chunked = !head->has_length && head->status != 204
-                      && head->status != 304;
+  exchange->chunked
+      = !head->has_length && head->status != 204 && head->status != 304;
   if (head->has_length)
     g_string_append_printf (text, "Content-Length: %" G_GUINT64_FORMAT "\r\n",
                             head->length_bytes);
--- a/libcowslip/h1_head.c
+++ b/libcowslip/h1_head.c
@@ -60,11 +60,17 @@
 bool
 h1_field_is_hop_by_hop (const char *name)
 {
-  static const char *const names[]
-      = { "connection",       "keep-alive",        "proxy-connection",
-          "proxy-authenticate", "proxy-authorization", "te",
-          "trailer",          "transfer-encoding", "upgrade",
-          "content-length",   "expect" };
+  static const char *const names[] = { "connection",
+                                       "keep-alive",
+                                       "proxy-connection",
+                                       "proxy-authenticate",
+                                       "proxy-authorization",
+                                       "te",
+                                       "trailer",
+                                       "transfer-encoding",
+                                       "upgrade",
+                                       "content-length",
+                                       "expect" };
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (g_ascii_strcasecmp (name, names[i]) == 0)
--- a/libcowslip/h1_link.c
+++ b/libcowslip/h1_link.c
@@ -74,13 +74,27 @@
   *buffer = uv_buf_init (memory, sizeof memory);
 }
 
+/* Return whether the connection ended with a reset.  libuv reports the end of
+   the stream for a reset that arrives together with data, and leaves the error
+   on the socket.  */
+static bool
+h1_link_was_reset (struct h1_link *link, ssize_t status)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  if (status != UV_EOF || uv_fileno ((uv_handle_t *)&link->tcp, &fd) != 0)
+    return true;
+  return recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) != 0;
+}
+
 static void
 h1_link_on_read (uv_stream_t *stream, ssize_t bytes, const uv_buf_t *buffer)
 {
   struct h1_link *link = stream->data;
 
   if (bytes < 0)
-    h1_link_report_closed (link, bytes != UV_EOF);
+    h1_link_report_closed (link, h1_link_was_reset (link, bytes));
   else if (bytes > 0 && link->events != NULL && !link->finishing)
     link->events->data (link->arg, buffer->base, (size_t)bytes);
 }
--- a/libcowslip/h1_parser.c
+++ b/libcowslip/h1_parser.c
@@ -144,8 +144,7 @@
 void
 h1_parser_next (struct h1_parser *parser)
 {
-  enum http_parser_type type
-      = (enum http_parser_type)parser->parser.type;
+  enum http_parser_type type = (enum http_parser_type)parser->parser.type;
 
   h1_head_clear (&parser->head);
   h1_head_init (&parser->head);
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -22,7 +22,7 @@
   uv_loop_t *loop;
   struct tm_service *tm;
   GHashTable *idle; /* peer -> GQueue of struct h1_channel, newest first */
-  GHashTable *open; /* peer -> number of connections */
+  GHashTable *open; /* peer -> number of connections (uint32_t) */
   uint64_t connects;
 };
 
@@ -38,7 +38,7 @@
   uint64_t idle_since_us;
   uint32_t keep_ms;
   uint32_t skipped;
-  bool skipping;  /* the current answer belongs to an earlier request */
+  bool skipping; /* the current answer belongs to an earlier request */
   bool reusable;
   bool head_seen; /* the head of the current answer was passed on */
   bool cancelled; /* freed from the loop; on no list */
@@ -71,10 +71,9 @@
 
   pool->loop = loop;
   pool->tm = tm;
-  pool->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                      h1_queue_free);
-  pool->open
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  pool->idle
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, h1_queue_free);
+  pool->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return pool;
 }
 
@@ -92,14 +91,24 @@
 }
 
 static void
-h1_pool_count (struct h1_pool *pool, const char *peer, int change)
+h1_pool_opened (struct h1_pool *pool, const char *peer)
 {
-  int count = GPOINTER_TO_INT (g_hash_table_lookup (pool->open, peer));
+  uint32_t *count = g_hash_table_lookup (pool->open, peer);
 
-  if (count + change > 0)
-    g_hash_table_insert (pool->open, g_strdup (peer),
-                         GINT_TO_POINTER (count + change));
-  else
+  if (count == NULL)
+    {
+      count = g_new0 (uint32_t, 1);
+      g_hash_table_insert (pool->open, g_strdup (peer), count);
+    }
+  (*count)++;
+}
+
+static void
+h1_pool_closed (struct h1_pool *pool, const char *peer)
+{
+  uint32_t *count = g_hash_table_lookup (pool->open, peer);
+
+  if (--*count == 0)
     g_hash_table_remove (pool->open, peer);
 }
 
@@ -113,7 +122,7 @@
   tm_cancel (pool->tm, &channel->timer);
   if (channel->call == NULL && !channel->cancelled)
     g_queue_remove (h1_pool_queue (pool, channel->peer), channel);
-  h1_pool_count (pool, channel->peer, -1);
+  h1_pool_closed (pool, channel->peer);
   h1_parser_clear (&channel->parser);
   g_free (channel->peer);
   g_free (channel);
@@ -154,7 +163,9 @@
 uint32_t
 h1_pool_open (const struct h1_pool *pool, const char *peer)
 {
-  return (uint32_t)GPOINTER_TO_INT (g_hash_table_lookup (pool->open, peer));
+  const uint32_t *count = g_hash_table_lookup (pool->open, peer);
+
+  return count == NULL ? 0 : *count;
 }
 
 /* Return how many connections were opened since the start.  */
@@ -199,9 +210,8 @@
   uint64_t keep_ms = H1_KEEP_DEFAULT_MS;
 
   if (timeout != NULL)
-    keep_ms
-        = MIN (strtoull (timeout + strlen ("timeout="), NULL, 10), 3600)
-          * 1000;
+    keep_ms = MIN (strtoull (timeout + strlen ("timeout="), NULL, 10), 3600)
+              * 1000;
   return keep_ms > H1_KEEP_MARGIN_MS ? (uint32_t)keep_ms - H1_KEEP_MARGIN_MS
                                      : 0;
 }
@@ -399,8 +409,8 @@
     return NULL;
   channel = g_new0 (struct h1_channel, 1);
   link = h1_link_connect (pool->loop, pool->tm, &address,
-                          request->connect_timeout_ms,
-                          &h1_channel_link_events, channel);
+                          request->connect_timeout_ms, &h1_channel_link_events,
+                          channel);
   if (link == NULL)
     {
       g_free (channel);
@@ -411,7 +421,7 @@
   channel->peer = g_strdup (request->peer);
   h1_parser_init (&channel->parser, HTTP_RESPONSE, H1_ANSWER_HEAD_MAX_BYTES,
                   &h1_channel_parser_events, channel);
-  h1_pool_count (pool, channel->peer, 1);
+  h1_pool_opened (pool, channel->peer);
   pool->connects++;
   return channel;
 }
@@ -429,8 +439,7 @@
           = &g_array_index (head->fields, struct h1_field, i);
 
       if (!h1_field_is_hop_by_hop (field->name))
-        g_string_append_printf (text, "%s: %s\r\n", field->name,
-                                field->value);
+        g_string_append_printf (text, "%s: %s\r\n", field->name, field->value);
     }
   if (request->body_bytes > 0 || head->has_length || head->chunked)
     g_string_append_printf (text, "Content-Length: %zu\r\n",
--- a/libcowslip/h1_server.c
+++ b/libcowslip/h1_server.c
@@ -6,8 +6,7 @@
 
 /* Limits until h1_server_set_limits is called.  */
 static const struct h1_limits h1_default_limits = { .head_max_bytes = 16384,
-                                                    .body_max_bytes
-                                                    = 4U << 20,
+                                                    .body_max_bytes = 4U << 20,
                                                     .head_timeout_ms = 5000,
                                                     .idle_timeout_ms = 15000,
                                                     .connections_max = 2000 };
--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -200,8 +200,8 @@
                && json_object_is_type (value, json_type_int);
   double number;
 
-  value = jsn_get (reader, key, whole ? json_type_int : json_type_double,
-                   true);
+  value
+      = jsn_get (reader, key, whole ? json_type_int : json_type_double, true);
   number = value == NULL ? min : json_object_get_double (value);
   if (number >= min && number <= max)
     return number;
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -220,7 +220,7 @@
   if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_us)
     ldr_read (ldr);
   ldr_keep_lease (ldr, now_us);
-  (void)ldr_write_due (ldr);
+  ldr_write_due (ldr);
 }
 
 /* Return an election with the instance of CONFIG, whose strings must stay
@@ -302,6 +302,18 @@
   return ldr->members;
 }
 
+/* Return the most members that were ever registered at once, 0 if that is not
+   known yet.  Shared limits are divided by it: the members of the moment are
+   fewer after a failure, and the others come back within the time for which
+   the limits count.  */
+uint32_t
+ldr_strength (const struct ldr *ldr)
+{
+  return ldr->synced || ldr->strength > 0
+             ? MAX (ldr->strength, ldr->members->len)
+             : 0;
+}
+
 /* Leave for good: no order is sent any more, and the records are removed so
    that a successor need not wait for the lease to end.  */
 void
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -34,6 +34,8 @@
   int64_t term_revision; /* 0: there never was a leader */
   char *term_holder;     /* who led last; empty: it resigned */
   bool key_known;
+  uint32_t strength; /* most members that were ever seen */
+  int64_t strength_revision;
   bool registered; /* the own record stands under the present lease */
 
   int64_t lease; /* 0: none */
@@ -65,9 +67,10 @@
 extern const char ldr_leader_key[];
 extern const char ldr_term_key[];
 extern const char ldr_key_key[];
+extern const char ldr_strength_key[];
 
 /* ldr_write.c */
-bool ldr_write_due (struct ldr *ldr);
+void ldr_write_due (struct ldr *ldr);
 void ldr_write_resign (struct ldr *ldr);
 
 /* ldr.c */
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "jsn.h"
@@ -7,6 +8,7 @@
 const char ldr_leader_key[] = "cowslip/leader";
 const char ldr_term_key[] = "cowslip/term";
 const char ldr_key_key[] = "cowslip/peer-key";
+const char ldr_strength_key[] = "cowslip/strength";
 static const char ldr_member_prefix[] = "cowslip/members/";
 
 static void
@@ -80,9 +82,9 @@
       member->instance = jsn_string (&reader, "instance", true);
       member->zone = jsn_string (&reader, "zone", true);
       member->address = jsn_string (&reader, "address", true);
-      *incarnation = jsn_number (
-          &reader, "incarnation",
-          (struct jsn_range){ 0, UINT64_MAX, .required = true });
+      *incarnation
+          = jsn_number (&reader, "incarnation",
+                        (struct jsn_range){ 0, UINT64_MAX, .required = true });
       if (!jsn_close (&reader, &error))
         {
           ldr_member_free (member);
@@ -194,6 +196,13 @@
       g_free (ldr->term_holder);
       ldr->term_holder = value == NULL ? NULL : g_strndup (value, bytes);
     }
+  else if (g_str_equal (key, ldr_strength_key))
+    {
+      ldr->strength_revision = revision;
+      if (value != NULL)
+        ldr->strength
+            = MAX (ldr->strength, (uint32_t)strtoul (value, NULL, 10));
+    }
   else if (g_str_equal (key, ldr_key_key))
     ldr_apply_key (ldr, value, bytes);
 }
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -110,8 +110,8 @@
   char *text = ldr_encode (ldr);
   /* The mark of terms is compared as well: if this is the first term, no
      engine can have an order of another leader.  */
-  struct kv_compare compares[] = { { ldr_leader_key, 0 },
-                                   { ldr_term_key, ldr->term_revision } };
+  struct kv_compare compares[]
+      = { { ldr_leader_key, 0 }, { ldr_term_key, ldr->term_revision } };
   struct kv_op puts[] = { { .kind = KV_PUT,
                             .key = ldr_leader_key,
                             .value = text,
@@ -143,26 +143,58 @@
   return 0;
 }
 
-/* Make the write that is due.  Return whether there was one.  */
-bool
+static void
+ldr_strength_done (void *arg, const struct kv_result *result)
+{
+  struct ldr *ldr = arg;
+
+  if (ldr_call_ended (ldr))
+    ldr_written (ldr, result->outcome != KV_OK);
+}
+
+/* The leader notes how many members there are at full strength.  */
+static void
+ldr_write_strength (struct ldr *ldr)
+{
+  char *text = g_strdup_printf ("%u", ldr->members->len);
+  struct kv_compare known = { ldr_strength_key, ldr->strength_revision };
+  struct kv_op put = { .kind = KV_PUT,
+                       .key = ldr_strength_key,
+                       .value = text,
+                       .value_bytes = strlen (text) };
+
+  ldr_put (ldr, &known, 1, &put, 1, ldr_strength_done);
+  g_free (text);
+}
+
+static bool
+ldr_may_take (const struct ldr *ldr, uint64_t now_us)
+{
+  return ldr->vacant_us != 0 && now_us < ldr->safe_us
+         && now_us >= ldr->vacant_us + ldr_rank_us (ldr);
+}
+
+/* Make the write that is due, if there is one.  */
+void
 ldr_write_due (struct ldr *ldr)
 {
   uint64_t now_us = tm_now_us (ldr->config.tm);
 
   if (ldr->writing || !ldr->synced || now_us < ldr->retry_us)
-    return false;
+    return;
   if (!ldr->key_known)
-    ldr_write_key (ldr);
-  else if (ldr->lease == 0 || ldr->resigned)
-    return false;
-  else if (!ldr->registered)
+    {
+      ldr_write_key (ldr);
+      return;
+    }
+  if (ldr->lease == 0 || ldr->resigned)
+    return;
+  if (!ldr->registered)
     ldr_write_member (ldr);
-  else if (ldr->vacant_us != 0 && now_us < ldr->safe_us
-           && now_us >= ldr->vacant_us + ldr_rank_us (ldr))
+  else if (ldr_may_take (ldr, now_us))
     ldr_write_leader (ldr);
-  else
-    return false;
-  return true;
+  else if (ldr->leading && ldr->members->len > ldr->strength)
+    ldr_write_strength (ldr);
 }
 
 static void
@@ -186,9 +218,10 @@
   char *key = ldr_member_key (ldr);
   struct kv_compare mine = { ldr_leader_key, (int64_t)ldr->fence };
   /* A successor of a leader that resigned need not wait.  */
-  struct kv_op ops[] = { { .kind = KV_DELETE, .key = key },
-                         { .kind = KV_DELETE, .key = ldr_leader_key },
-                         { .kind = KV_PUT, .key = ldr_term_key, .value = "" } };
+  struct kv_op ops[]
+      = { { .kind = KV_DELETE, .key = key },
+          { .kind = KV_DELETE, .key = ldr_leader_key },
+          { .kind = KV_PUT, .key = ldr_term_key, .value = "" } };
 
   if (ldr->leading)
     ldr_put (ldr, &mine, 1, ops, G_N_ELEMENTS (ops), ldr_resign_done);
--- a/libcowslip/lg.c
+++ b/libcowslip/lg.c
@@ -139,9 +139,8 @@
   va_end (ap);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
-  bytes = snprintf (line, sizeof line,
-                    "<%d>%s.%03ldZ %s[%ld]: E%u %s: %s\n", entry->severity,
-                    stamp, now.tv_nsec / 1000000, lg_ident, (long)getpid (),
-                    entry->number, entry->text, details);
+  bytes = snprintf (line, sizeof line, "<%d>%s.%03ldZ %s[%ld]: E%u %s: %s\n",
+                    entry->severity, stamp, now.tv_nsec / 1000000, lg_ident,
+                    (long)getpid (), entry->number, entry->text, details);
   lg_emit (line, bytes, sizeof line);
 }
--- a/libcowslip/pck.c
+++ b/libcowslip/pck.c
@@ -14,9 +14,9 @@
 /* Weight of a cached prompt prefix, in the same unit.  */
 #define PCK_PREFIX 0.15
 /* An endpoint whose entry was removed is the last choice.  */
-#define PCK_UNLISTED 100.0
-#define PCK_TRIED    50.0
-#define PCK_PERCENT  100.0
+#define PCK_UNLISTED      100.0
+#define PCK_TRIED         50.0
+#define PCK_PERCENT       100.0
 #define PCK_SLOTS_DEFAULT 8
 
 /* Return how much of ENDPOINT is in use, 1 being all of its slots.  */
@@ -24,8 +24,8 @@
 pck_load (const struct flt_endpoint *endpoint, uint64_t now_us,
           const struct pck_wish *wish)
 {
-  uint32_t slots = endpoint->entry.slots > 0 ? endpoint->entry.slots
-                                             : wish->slots;
+  uint32_t slots
+      = endpoint->entry.slots > 0 ? endpoint->entry.slots : wish->slots;
   double used = (double)endpoint->in_flight * wish->instances;
   double pace = 1.0;
 
--- a/libcowslip/rbg.h
+++ b/libcowslip/rbg.h
@@ -13,8 +13,8 @@
 
 struct rbg_limits
 {
-  double ratio;       /* repeats per request */
-  uint32_t extra;     /* repeats beyond that, of all instances together */
+  double ratio;   /* repeats per request */
+  uint32_t extra; /* repeats beyond that, of all instances together */
   uint32_t window_ms;
   uint32_t instances;
 };
--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -31,10 +31,10 @@
   table->fleet = fleet;
   table->callbacks = *callbacks;
   table->arg = arg;
-  table->engines = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                          res_engine_free);
-  table->items = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                        res_item_free);
+  table->engines
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_engine_free);
+  table->items
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_item_free);
   table->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             res_instance_free);
   return table;
--- a/libcowslip/res.h
+++ b/libcowslip/res.h
@@ -59,6 +59,7 @@
 void res_step (struct res_table *table);
 void res_answered (struct res_table *table, uint64_t id,
                    enum prt_order_result result);
-void res_refreshed (struct res_table *table, const char *endpoint, bool good);
+void res_refreshed (struct res_table *table, const char *endpoint_id,
+                    bool good);
 
 #endif
--- a/libcowslip/res_adapter.c
+++ b/libcowslip/res_adapter.c
@@ -46,8 +46,7 @@
    NULL if none can take an order now.  */
 static struct flt_endpoint *
 res_adapter_engine (struct res_table *table, const struct rte_service *service,
-                    const struct rte_model *model,
-                    const struct res_item *item)
+                    const struct rte_model *model, const struct res_item *item)
 {
   GPtrArray *all = flt_all (table->fleet);
   struct flt_endpoint *best = NULL;
@@ -71,8 +70,7 @@
       fits = res_adapter_fits (table, service, endpoint, model);
       if (best == NULL || (fits && !best_fits)
           || (fits == best_fits
-              && res_adapters (table, endpoint)
-                     < res_adapters (table, best)))
+              && res_adapters (table, endpoint) < res_adapters (table, best)))
         {
           best = endpoint;
           best_fits = fits;
@@ -111,11 +109,10 @@
 static void
 res_make_adapter_room (struct res_table *table, struct flt_endpoint *endpoint)
 {
-  const GPtrArray *models = endpoint->entry.weights.models;
+  const GPtrArray *models = endpoint->reported.models;
   const struct flt_model *owner = NULL;
   const char *oldest = NULL;
-  uint64_t oldest_us
-      = res_now (table) - RES_ADAPTER_KEEP_MS * RES_US_PER_MS;
+  uint64_t oldest_us = res_now (table) - RES_ADAPTER_KEEP_MS * RES_US_PER_MS;
 
   for (guint i = 0; i < models->len; i++)
     {
@@ -160,8 +157,8 @@
 void
 res_step_adapters (struct res_table *table, const struct rte_service *service)
 {
-  GList *items = g_list_sort (g_hash_table_get_values (table->items),
-                              res_oldest_first);
+  GList *items
+      = g_list_sort (g_hash_table_get_values (table->items), res_oldest_first);
 
   for (GList *each = items; each != NULL; each = each->next)
     {
--- a/libcowslip/res_demand.c
+++ b/libcowslip/res_demand.c
@@ -73,9 +73,8 @@
   struct res_instance *known
       = g_hash_table_lookup (table->instances, instance);
   struct res_item *item = res_item (table, demand->name);
-  struct res_share share = { .item = item,
-                             .active = demand->active,
-                             .waiting = demand->waiting };
+  struct res_share share
+      = { .item = item, .active = demand->active, .waiting = demand->waiting };
   uint64_t now_us = res_now (table);
   uint64_t oldest_us = demand->oldest_ms * RES_US_PER_MS;
 
@@ -108,8 +107,7 @@
 
   if (item->adapter == NULL || model == NULL || item->waiting == 0)
     return;
-  if (model->waiting == 0
-      || item->waiting_since_us < model->waiting_since_us)
+  if (model->waiting == 0 || item->waiting_since_us < model->waiting_since_us)
     model->waiting_since_us = item->waiting_since_us;
   model->waiting += item->waiting;
 }
@@ -140,8 +138,7 @@
       if (now_us - instance->heard_us > RES_HEARD_MS * RES_US_PER_MS)
         g_array_set_size (instance->shares, 0);
       for (guint i = 0; i < instance->shares->len; i++)
-        res_add_share (
-            &g_array_index (instance->shares, struct res_share, i));
+        res_add_share (&g_array_index (instance->shares, struct res_share, i));
     }
   for (GList *each = items; each != NULL; each = each->next)
     res_add_to_model (table, each->data);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -120,7 +120,7 @@
 uint32_t
 res_adapters (struct res_table *table, struct flt_endpoint *endpoint)
 {
-  const struct flt_weights *weights = &endpoint->entry.weights;
+  const struct flt_weights *weights = &endpoint->reported;
   const struct res_engine *engine = res_engine (table, endpoint);
   uint32_t count
       = engine->incoming->len + res_foreign_adapters (engine, weights);
@@ -139,7 +139,7 @@
 res_used_mb (struct res_table *table, const struct rte_service *service,
              struct flt_endpoint *endpoint)
 {
-  const struct flt_weights *weights = &endpoint->entry.weights;
+  const struct flt_weights *weights = &endpoint->reported;
   const struct res_engine *engine = res_engine (table, endpoint);
   const struct rte_model *spec;
   uint32_t adapter_mb = 0;
@@ -174,7 +174,7 @@
 res_load_ms (const struct flt_endpoint *endpoint,
              const struct rte_model *model, bool *from_store)
 {
-  const struct flt_weights *weights = &endpoint->entry.weights;
+  const struct flt_weights *weights = &endpoint->reported;
 
   *from_store = false;
   if (flt_list_has (weights->in_memory, model->name))
@@ -208,7 +208,7 @@
 {
   const struct flt_endpoint *endpoint = flt_find (table->fleet, engine->id);
 
-  return endpoint != NULL && endpoint->orders_known
+  return endpoint != NULL && endpoint->reported_known
          && engine->adapter_order == 0 && engine->phase != RES_SENT
          && engine->phase != RES_DOUBTFUL && engine->phase != RES_FOREIGN
          && res_now (table) >= engine->not_before_us;
@@ -328,7 +328,7 @@
   switch (result)
     {
     case PRT_STARTED:
-      endpoint->entry.weights.orders++;
+      endpoint->reported.orders++;
       res_started (table, engine, endpoint);
       break;
     case PRT_HOLDS:
@@ -349,6 +349,23 @@
     }
 }
 
+/* Note in the report of ENDPOINT that ADAPTER of MODEL is loaded or not, as
+   the engine's answer to an order says.  */
+static void
+res_report_adapter (struct flt_endpoint *endpoint, const char *model,
+                    const char *adapter, bool loaded)
+{
+  struct flt_model *held = flt_weights_find (&endpoint->reported, model);
+
+  if (held == NULL)
+    return;
+  for (guint i = held->adapters->len; i-- > 0;)
+    if (g_str_equal (g_ptr_array_index (held->adapters, i), adapter))
+      g_ptr_array_remove_index (held->adapters, i);
+  if (loaded)
+    g_ptr_array_add (held->adapters, g_strdup (adapter));
+}
+
 static void
 res_adapter_answered (struct res_table *table, struct res_engine *engine,
                       struct flt_endpoint *endpoint,
@@ -360,7 +377,11 @@
   engine->adapter_order = 0;
   if (result == PRT_STARTED
       || (result == PRT_HOLDS && engine->adapter_kind == PRT_UNLOAD))
-    endpoint->entry.weights.orders++;
+    endpoint->reported.orders++;
+  if (engine->adapter_kind == PRT_UNLOAD
+      && (result == PRT_STARTED || result == PRT_HOLDS))
+    res_report_adapter (endpoint, engine->adapter_model, engine->adapter,
+                        false);
   if (engine->adapter_kind == PRT_LOAD
       && (result == PRT_STARTED || result == PRT_HOLDS))
     {
@@ -413,17 +434,17 @@
 res_shows (const struct res_engine *engine,
            const struct flt_endpoint *endpoint)
 {
-  bool held
-      = flt_weights_find (&endpoint->entry.weights, engine->model) != NULL;
+  bool held = flt_weights_find (&endpoint->reported, engine->model) != NULL;
 
   return held == (engine->kind == PRT_LOAD);
 }
 
-/* The report of ENDPOINT was given to the fleet if GOOD.  */
+/* The report of the engine ENDPOINT_ID was given to the fleet if GOOD.  */
 void
-res_refreshed (struct res_table *table, const char *id, bool good)
+res_refreshed (struct res_table *table, const char *endpoint_id, bool good)
 {
-  struct res_engine *engine = g_hash_table_lookup (table->engines, id);
+  struct res_engine *engine
+      = g_hash_table_lookup (table->engines, endpoint_id);
   struct flt_endpoint *endpoint
       = engine == NULL ? NULL : res_endpoint (table, engine);
   uint64_t now_us = res_now (table);
@@ -436,15 +457,15 @@
     return;
   /* The count of orders does not change when an order is completed, so what
      an engine holds is known only when none is under way.  */
-  if (engine->phase == RES_IDLE && endpoint->entry.weights.busy)
+  if (engine->phase == RES_IDLE && endpoint->reported.busy)
     res_set_phase (table, engine, RES_FOREIGN);
-  else if (engine->phase == RES_FOREIGN && !endpoint->entry.weights.busy)
+  else if (engine->phase == RES_FOREIGN && !endpoint->reported.busy)
     res_set_phase (table, engine, RES_IDLE);
   if (engine->phase != RES_WORKING && engine->phase != RES_DOUBTFUL)
     return;
   if (res_shows (engine, endpoint))
     res_done (table, engine);
-  else if (endpoint->entry.weights.busy)
+  else if (endpoint->reported.busy)
     {
       /* An unanswered order turns out to be under way.  */
       if (engine->phase == RES_DOUBTFUL)
@@ -456,7 +477,8 @@
 }
 
 static void
-res_step_incoming (struct res_table *table, struct res_engine *engine)
+res_step_incoming (struct res_table *table, struct res_engine *engine,
+                   struct flt_endpoint *endpoint)
 {
   for (guint i = engine->incoming->len; i-- > 0;)
     {
@@ -467,6 +489,7 @@
         continue;
       table->callbacks.news (table->arg, engine->id, FLT_READY,
                              incoming->model, incoming->adapter);
+      res_report_adapter (endpoint, incoming->model, incoming->adapter, true);
       g_array_remove_index (engine->incoming, i);
     }
 }
@@ -478,7 +501,7 @@
   struct flt_endpoint *endpoint = res_endpoint (table, engine);
   uint64_t now_us = res_now (table);
 
-  res_step_incoming (table, engine);
+  res_step_incoming (table, engine, endpoint);
   if (engine->reserved != NULL
       && now_us - engine->reserved_us > RES_RESERVED_MS * RES_US_PER_MS
       && engine->phase == RES_IDLE)
@@ -486,7 +509,7 @@
       g_free (engine->reserved);
       engine->reserved = NULL;
     }
-  if (!endpoint->orders_known)
+  if (!endpoint->reported_known)
     {
       if (!engine->refreshing && now_us >= engine->next_refresh_us)
         res_refresh (table, engine);
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -10,8 +10,8 @@
 enum res_phase
 {
   RES_IDLE,
-  RES_SENT,    /* an order waits for its answer */
-  RES_WORKING, /* a model is being loaded or unloaded */
+  RES_SENT,     /* an order waits for its answer */
+  RES_WORKING,  /* a model is being loaded or unloaded */
   RES_DOUBTFUL, /* an order was not answered */
   RES_FOREIGN   /* an order of an earlier leader is carried out */
 };
@@ -53,7 +53,7 @@
 /* All requests for a model or an adapter.  */
 struct res_item
 {
-  char *name;    /* MODEL or MODEL/ADAPTER */
+  char *name; /* MODEL or MODEL/ADAPTER */
   char *model;
   char *adapter; /* NULL: the model itself */
   double rate;   /* requests per second, exponentially averaged */
@@ -119,8 +119,7 @@
                       struct flt_endpoint *endpoint);
 bool res_sent_adapter (const struct res_engine *engine, const char *model,
                        const char *adapter);
-uint32_t res_adapters (struct res_table *table,
-                       struct flt_endpoint *endpoint);
+uint32_t res_adapters (struct res_table *table, struct flt_endpoint *endpoint);
 uint32_t res_load_ms (const struct flt_endpoint *endpoint,
                       const struct rte_model *model, bool *from_store);
 bool res_may_work (const struct res_table *table,
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -179,7 +179,7 @@
                      const struct rte_service *service,
                      struct flt_endpoint *endpoint, double *cost_ms)
 {
-  const GPtrArray *models = endpoint->entry.weights.models;
+  const GPtrArray *models = endpoint->reported.models;
   char *best = NULL;
 
   *cost_ms = 0;
@@ -223,10 +223,10 @@
   bool from_store;
   double victim_ms = 0;
 
-  if (engine->reserved != NULL
-      && !g_str_equal (engine->reserved, model->name))
+  if (engine->reserved != NULL && !g_str_equal (engine->reserved, model->name))
     return false;
-  if (flt_weights_find (&endpoint->entry.weights, model->name) != NULL)
+  if (!endpoint->reported_known
+      || flt_weights_find (&endpoint->reported, model->name) != NULL)
     return false;
   *choice = (struct res_choice){ .endpoint = endpoint };
   choice->cost_ms = res_load_ms (endpoint, model, &from_store)
@@ -318,10 +318,10 @@
   const struct res_item *x = a;
   const struct res_item *y = b;
 
-  return x->waiting_since_us < y->waiting_since_us   ? -1
-         : x->waiting_since_us > y->waiting_since_us ? 1
-                                                     : strcmp (x->name,
-                                                               y->name);
+  return x->waiting_since_us < y->waiting_since_us ? -1
+         : x->waiting_since_us > y->waiting_since_us
+             ? 1
+             : strcmp (x->name, y->name);
 }
 
 /* Return the models of SERVICE for which requests wait and that no engine
@@ -390,7 +390,7 @@
         continue;
       (void)res_load_ms (endpoint, model, &from_store);
       if (!from_store || res_works_on (table, endpoint, model->name)
-          || flt_weights_find (&endpoint->entry.weights, model->name) != NULL)
+          || flt_weights_find (&endpoint->reported, model->name) != NULL)
         return true;
     }
   return false;
@@ -424,8 +424,7 @@
               const char *model, const char *victim)
 {
   uint32_t replicas = res_replicas (table, service, model);
-  uint32_t others
-      = victim == NULL ? 0 : res_replicas (table, service, victim);
+  uint32_t others = victim == NULL ? 0 : res_replicas (table, service, victim);
 
   if (victim == NULL)
     return true;
