--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -100,16 +100,36 @@
 {
   static const struct h1_server_events events = { gw_on_request };
 
-  gw->client = http_client_new (gw->loop, gw->tm);
   gw->pool = h1_pool_new (gw->loop, gw->tm);
-  gw->kv
-      = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
-                                   gw->settings->store_address, gw->random));
   gw->callers = h1_server_new (gw->loop, gw->tm, gw->settings->caller_address,
                                &events, gw, error);
   return gw->callers != NULL && gw_status_start (gw, error);
 }
 
+/* Start GW, whose settings, loop, clock, protocol and store are set.  Return
+   false and set ERROR if an address cannot be used.  */
+bool
+gw_start (struct gw *gw, GError **error)
+{
+  if (!gw_start_network (gw, error))
+    return false;
+  gw_start_parts (gw);
+  return true;
+}
+
+/* Set what GW needs of the platform.  */
+static bool
+gw_set_platform (struct gw *gw)
+{
+  gw->protocol = pf_protocol ();
+  if (!gw_start_random (gw))
+    return false;
+  gw->kv = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
+                                      gw->settings->store_address,
+                                      gw->random));
+  return true;
+}
+
 /* Run a gateway with the settings in SETTINGS_FILE until it is stopped.
    Return the exit status.  */
 int
@@ -131,19 +151,18 @@
   gw->tm = gw->clock.service;
   lg_limit (gw->settings->log_lines_per_s);
   gw->counters = ctr_new ();
-  gw->protocol = pf_protocol ();
-  if (!gw_start_random (gw))
+  gw->client = http_client_new (gw->loop, gw->tm);
+  if (!gw_set_platform (gw))
     {
       fprintf (stderr, "cowslipcoved: no random numbers\n");
       return EXIT_FAILURE;
     }
-  if (!gw_start_network (gw, &error))
+  if (!gw_start (gw, &error))
     {
       lg_write (LG_LISTEN_FAILED, "%s", error->message);
       g_error_free (error);
       return EXIT_FAILURE;
     }
-  gw_start_parts (gw);
   gw_watch_signals (gw);
   lg_write (LG_START, "instance=%s zone=%s callers=%s peers=%s",
             gw->settings->instance, gw->settings->zone,
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -125,6 +125,9 @@
   struct evs_cutter events;
 };
 
+/* gw.c */
+bool gw_start (struct gw *gw, GError **error);
+
 /* gw_config.c */
 void gw_config_start (struct gw *gw);
 
