--- a/Makefile
+++ b/Makefile
@@ -154,7 +154,8 @@
 platform-build: BUILD = target/build
 platform-build:
 	$(MAKE) BUILD=target/build target/build/cowslipcoved/cowslipcoved
-	cp target/build/cowslipcoved/cowslipcoved target/cowslipcoved
+	cp target/build/cowslipcoved/cowslipcoved target/cowslipcoved.new
+	mv -f target/cowslipcoved.new target/cowslipcoved
 
 install: all
 	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
