Order models by urgency and keep a busy engine for the next one

Callers of busy models leave after 2.1 s, so single patient requests for rare models, up to 10 s old, always came first, and a model with 10 waiting requests got no load for 20 s; the engine with its copy was taken by others each time.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -219,7 +219,13 @@
 gw_pass_body (void *arg, const char *data, size_t bytes)
 {
   struct gw_request *request = arg;
+  uint64_t now_us = tm_now_us (request->gw->tm);
 
+  if (request->passed_us == 0)
+    request->first_us = now_us - request->arrived_us;
+  else
+    request->pause_us = MAX (request->pause_us, now_us - request->passed_us);
+  request->passed_us = now_us;
   gw_pass_head (request);
   h1_answer_body (request->exchange, data, bytes);
   if (h1_exchange_pending_bytes (request->exchange) > GW_PENDING_MAX_BYTES)
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -103,6 +103,9 @@
   uint64_t arrived_us;
   uint64_t deadline_us;
   uint64_t waited_us; /* time spent waiting so far */
+  uint64_t first_us;  /* from arrival to the first bytes of the answer */
+  uint64_t passed_us; /* when the last bytes were passed on */
+  uint64_t pause_us;  /* longest time between two parts of the answer */
   enum gw_state state;
   uint64_t state_us;
   GList *queued; /* link in GW->waiting */
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -73,7 +73,8 @@
   lg_write (LG_REQUEST,
             "id=%s route=%s service=%s model=%s/%s outcome=%s status=%u "
             "endpoint=%s sends=%u runs=%u took_ms=%" G_GUINT64_FORMAT
-            " waited_ms=%" G_GUINT64_FORMAT
+            " waited_ms=%" G_GUINT64_FORMAT " first_ms=%" G_GUINT64_FORMAT
+            " pause_ms=%" G_GUINT64_FORMAT
             " left_ms=%u config=%" G_GUINT64_FORMAT,
             request->id, request->route->name, request->service_name,
             request->model == NULL ? "" : request->model,
@@ -83,7 +84,8 @@
                 : (const char *)g_ptr_array_index (request->tried,
                                                    request->tried->len - 1),
             request->sends, request->runs, took_us / GW_US_PER_MS,
-            waited_us / GW_US_PER_MS, gw_left_ms (request),
+            waited_us / GW_US_PER_MS, request->first_us / GW_US_PER_MS,
+            request->pause_us / GW_US_PER_MS, gw_left_ms (request),
             request->config->version);
   hst_observe (gw->latencies, request->route->name, took_us);
   gw_request_free (request);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -35,6 +35,7 @@
   g_array_free (engine->incoming, TRUE);
   g_free (engine->id);
   g_free (engine->model);
+  g_free (engine->unloaded);
   g_free (engine->adapter_model);
   g_free (engine->adapter);
   g_free (engine->reserved);
@@ -238,6 +239,40 @@
   table->callbacks.order (table->arg, &order);
 }
 
+/* Return whether the model for which room is made at ENDPOINT can be ordered
+   before a report shows that the unload is done.  The engine refuses the load
+   while the unload lasts, so an accepted one finds the room.  */
+bool
+res_may_load_early (struct res_table *table, const struct rte_service *service,
+                    struct flt_endpoint *endpoint)
+{
+  struct res_engine *engine = res_engine (table, endpoint);
+  const struct rte_model *wanted;
+  const struct rte_model *victim;
+
+  if (engine->phase != RES_WORKING || engine->kind != PRT_UNLOAD
+      || engine->reserved == NULL || engine->tried_early
+      || engine->adapter_order != 0 || res_now (table) < engine->expected_us)
+    return false;
+  wanted = rte_model (service, engine->reserved);
+  victim = rte_model (service, engine->model);
+  return wanted != NULL && victim != NULL
+         && res_used_mb (table, service, endpoint) + wanted->weights_mb
+                <= service->weights_mb + victim->weights_mb;
+}
+
+/* Order the model for which ENGINE is making room.  */
+void
+res_load_early (struct res_table *table, struct res_engine *engine)
+{
+  g_free (engine->unloaded);
+  engine->unloaded = engine->model;
+  engine->model = NULL;
+  engine->tried_early = true;
+  res_order_model (table, engine, PRT_LOAD, engine->reserved,
+                   "room is being made");
+}
+
 /* Order ENGINE to load or unload ADAPTER of MODEL.  */
 void
 res_order_adapter (struct res_table *table, struct res_engine *engine,
@@ -312,6 +347,8 @@
   uint32_t needs_ms = RES_UNLOAD_MS;
 
   engine->from_store = false;
+  if (engine->kind == PRT_UNLOAD)
+    engine->tried_early = false;
   if (engine->kind == PRT_LOAD && model != NULL)
     needs_ms = res_load_ms (endpoint, model, &engine->from_store);
   res_set_phase (table, engine, RES_WORKING);
@@ -320,11 +357,43 @@
       = engine->expected_us + RES_REFRESH_MS * RES_US_PER_MS;
 }
 
+/* The load that was ordered early was answered with RESULT.  Return whether the
+   unload before it still lasts.  */
+static bool
+res_early_answered (struct res_table *table, struct res_engine *engine,
+                    struct flt_endpoint *endpoint,
+                    enum prt_order_result result)
+{
+  if (engine->unloaded == NULL)
+    return false;
+  if (result == PRT_STARTED)
+    {
+      (void)flt_weights_drop (&endpoint->reported, engine->unloaded);
+      table->callbacks.news (table->arg, engine->id, FLT_GONE,
+                             engine->unloaded, NULL);
+    }
+  if (result != PRT_BUSY)
+    {
+      g_free (engine->unloaded);
+      engine->unloaded = NULL;
+      return false;
+    }
+  g_free (engine->model);
+  engine->model = engine->unloaded;
+  engine->unloaded = NULL;
+  engine->kind = PRT_UNLOAD;
+  res_set_phase (table, engine, RES_WORKING);
+  engine->next_refresh_us = res_now (table) + RES_REFRESH_MS * RES_US_PER_MS;
+  return true;
+}
+
 static void
 res_model_answered (struct res_table *table, struct res_engine *engine,
                     struct flt_endpoint *endpoint,
                     enum prt_order_result result)
 {
+  if (res_early_answered (table, engine, endpoint, result))
+    return;
   switch (result)
     {
     case PRT_STARTED:
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -31,6 +31,9 @@
   uint64_t expected_us; /* when the order should be carried out */
   uint64_t next_refresh_us;
   bool refreshing;
+  char *unloaded;         /* model whose unload is taken for granted by the
+                             load that was ordered after it, or NULL */
+  bool tried_early;       /* such a load was refused */
   uint64_t not_before_us; /* after a failed order */
   char *reserved;         /* model for which room is made, or NULL */
   uint64_t reserved_us;
@@ -127,6 +130,10 @@
 void res_engine_step (struct res_table *table, struct res_engine *engine);
 bool res_can_order (const struct res_table *table,
                     const struct res_engine *engine);
+bool res_may_load_early (struct res_table *table,
+                         const struct rte_service *service,
+                         struct flt_endpoint *endpoint);
+void res_load_early (struct res_table *table, struct res_engine *engine);
 void res_order_model (struct res_table *table, struct res_engine *engine,
                       enum prt_order_kind kind, const char *model,
                       const char *reason);
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -32,6 +32,13 @@
    had the time to be sent.  */
 #define RES_FRESH_MS 800
 
+/* A swap takes about a second; requests that come within twice that time find
+   the model loaded.  */
+#define RES_AHEAD_S 2.0
+/* A wait of one second counts like this many requests.  Callers of the longest
+   class wait 10 s; a busy model has 10 to 20 requests waiting by then.  */
+#define RES_AGE_WEIGHT 0.5
+
 /* One way to load a model.  */
 struct res_choice
 {
@@ -284,6 +291,18 @@
     res_order_model (table, engine, PRT_LOAD, model->name, reason);
 }
 
+/* Keep the engine of CHOICE, which is busy, for MODEL.  */
+static void
+res_reserve (struct res_table *table, const struct rte_model *model,
+             const struct res_choice *choice)
+{
+  struct res_engine *engine = res_engine (table, choice->endpoint);
+
+  g_free (engine->reserved);
+  engine->reserved = g_strdup (model->name);
+  engine->reserved_us = res_now (table);
+}
+
 /* Go on with engines on which room was made.  */
 static void
 res_finish_reserved (struct res_table *table,
@@ -301,6 +320,8 @@
       if (!res_serves (table, service, endpoint))
         continue;
       engine = res_engine (table, endpoint);
+      if (res_may_load_early (table, service, endpoint))
+        res_load_early (table, engine);
       if (engine->reserved == NULL || engine->phase != RES_IDLE)
         continue;
       model = rte_model (service, engine->reserved);
@@ -312,20 +333,31 @@
     }
 }
 
+/* Return how much is served by loading the model of ITEM next: the requests
+   that wait and those that will come while it is loaded, and a share for the
+   age of the oldest, so that a model which few ask for has its turn.  */
+static double
+res_urgency (const struct res_table *table, const struct res_item *item)
+{
+  double age_s = (double)(res_now (table) - item->waiting_since_us) / 1e6;
+
+  return item->waiting + RES_AHEAD_S * res_rate (table, item->name)
+         + RES_AGE_WEIGHT * age_s;
+}
+
 static gint
-res_longest_wait (gconstpointer a, gconstpointer b)
+res_most_urgent (gconstpointer a, gconstpointer b, gpointer data)
 {
+  const struct res_table *table = data;
   const struct res_item *x = a;
   const struct res_item *y = b;
+  double difference = res_urgency (table, y) - res_urgency (table, x);
 
-  return x->waiting_since_us < y->waiting_since_us ? -1
-         : x->waiting_since_us > y->waiting_since_us
-             ? 1
-             : strcmp (x->name, y->name);
+  return difference > 0 ? 1 : difference < 0 ? -1 : strcmp (x->name, y->name);
 }
 
 /* Return the models of SERVICE for which requests wait and that no engine
-   holds or loads, the longest wait first.  */
+   holds or loads, the most urgent first.  */
 static GList *
 res_cold_models (struct res_table *table, const struct rte_service *service)
 {
@@ -344,7 +376,7 @@
           && !res_under_way (table, service, item->model))
         cold = g_list_prepend (cold, item);
     }
-  return g_list_sort (cold, res_longest_wait);
+  return g_list_sort_with_data (cold, res_most_urgent, table);
 }
 
 /* An instance that waits for a model that an engine holds has missed the
@@ -463,8 +495,9 @@
 }
 
 /* Order the loads of models of SERVICE.  Requests that wait come first, the
-   longest wait first, each on the engine where it is soonest ready; the weight
-   store, which is the scarcest, is used for the rest while it is idle.  */
+   most urgent model first, each on the engine where it is soonest ready, which
+   is kept for it if it is busy; the weight store, which is the scarcest, is
+   used for the rest while it is idle.  */
 void
 res_step_models (struct res_table *table, const struct rte_service *service)
 {
@@ -481,6 +514,8 @@
 
       if (choice.endpoint != NULL && choice.now)
         res_carry_out (table, model, &choice, "requests wait");
+      else if (choice.endpoint != NULL)
+        res_reserve (table, model, &choice);
     }
   if (cold == NULL)
     {
