--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -93,6 +93,7 @@
   gw_config_start (gw);
   gw_fleet_start (gw);
   gw_demand_start (gw);
+  gw_beacon_start (gw);
 }
 
 static bool
@@ -124,9 +125,9 @@
   gw->protocol = pf_protocol ();
   if (!gw_start_random (gw))
     return false;
-  gw->kv = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
-                                      gw->settings->store_address,
-                                      gw->random));
+  gw->kv
+      = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
+                                   gw->settings->store_address, gw->random));
   return true;
 }
 
--- a/cowslipcoved/gw_config.c
+++ b/cowslipcoved/gw_config.c
@@ -72,7 +72,10 @@
 static void
 gw_config_watch_ended (void *arg)
 {
-  gw_config_read (arg);
+  struct gw *gw = arg;
+
+  gw->config_watch = NULL;
+  gw_config_read (gw);
 }
 
 static void
@@ -89,9 +92,10 @@
   if (result->pair_count > 0)
     gw_config_apply (gw, result->pairs[0].value, result->pairs[0].value_bytes,
                      result->pairs[0].revision);
-  (void)gw->kv.methods->watch (gw->kv.context, gw->protocol->keys.config,
-                               result->revision + 1, gw_config_changed,
-                               gw_config_watch_ended, gw);
+  gw->config_watch = gw->kv.methods->watch (
+      gw->kv.context, gw->protocol->keys.config, result->revision + 1,
+      gw_config_changed, gw_config_watch_ended, gw);
+  kv_set_pace (&gw->kv, gw->config_watch, gw->pace);
 }
 
 static void
@@ -108,3 +112,15 @@
 {
   gw_config_read (gw);
 }
+
+/* Read the configuration anew, because another instance knows a newer one than
+   the watch has told.  */
+void
+gw_config_refresh (struct gw *gw)
+{
+  if (gw->config_watch == NULL)
+    return;
+  gw->kv.methods->unwatch (gw->kv.context, gw->config_watch);
+  gw->config_watch = NULL;
+  gw_config_read (gw);
+}
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -79,7 +79,10 @@
 static void
 gw_fleet_watch_ended (void *arg)
 {
-  gw_fleet_read (arg);
+  struct gw *gw = arg;
+
+  gw->fleet_watch = NULL;
+  gw_fleet_read (gw);
 }
 
 static void
@@ -100,9 +103,10 @@
                         result->pairs[i].revision);
   flt_list_end (gw->fleet, GW_FLEET_GRACE_MS);
   gw->fleet_known = true;
-  (void)gw->kv.methods->watch (
+  gw->fleet_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
       gw_fleet_on_change, gw_fleet_watch_ended, gw);
+  kv_set_pace (&gw->kv, gw->fleet_watch, gw->pace);
   gw_fleet_changed (gw);
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -50,6 +50,11 @@
   struct rte_config *config; /* in force; NULL: none known yet */
   struct flt_fleet *fleet;
   bool fleet_known;
+  void *config_watch; /* NULL: being read anew */
+  void *fleet_watch;
+  enum kv_pace pace;
+  uint64_t beacon_us; /* last sign of the leader */
+  uint64_t behind_us; /* since when it knows a newer configuration; 0: not */
   struct rbg_budgets *budgets;
   struct ldr *ldr;
   struct rpc_node *rpc; /* NULL until the key is known */
@@ -64,6 +69,7 @@
   struct tm_timer lead_timer;
   struct tm_timer wake_timer;
   struct tm_timer drain_timer;
+  struct tm_timer beacon_timer;
   bool demand_soon;
   bool draining;
   uint64_t drain_us;
@@ -115,7 +121,7 @@
   struct h1_call *call;
   struct flt_endpoint *endpoint;
   struct h1_head answer; /* kept until bytes of the body arrive */
-  bool unanswered; /* counted as such at ENDPOINT */
+  bool unanswered;       /* counted as such at ENDPOINT */
   bool answer_held;
   bool answer_dropped; /* END is known; the body goes nowhere */
   bool event_stream;
@@ -134,6 +140,7 @@
 
 /* gw_config.c */
 void gw_config_start (struct gw *gw);
+void gw_config_refresh (struct gw *gw);
 
 /* gw_fleet.c */
 void gw_fleet_start (struct gw *gw);
@@ -171,9 +178,14 @@
 /* gw_peers.c */
 void gw_peers_start (struct gw *gw);
 void gw_peers_report (struct gw *gw, const cs_residency_report *report);
+void gw_peers_beacon (struct gw *gw, const cs_beacon *beacon);
 void gw_peers_news (struct gw *gw, const cs_residency_news *news);
 uint32_t gw_instances (const struct gw *gw);
 
+/* gw_beacon.c */
+void gw_beacon_start (struct gw *gw);
+void gw_beacon_heard (struct gw *gw, const cs_beacon *beacon);
+
 /* gw_lead.c */
 void gw_lead_start (struct gw *gw);
 void gw_lead_gained (struct gw *gw, uint64_t fence);
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -68,6 +68,17 @@
     gw_told_news (gw, args);
 }
 
+static void
+gw_beacon_received (void *arg, const struct rpc_origin *origin, void *args,
+                    struct rpc_request *request)
+{
+  struct gw *gw = arg;
+
+  (void)request;
+  if (g_strcmp0 (origin->instance, ldr_leader (gw->ldr)) == 0)
+    gw_beacon_heard (gw, args);
+}
+
 static void
 gw_peers_key (void *arg, const unsigned char *key, size_t bytes)
 {
@@ -77,6 +88,9 @@
   static const struct rpc_procedure news
       = { COWSLIP_RESIDENCY_NEWS, (xdrproc_t)xdr_cs_residency_news,
           sizeof (cs_residency_news), NULL, gw_news_received };
+  static const struct rpc_procedure beacon
+      = { COWSLIP_BEACON, (xdrproc_t)xdr_cs_beacon, sizeof (cs_beacon), NULL,
+          gw_beacon_received };
   struct gw *gw = arg;
   struct rpc_config config = { .instance = gw->settings->instance,
                                .incarnation = gw->incarnation,
@@ -95,6 +109,7 @@
     }
   rpc_serve (gw->rpc, &report, gw);
   rpc_serve (gw->rpc, &news, gw);
+  rpc_serve (gw->rpc, &beacon, gw);
 }
 
 /* Register this instance and take part in the election.  */
@@ -149,19 +164,35 @@
                    (xdrproc_t)xdr_cs_residency_report, (void *)report);
 }
 
-/* Tell NEWS to all instances, this one included.  */
-void
-gw_peers_news (struct gw *gw, const cs_residency_news *news)
+/* Send a message to all other instances.  */
+static void
+gw_peers_broadcast (struct gw *gw, uint32_t procedure, xdrproc_t encode,
+                    void *args)
 {
   const GPtrArray *members = ldr_members (gw->ldr);
 
-  gw_told_news (gw, news);
   for (guint i = 0; gw->rpc != NULL && i < members->len; i++)
     {
       const struct ldr_member *member = g_ptr_array_index (members, i);
 
       if (!g_str_equal (member->instance, gw->settings->instance))
-        gw_peers_send (gw, member->address, COWSLIP_RESIDENCY_NEWS,
-                       (xdrproc_t)xdr_cs_residency_news, (void *)news);
+        gw_peers_send (gw, member->address, procedure, encode, args);
     }
 }
+
+/* Tell NEWS to all instances, this one included.  */
+void
+gw_peers_news (struct gw *gw, const cs_residency_news *news)
+{
+  gw_told_news (gw, news);
+  gw_peers_broadcast (gw, COWSLIP_RESIDENCY_NEWS,
+                      (xdrproc_t)xdr_cs_residency_news, (void *)news);
+}
+
+/* Send BEACON to all other instances.  */
+void
+gw_peers_beacon (struct gw *gw, const cs_beacon *beacon)
+{
+  gw_peers_broadcast (gw, COWSLIP_BEACON, (xdrproc_t)xdr_cs_beacon,
+                      (void *)beacon);
+}
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -64,7 +64,7 @@
   uint32_t failures; /* in a row */
   uint32_t in_flight;
   uint32_t unanswered; /* of these, requests whose answer has not begun */
-  uint64_t heard_us; /* last bytes of any answer */
+  uint64_t heard_us;   /* last bytes of any answer */
   /* Load as the endpoint told it with an answer.  */
   uint32_t running;
   uint32_t waiting;
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -83,6 +83,13 @@
 typedef void (*kv_changed) (void *arg, const struct kv_change *change);
 typedef void (*kv_watch_ended) (void *arg);
 
+/* How promptly a watch must notice changes and lost connections.  */
+enum kv_pace
+{
+  KV_PROMPT,
+  KV_RELAXED /* somebody else will tell if this watch misses a change */
+};
+
 struct kv_methods
 {
   void (*txn) (void *context, const struct kv_txn *txn, kv_done done,
@@ -96,6 +103,8 @@
   void *(*watch) (void *context, const char *prefix, int64_t from_revision,
                   kv_changed changed, kv_watch_ended ended, void *arg);
   void (*unwatch) (void *context, void *watch);
+  /* How promptly a watch must hear of changes.  NULL: always promptly.  */
+  void (*set_pace) (void *context, void *watch, enum kv_pace pace);
 };
 
 struct kv_store
@@ -108,6 +117,8 @@
              kv_done done, void *arg);
 void kv_get (const struct kv_store *store, const char *key, kv_done done,
              void *arg);
+void kv_set_pace (const struct kv_store *store, void *watch,
+                  enum kv_pace pace);
 void kv_get_prefix (const struct kv_store *store, const char *prefix,
                     kv_done done, void *arg);
 
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -131,6 +131,7 @@
   ldr->watch = ldr->config.kv.methods->watch (
       ldr->config.kv.context, ldr_prefix, result->revision + 1, ldr_on_change,
       ldr_watch_ended, ldr);
+  kv_set_pace (&ldr->config.kv, ldr->watch, ldr->pace);
   ldr_evaluate (ldr);
 }
 
@@ -302,6 +303,14 @@
   return ldr->members;
 }
 
+/* Let changes of members and leader be heard with PACE.  */
+void
+ldr_set_pace (struct ldr *ldr, enum kv_pace pace)
+{
+  ldr->pace = pace;
+  kv_set_pace (&ldr->config.kv, ldr->watch, pace);
+}
+
 /* Return the most members that were ever registered at once, 0 if that is not
    known yet.  Shared limits are divided by it: the members of the moment are
    fewer after a failure, and the others come back within the time for which
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -66,6 +66,7 @@
 const struct ldr_member *ldr_find (const struct ldr *ldr,
                                    const char *instance);
 const GPtrArray *ldr_members (const struct ldr *ldr);
+void ldr_set_pace (struct ldr *ldr, enum kv_pace pace);
 uint32_t ldr_strength (const struct ldr *ldr);
 void ldr_resign (struct ldr *ldr);
 
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -29,6 +29,7 @@
   bool synced;
   bool reading;
   void *watch;
+  enum kv_pace pace;
   GPtrArray *members; /* struct ldr_member, by name */
   struct ldr_record leader;
   int64_t term_revision; /* 0: there never was a leader */
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -357,8 +357,8 @@
       = engine->expected_us + RES_REFRESH_MS * RES_US_PER_MS;
 }
 
-/* The load that was ordered early was answered with RESULT.  Return whether the
-   unload before it still lasts.  */
+/* The load that was ordered early was answered with RESULT.  Return whether
+   the unload before it still lasts.  */
 static bool
 res_early_answered (struct res_table *table, struct res_engine *engine,
                     struct flt_endpoint *endpoint,
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -268,6 +268,11 @@
 };
 typedef struct cs_residency_news cs_residency_news;
 
+struct cs_beacon {
+	u_quad_t config_version;
+};
+typedef struct cs_beacon cs_beacon;
+
 #define COWSLIP_PROGRAM 0x20c05110
 #define COWSLIP_VERSION 1
 
@@ -305,6 +310,9 @@
 #define COWSLIP_RESIDENCY_NEWS 11
 extern  void * cowslip_residency_news_1(cs_residency_news *, CLIENT *);
 extern  void * cowslip_residency_news_1_svc(cs_residency_news *, struct svc_req *);
+#define COWSLIP_BEACON 12
+extern  void * cowslip_beacon_1(cs_beacon *, CLIENT *);
+extern  void * cowslip_beacon_1_svc(cs_beacon *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -341,6 +349,9 @@
 #define COWSLIP_RESIDENCY_NEWS 11
 extern  void * cowslip_residency_news_1();
 extern  void * cowslip_residency_news_1_svc();
+#define COWSLIP_BEACON 12
+extern  void * cowslip_beacon_1();
+extern  void * cowslip_beacon_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -375,6 +386,7 @@
 extern  bool_t xdr_cs_residency_item (XDR *, cs_residency_item*);
 extern  bool_t xdr_cs_residency_report (XDR *, cs_residency_report*);
 extern  bool_t xdr_cs_residency_news (XDR *, cs_residency_news*);
+extern  bool_t xdr_cs_beacon (XDR *, cs_beacon*);
 
 #else /* K&R C */
 extern bool_t xdr_cs_name ();
@@ -405,6 +417,7 @@
 extern bool_t xdr_cs_residency_item ();
 extern bool_t xdr_cs_residency_report ();
 extern bool_t xdr_cs_residency_news ();
+extern bool_t xdr_cs_beacon ();
 
 #endif /* K&R C */
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -227,6 +227,12 @@
   cs_name adapter; /* empty: the model */
 };
 
+/* The leader lives, and what it has heard from the store.  */
+struct cs_beacon
+{
+  unsigned hyper config_version; /* 0: none */
+};
+
 program COWSLIP_PROGRAM
 {
   version COWSLIP_VERSION
@@ -244,5 +250,6 @@
     /* One-way; the gateway's instances to the leader, and back.  */
     void COWSLIP_RESIDENCY_REPORT (cs_residency_report) = 10;
     void COWSLIP_RESIDENCY_NEWS (cs_residency_news) = 11;
+    void COWSLIP_BEACON (cs_beacon) = 12;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -511,3 +511,13 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cs_beacon (XDR *xdrs, cs_beacon *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+		 return FALSE;
+	return TRUE;
+}
--- a/regress/gw_script.c
+++ b/regress/gw_script.c
@@ -209,7 +209,8 @@
   else if (strcmp (command, "restart") == 0)
     evs_restart (&events);
   else if (strcmp (command, "advance") == 0)
-    tm_advance (tm, tm_now_us (tm) + strtoull (words[1], NULL, 10) * US_PER_MS);
+    tm_advance (tm,
+                tm_now_us (tm) + strtoull (words[1], NULL, 10) * US_PER_MS);
   else
     run_budget ();
 }
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -91,15 +91,14 @@
 }
 
 static const struct kv_methods methods
-    = { script_txn,    script_grant, script_renew,
-        script_revoke, script_watch, script_unwatch };
+    = { script_txn,   script_grant,   script_renew, script_revoke,
+        script_watch, script_unwatch, NULL };
 
 static void
 print_event (const struct instance *instance, const char *what)
 {
-  printf ("%llu ms: %s %s\n",
-          (unsigned long long)(tm_now_us (tm) / US_PER_MS), instance->name,
-          what);
+  printf ("%llu ms: %s %s\n", (unsigned long long)(tm_now_us (tm) / US_PER_MS),
+          instance->name, what);
 }
 
 static void
@@ -134,14 +133,13 @@
 {
   static const struct ldr_callbacks callbacks
       = { on_gained, on_lost, on_key, on_members };
-  struct ldr_config config
-      = { .kv = { &methods, instance },
-          .tm = tm,
-          .instance = instance->name,
-          .zone = "z",
-          .address = "10.0.0.1:1",
-          .incarnation = ++instance->incarnation,
-          .apart_ms = APART_MS };
+  struct ldr_config config = { .kv = { &methods, instance },
+                               .tm = tm,
+                               .instance = instance->name,
+                               .zone = "z",
+                               .address = "10.0.0.1:1",
+                               .incarnation = ++instance->incarnation,
+                               .apart_ms = APART_MS };
 
   instance->cut = false;
   instance->ldr = ldr_new (&config, &callbacks, instance);
@@ -170,9 +168,9 @@
         continue;
       members = ldr_members (instances[i].ldr);
       for (guint j = 0; j < members->len; j++)
-        printf ("%s ",
-                ((struct ldr_member *)g_ptr_array_index (members, j))
-                    ->instance);
+        printf (
+            "%s ",
+            ((struct ldr_member *)g_ptr_array_index (members, j))->instance);
       printf ("strength %u\n", ldr_strength (instances[i].ldr));
       return;
     }
--- a/regress/res_sim.c
+++ b/regress/res_sim.c
@@ -156,11 +156,10 @@
           rsm_crash (sim, engine, order->model);
           return PRT_NO_ANSWER;
         }
-      needs_ms = flt_list_has (engine->held.in_memory, order->model)
-                     ? RSM_MEMORY_MS
-                 : flt_list_has (engine->held.on_disk, order->model)
-                     ? RSM_DISK_MS
-                     : RSM_STORE_MS;
+      needs_ms
+          = flt_list_has (engine->held.in_memory, order->model) ? RSM_MEMORY_MS
+            : flt_list_has (engine->held.on_disk, order->model) ? RSM_DISK_MS
+                                                                : RSM_STORE_MS;
       sim->loads++;
       if (needs_ms == RSM_STORE_MS)
         g_array_append_val (sim->store_loads, now_us);
@@ -291,8 +290,7 @@
 rsm_on_order (void *arg, const struct res_order *order)
 {
   struct rsm *sim = arg;
-  const struct flt_endpoint *endpoint
-      = flt_find (sim->fleet, order->endpoint);
+  const struct flt_endpoint *endpoint = flt_find (sim->fleet, order->endpoint);
   struct rsm_message *message = rsm_message_new (sim, order->endpoint);
 
   if (sim->print)
@@ -327,19 +325,19 @@
                          g_strdup (g_ptr_array_index (model->adapters, j)));
     }
   for (guint i = 0; i < engine->held.in_memory->len; i++)
-    g_ptr_array_add (weights->in_memory, g_strdup (g_ptr_array_index (
-                                             engine->held.in_memory, i)));
+    g_ptr_array_add (weights->in_memory,
+                     g_strdup (g_ptr_array_index (engine->held.in_memory, i)));
   for (guint i = 0; i < engine->held.on_disk->len; i++)
-    g_ptr_array_add (weights->on_disk, g_strdup (g_ptr_array_index (
-                                           engine->held.on_disk, i)));
+    g_ptr_array_add (weights->on_disk,
+                     g_strdup (g_ptr_array_index (engine->held.on_disk, i)));
   for (guint i = 0; i < engine->incoming->len; i++)
     {
       const struct rsm_incoming *incoming
           = &g_array_index (engine->incoming, struct rsm_incoming, i);
 
-      g_ptr_array_add (weights->incoming,
-                       g_strconcat (incoming->model, "/", incoming->adapter,
-                                    NULL));
+      g_ptr_array_add (
+          weights->incoming,
+          g_strconcat (incoming->model, "/", incoming->adapter, NULL));
     }
   weights->orders = engine->orders;
   weights->busy = engine->busy;
--- a/regress/res_sim.h
+++ b/regress/res_sim.h
@@ -24,7 +24,7 @@
   bool busy;
   enum prt_order_kind kind;
   char *model;
-  uint64_t end_us; /* of the order under way */
+  uint64_t end_us;  /* of the order under way */
   GArray *incoming; /* struct rsm_incoming */
   bool leaving;
 };
--- a/regress/res_test.c
+++ b/regress/res_test.c
@@ -124,9 +124,9 @@
   if (gsl_rng_uniform_int (sim->random, 60) == 0)
     rsm_take_over (sim);
   if (gsl_rng_uniform_int (sim->random, 100) == 0)
-    rsm_restart (sim, g_ptr_array_index (
-                          sim->engines,
-                          gsl_rng_uniform_int (sim->random, ENGINES)));
+    rsm_restart (
+        sim, g_ptr_array_index (sim->engines,
+                                gsl_rng_uniform_int (sim->random, ENGINES)));
 }
 
 /* Count the loads from the weight store in the fullest window.  */
@@ -153,8 +153,8 @@
 static void
 play (struct day *day, bool faulty)
 {
-  day->sim->faults = faulty ? (struct rsm_faults){ 10, 20 }
-                            : (struct rsm_faults){ 0, 0 };
+  day->sim->faults
+      = faulty ? (struct rsm_faults){ 10, 20 } : (struct rsm_faults){ 0, 0 };
   rsm_advance (day->sim, 1000);
   for (day->now_ms = 1; day->now_ms < DAY_MS; day->now_ms += TICK_MS)
     {
@@ -188,8 +188,7 @@
       build (&day, seed);
       play (&day, faulty);
       fullest = fullest_window (day.sim);
-      if (day.sim->over_limit > 0
-          || fullest > LOADS_PER_S * 5 * OVERAGE + OVER
+      if (day.sim->over_limit > 0 || fullest > LOADS_PER_S * 5 * OVERAGE + OVER
           || (!faulty && day.longest_ms > WAIT_MAX_MS))
         {
           printf ("\nseed %" G_GUINT64_FORMAT ": %u over the limit, %u loads "
@@ -221,9 +220,8 @@
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "calm", test_calm },
-                                            { "faults", test_faults },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "calm", test_calm }, { "faults", test_faults }, { NULL, NULL } };
 
   return unit_main ("res", tests);
 }
--- a/regress/wire.c
+++ b/regress/wire.c
@@ -106,8 +106,7 @@
   link->closed = true;
   link->endpoint->closed++;
   uv_timer_stop (&link->timer);
-  if (!reset
-      || uv_tcp_close_reset (&link->tcp, wire_link_stopped) != 0)
+  if (!reset || uv_tcp_close_reset (&link->tcp, wire_link_stopped) != 0)
     uv_close ((uv_handle_t *)&link->tcp, wire_link_stopped);
 }
 
@@ -152,8 +151,8 @@
 {
   if (endpoint->requests == 0 || endpoint->script_count == 0)
     return NULL;
-  return &endpoint->scripts[MIN (endpoint->requests, endpoint->script_count)
-                            - 1];
+  return &endpoint
+              ->scripts[MIN (endpoint->requests, endpoint->script_count) - 1];
 }
 
 static void
--- a/regress/wire.h
+++ b/regress/wire.h
@@ -10,8 +10,8 @@
 
 #include "h1_head.h"
 
-/* Both ends of a gateway, byte by byte: endpoints that answer with fixed bytes,
-   and callers that send them.  */
+/* Both ends of a gateway, byte by byte: endpoints that answer with fixed
+   bytes, and callers that send them.  */
 
 /* What an endpoint does after its bytes.  */
 enum wire_then
@@ -40,7 +40,8 @@
 uint32_t wire_endpoint_connections (const struct wire_endpoint *endpoint);
 uint32_t wire_endpoint_closed (const struct wire_endpoint *endpoint);
 size_t wire_endpoint_unsent (const struct wire_endpoint *endpoint);
-const struct h1_head *wire_endpoint_head (const struct wire_endpoint *endpoint);
+const struct h1_head *
+wire_endpoint_head (const struct wire_endpoint *endpoint);
 size_t wire_endpoint_body_bytes (const struct wire_endpoint *endpoint);
 
 /* What a caller received.  */
