--- /dev/null
+++ b/regress/pf_test.c
@@ -0,0 +1,242 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "pf.h"
+#include "unit.h"
+
+/* Decoding of what the platform's store holds and of what engines report.  */
+
+static struct rte_config *
+read_config (const char *text, char **failure)
+{
+  GError *error = NULL;
+  struct rte_config *config
+      = pf_protocol ()->read_config (text, strlen (text), &error);
+
+  *failure = error == NULL ? NULL : g_strdup (error->message);
+  g_clear_error (&error);
+  return config;
+}
+
+#define LIMITS                                                                \
+  "\"Limits\":{\"MaxHeaderBytes\":100,\"MaxBodyBytes\":200,"                  \
+  "\"HeaderTimeoutMs\":300,\"IdleTimeoutMs\":400}"
+#define ROUTE(rest)                                                           \
+  "{\"Name\":\"r\",\"Host\":\"h\",\"PathPrefix\":\"/p/\",\"TimeoutMs\":1000," \
+  "\"TargetLatencyMs\":100,\"Priority\":2,\"MaxAttempts\":3," rest "}"
+
+static void
+test_config (void)
+{
+  char *failure;
+  const char *text = "{\"Version\":9,\"New\":{},\"Routes\":[" ROUTE (
+      "\"Kind\":\"streaming\",\"Resumable\":true,\"Sticky\":true,"
+      "\"GapTargetMs\":300,\"TrafficSplit\":[{\"Service\":\"a\","
+      "\"Weight\":90},{\"Service\":\"b\",\"Weight\":10}]") "],"
+                                                           "\"Services\":[{"
+                                                           "\"Name\":\"a\","
+                                                           "\"MaxConns\":5,"
+                                                           "\"Engine\":{"
+                                                           "\"Slots\":64,"
+                                                           "\"WeightsMb\":"
+                                                           "230000.0,"
+                                                           "\"AdapterSlots\":"
+                                                           "8,\"LoadsPerS\":3."
+                                                           "1,"
+                                                           "\"Models\":[{"
+                                                           "\"Name\":\"m\","
+                                                           "\"WeightsMb\":"
+                                                           "65099.99999,"
+                                                           "\"LoadTimeS\":6.0,"
+                                                           "\"Adapters\":2,"
+                                                           "\"AdapterSizeMb\":"
+                                                           "12.0,"
+                                                           "\"WarmS\":0.63,"
+                                                           "\"DiskS\":0.84}]}}"
+                                                           "]," LIMITS "}";
+  struct rte_config *config = read_config (text, &failure);
+  const struct rte_route *route;
+  const struct rte_service *service;
+  const struct rte_model *model;
+
+  CU_ASSERT_PTR_NULL (failure);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  CU_ASSERT_EQUAL (config->version, 9);
+  CU_ASSERT_EQUAL (config->idle_timeout_ms, 400);
+  route = rte_match (config, "h", "/p/x");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_EQUAL (route->kind, RTE_STREAM);
+  CU_ASSERT_TRUE (rte_may_repeat (route));
+  CU_ASSERT_EQUAL (route->attempts_max, 3);
+  CU_ASSERT_EQUAL (route->targets->len, 2);
+  service = rte_service (config, "a");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (service);
+  CU_ASSERT_EQUAL (service->adapter_slots, 8);
+  model = rte_model (service, "m");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (model);
+  /* Sizes are rounded up, so that no memory is counted twice.  */
+  CU_ASSERT_EQUAL (model->weights_mb, 65100);
+  CU_ASSERT_EQUAL (model->store_ms, 6000);
+  CU_ASSERT_EQUAL (model->disk_ms, 840);
+  rte_config_unref (config);
+}
+
+/* Guards against a configuration that is half understood: the field that is
+   missing or of another type is named, and the last good one stays.  */
+static void
+test_bad_config (void)
+{
+  static const struct
+  {
+    const char *text;
+    const char *failure;
+  } cases[] = {
+    { "{\"Version\":1,\"Routes\":[],\"Services\":[]}", "MaxHeaderBytes" },
+    { "{\"Version\":\"1\",\"Routes\":[],\"Services\":[]," LIMITS "}",
+      "Version" },
+    { "{\"Version\":1,\"Routes\":[" ROUTE (
+          "\"Kind\":5,\"Service\":\"a\"") "],\"Services\":[]," LIMITS "}",
+      "Kind" },
+    { "{\"Version\":1,\"Routes\":{},\"Services\":[]," LIMITS "}", "Routes" },
+    { "{\"Version\":1", "line 1" },
+    { "", "line 1" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *failure;
+
+      CU_ASSERT_PTR_NULL (read_config (cases[i].text, &failure));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (failure);
+      CU_ASSERT_PTR_NOT_NULL (strstr (failure, cases[i].failure));
+      g_free (failure);
+    }
+}
+
+/* Guards against repeated runs of requests of a kind that is not known.  */
+static void
+test_unknown_kind (void)
+{
+  char *failure;
+  struct rte_config *config = read_config (
+      "{\"Version\":1,\"Routes\":[" ROUTE (
+          "\"Kind\":\"new\",\"Service\":\"a\"") "],"
+                                                "\"Services\":[]," LIMITS "}",
+      &failure);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  CU_ASSERT_FALSE (rte_may_repeat (rte_match (config, "h", "/p/")));
+  rte_config_unref (config);
+}
+
+static struct flt_entry *
+read_entry (const char *text)
+{
+  GError *error = NULL;
+  struct flt_entry *entry
+      = pf_protocol ()->read_entry ("e", text, strlen (text), &error);
+
+  CU_ASSERT_EQUAL (entry == NULL, error != NULL);
+  g_clear_error (&error);
+  return entry;
+}
+
+#define ENTRY(state, rest)                                                    \
+  "{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\",\"Zone\":\"z\",\"Version\":"  \
+  "\"v\",\"Slots\":4,\"State\":\"" state "\",\"Seq\":7" rest "}"
+
+/* Guards against entries of another writer that are taken for endpoints, and
+   against the count of entries taken for a count of orders.  */
+static void
+test_entry (void)
+{
+  static const char *const bad[]
+      = { ENTRY ("asleep", ""),
+          "[]",
+          "{}",
+          "{\"Service\":\"s\"}",
+          ENTRY ("ready", ",\"Models\":5"),
+          "\xff\xfe",
+          "{\"Service\":\"s\",\"Address\":\"host\",\"Zone\":\"z\",\"Slots\":4,"
+          "\"State\":\"ready\"}" };
+  struct flt_entry *entry
+      = read_entry (ENTRY ("ready", ",\"born\":12,\"Models\":[{\"Name\":\"m\","
+                                    "\"Version\":2,\"Adapters\":[\"a1\"]}],"
+                                    "\"Available\":{\"InMemory\":[],"
+                                    "\"OnDisk\":[\"m\",\"n\"]}"));
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  CU_ASSERT_EQUAL (entry->started_ms, 12);
+  CU_ASSERT_EQUAL (entry->weights.orders, 0);
+  CU_ASSERT_EQUAL (entry->weights.on_disk->len, 2);
+  CU_ASSERT_TRUE (
+      flt_model_has (flt_weights_find (&entry->weights, "m"), "a1"));
+  flt_entry_free (entry);
+  entry = read_entry (ENTRY ("draining", ",\"RemainingMs\":1600"));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  CU_ASSERT_TRUE (entry->leaving);
+  CU_ASSERT_EQUAL (entry->leaves_in_ms, 1600);
+  flt_entry_free (entry);
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    CU_ASSERT_PTR_NULL (read_entry (bad[i]));
+}
+
+static void
+test_report (void)
+{
+  const char *text
+      = "{\"Stage\":\"x\",\"Models\":[{\"Name\":\"m\",\"Version\":1,"
+        "\"Adapters\":[]}],\"Busy\":true,\"Seq\":3,\"Incoming\":"
+        "[\"m/a2@1\"]}";
+  struct flt_weights weights;
+  GError *error = NULL;
+
+  flt_weights_init (&weights);
+  CU_ASSERT_TRUE (
+      pf_protocol ()->read_report (text, strlen (text), &weights, &error));
+  CU_ASSERT_EQUAL (weights.orders, 3);
+  CU_ASSERT_TRUE (weights.busy);
+  CU_ASSERT_EQUAL (weights.incoming->len, 1);
+  CU_ASSERT_STRING_EQUAL (g_ptr_array_index (weights.incoming, 0), "m/a2");
+  flt_weights_clear (&weights);
+  flt_weights_init (&weights);
+  CU_ASSERT_FALSE (
+      pf_protocol ()->read_report ("{\"Seq\":1}", 9, &weights, &error));
+  g_clear_error (&error);
+  flt_weights_clear (&weights);
+}
+
+static void
+test_order (void)
+{
+  struct prt_order order = { .kind = PRT_LOAD,
+                             .model = "m",
+                             .adapter = "a1",
+                             .holder = "i1",
+                             .fence = 41,
+                             .orders = 2 };
+  char *text = pf_protocol ()->write_order (&order);
+
+  CU_ASSERT_STRING_EQUAL (
+      text, "{\"Op\":\"model_load\",\"Model\":\"m\",\"Adapter\":\"a1\","
+            "\"Precondition\":2,\"Holder\":\"i1\",\"Fence\":41}");
+  g_free (text);
+  CU_ASSERT_EQUAL (pf_protocol ()->read_order (202), PRT_STARTED);
+  CU_ASSERT_EQUAL (pf_protocol ()->read_order (409), PRT_BUSY);
+  CU_ASSERT_EQUAL (pf_protocol ()->read_order (421), PRT_REFUSED);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "configuration", test_config },
+          { "bad configuration", test_bad_config },
+          { "unknown kind", test_unknown_kind },
+          { "entry", test_entry },
+          { "report", test_report },
+          { "order", test_order },
+          { NULL, NULL } };
+
+  return unit_main ("pf", tests);
+}
