Remember the last leaders, so that a new one waits only if it led before

Cause: after all instances lost power the new leader waited 3 s, because a process that has just started cannot know whether it led.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -15,7 +15,7 @@
   if (ldr->calls == 0)
     {
       ldr_table_clear (ldr);
-      g_free (ldr->term_holder);
+      g_free (ldr->term_holders);
       g_ptr_array_free (ldr->members, TRUE);
       g_free (ldr);
     }
@@ -41,6 +41,27 @@
   ldr->callbacks.lost (ldr->arg);
 }
 
+/* Return the mark of terms with FIRST, an instance or LDR_NOBODY, before the
+   names that it has now; to be freed.  */
+char *
+ldr_holders (const struct ldr *ldr, const char *first)
+{
+  GString *text = g_string_new (first);
+  char **names = g_strsplit (
+      ldr->term_holders == NULL ? "" : ldr->term_holders, " ", -1);
+  uint32_t count = 1;
+
+  for (char **name = names; *name != NULL && count < LDR_HOLDERS_MAX; name++)
+    if (**name != '\0' && !g_str_equal (*name, first)
+        && !g_str_equal (*name, LDR_NOBODY))
+      {
+        g_string_append_printf (text, " %s", *name);
+        count++;
+      }
+  g_strfreev (names);
+  return g_string_free (text, FALSE);
+}
+
 /* Return how long after its election this instance must not order yet.  */
 uint32_t
 ldr_wait_ms (const struct ldr *ldr)
@@ -48,18 +69,28 @@
   uint64_t now_us = tm_now_us (ldr->config.tm);
   uint64_t apart_us = ldr->config.apart_ms * LDR_US_PER_MS;
   uint64_t own_us = ldr->lost_us != 0 ? ldr->lost_us : ldr->started_us;
-
-  /* Nobody has led, or nobody since this instance did.  A process of the same
-     instance that led before has ended.  */
-  if (ldr->term_holder == NULL
-      || g_str_equal (ldr->term_holder, ldr->config.instance))
-    return 0;
-  /* Engines must not hear two leaders in turns.  A process that has just
-     started cannot know whether the one before it led.  */
-  if (now_us - own_us < apart_us)
-    return MAX (LDR_SAFE_MS,
-                (uint32_t)((own_us + apart_us - now_us) / LDR_US_PER_MS));
-  return ldr->term_holder[0] == '\0' ? 0 : LDR_SAFE_MS;
+  char **names;
+  bool resigned;
+  bool led;
+  uint32_t wait_ms = 0;
+
+  if (ldr->term_holders == NULL)
+    return 0; /* nobody has led */
+  names = g_strsplit (ldr->term_holders, " ", -1);
+  resigned = g_strcmp0 (names[0], LDR_NOBODY) == 0;
+  led = g_strv_contains ((const char *const *)names, ldr->config.instance);
+  /* A process of this instance that led last has ended.  */
+  if (g_strcmp0 (names[0], ldr->config.instance) != 0)
+    {
+      wait_ms = resigned ? 0 : LDR_SAFE_MS;
+      /* Engines must not hear two leaders in turns.  A process that has just
+         started cannot know when the one before it ordered last.  */
+      if (led && now_us - own_us < apart_us)
+        wait_ms = MAX (wait_ms, (uint32_t)((own_us + apart_us - now_us)
+                                           / LDR_US_PER_MS));
+    }
+  g_strfreev (names);
+  return wait_ms;
 }
 
 static void
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -6,6 +6,10 @@
 /* Shared by the ldr*.c files only.  */
 
 #define LDR_US_PER_MS UINT64_C (1000)
+#define LDR_NOBODY    "-"
+/* Names that the mark of terms keeps.  Terms follow each other in a second at
+   the least, so these cover the time between orders of two leaders.  */
+#define LDR_HOLDERS_MAX 5
 
 /* The leader's record as the store has it.  */
 struct ldr_record
@@ -33,7 +37,8 @@
   GPtrArray *members; /* struct ldr_member, by name */
   struct ldr_record leader;
   int64_t term_revision; /* 0: there never was a leader */
-  char *term_holder;     /* who led last; empty: it resigned */
+  char *term_holders;    /* who led, the last first, separated by spaces;
+                            begins with LDR_NOBODY if that one resigned */
   bool key_known;
   uint32_t strength; /* most members that were ever seen */
   int64_t strength_revision;
@@ -78,5 +83,6 @@
 void ldr_evaluate (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
 uint32_t ldr_wait_ms (const struct ldr *ldr);
+char *ldr_holders (const struct ldr *ldr, const char *first);
 
 #endif
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -32,8 +32,8 @@
   g_free (ldr->leader.instance);
   ldr->leader = (struct ldr_record){ 0 };
   ldr->term_revision = 0;
-  g_free (ldr->term_holder);
-  ldr->term_holder = NULL;
+  g_free (ldr->term_holders);
+  ldr->term_holders = NULL;
   ldr->registered = false;
 }
 
@@ -193,8 +193,8 @@
   else if (g_str_equal (key, ldr_term_key))
     {
       ldr->term_revision = revision;
-      g_free (ldr->term_holder);
-      ldr->term_holder = value == NULL ? NULL : g_strndup (value, bytes);
+      g_free (ldr->term_holders);
+      ldr->term_holders = value == NULL ? NULL : g_strndup (value, bytes);
     }
   else if (g_str_equal (key, ldr_strength_key))
     {
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -108,6 +108,7 @@
 ldr_write_leader (struct ldr *ldr)
 {
   char *text = ldr_encode (ldr);
+  char *holders = ldr_holders (ldr, ldr->config.instance);
   /* The mark of terms is compared as well: if this is the first term, no
      engine can have an order of another leader.  */
   struct kv_compare compares[]
@@ -119,14 +120,15 @@
                             .lease = ldr->lease },
                           { .kind = KV_PUT,
                             .key = ldr_term_key,
-                            .value = ldr->config.instance,
-                            .value_bytes = strlen (ldr->config.instance) } };
+                            .value = holders,
+                            .value_bytes = strlen (holders) } };
 
   /* The mark that is compared tells who led before; the watch may show the new
      one before the answer arrives.  */
   ldr->wait_ms = ldr_wait_ms (ldr);
   ldr_put (ldr, compares, G_N_ELEMENTS (compares), puts, G_N_ELEMENTS (puts),
            ldr_take_done);
+  g_free (holders);
   g_free (text);
 }
 
@@ -216,16 +218,21 @@
 ldr_write_resign (struct ldr *ldr)
 {
   char *key = ldr_member_key (ldr);
+  char *holders = ldr_holders (ldr, LDR_NOBODY);
   struct kv_compare mine = { ldr_leader_key, (int64_t)ldr->fence };
   /* A successor of a leader that resigned need not wait.  */
   struct kv_op ops[]
       = { { .kind = KV_DELETE, .key = key },
           { .kind = KV_DELETE, .key = ldr_leader_key },
-          { .kind = KV_PUT, .key = ldr_term_key, .value = "" } };
+          { .kind = KV_PUT,
+            .key = ldr_term_key,
+            .value = holders,
+            .value_bytes = strlen (holders) } };
 
   if (ldr->leading)
     ldr_put (ldr, &mine, 1, ops, G_N_ELEMENTS (ops), ldr_resign_done);
   else
     ldr_put (ldr, NULL, 0, ops, 1, ldr_resign_done);
+  g_free (holders);
   g_free (key);
 }
