--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -30,6 +30,7 @@
   table->tm = tm;
   table->fleet = fleet;
   table->callbacks = *callbacks;
+  table->store_max = RES_STORE_FIRST;
   table->arg = arg;
   table->engines
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_engine_free);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -5,13 +5,15 @@
 /* A report is read this long after an order should have been carried out, and
    again after the same time: reports are some 100 ms old.  */
 #define RES_REFRESH_MS 100
-/* An order that is not carried out by then has failed or was forgotten.  */
-#define RES_ORDER_MAX_MS 30000
 /* Unloads wait for the runs under way.  */
 #define RES_UNLOAD_MS 50
 /* An adapter is loaded within 5 to 14 ms unless more than 32 are on their way
    from the store (SYSTEM); engines of these sheets need up to 9.7 and 14.  */
 #define RES_ADAPTER_MS 16
+/* A load that takes this many times as long as the configuration says shares
+   the weight store with too many; reports add 0.2 s to the 6 s and more.  */
+#define RES_STORE_SLOW 1.3
+#define RES_STORE_FAST 1.1
 /* Pause after an order that was refused or failed.  */
 #define RES_PAUSE_MS 250
 /* Room that was made for a model is kept for it this long.  */
@@ -300,12 +302,63 @@
   table->callbacks.order (table->arg, &order);
 }
 
+/* Return how many loads from the weight store are under way, or may be.  */
+uint32_t
+res_store_loads (struct res_table *table)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t count = 0;
+
+  g_hash_table_iter_init (&iter, table->engines);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct res_engine *engine = value;
+
+      /* An order in doubt, or of an earlier leader, may be such a load.  */
+      if (engine->phase == RES_FOREIGN
+          || (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
+              && (engine->from_store || engine->phase != RES_WORKING)))
+        count++;
+    }
+  return count;
+}
+
+/* A load from the weight store has ended: fewer at once if it took much longer
+   than one alone does, more if it did not although all places were taken.  */
+static void
+res_learn_store (struct res_table *table, const struct res_engine *engine)
+{
+  const struct flt_endpoint *endpoint = res_endpoint (table, engine);
+  const struct rte_service *service
+      = endpoint == NULL
+            ? NULL
+            : rte_service (table->config, endpoint->entry.service);
+  const struct rte_model *model
+      = service == NULL ? NULL : rte_model (service, engine->model);
+  double took_ms
+      = (double)(res_now (table) - engine->phase_us) / RES_US_PER_MS;
+
+  if (model == NULL || model->store_ms == 0)
+    return;
+  if (took_ms > model->store_ms * RES_STORE_SLOW
+      && table->store_max > RES_STORE_MIN)
+    table->store_max--;
+  else if (took_ms < model->store_ms * RES_STORE_FAST
+           && table->store_max < RES_STORE_MOST
+           && res_store_loads (table) >= table->store_max)
+    table->store_max++;
+}
+
 /* The order to ENGINE is carried out.  */
 static void
 res_done (struct res_table *table, struct res_engine *engine)
 {
   enum flt_news news = engine->kind == PRT_LOAD ? FLT_READY : FLT_GONE;
 
+  if (engine->kind == PRT_LOAD && engine->from_store
+      && engine->phase == RES_WORKING)
+    res_learn_store (table, engine);
   res_set_phase (table, engine, RES_IDLE);
   if (engine->kind == PRT_LOAD)
     {
@@ -588,9 +641,6 @@
     return;
   if (engine->phase == RES_WORKING && res_shows (engine, endpoint))
     res_done (table, engine);
-  else if (engine->phase != RES_FOREIGN
-           && now_us - engine->phase_us > RES_ORDER_MAX_MS * RES_US_PER_MS)
-    res_failed (table, engine);
   else if (!engine->refreshing && now_us >= engine->next_refresh_us)
     res_refresh (table, engine);
 }
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -6,6 +6,12 @@
 /* Shared by the res*.c files only.  */
 
 #define RES_US_PER_MS UINT64_C (1000)
+/* Loads from the weight store at once.  How many it serves at full speed is
+   not told (the sheets say 4 and 2); it slows all of them in proportion
+   beyond, so the number follows from how long loads take.  */
+#define RES_STORE_FIRST 4
+#define RES_STORE_MIN   2
+#define RES_STORE_MOST  8
 
 enum res_phase
 {
@@ -95,6 +101,7 @@
   GHashTable *items;     /* name -> struct res_item */
   GHashTable *instances; /* name -> struct res_instance */
   uint64_t next_order;
+  uint32_t store_max; /* loads from the weight store at once */
   uint64_t begun_us;
 };
 
@@ -125,6 +132,7 @@
 uint32_t res_adapters (struct res_table *table, struct flt_endpoint *endpoint);
 uint32_t res_load_ms (const struct flt_endpoint *endpoint,
                       const struct rte_model *model, bool *from_store);
+uint32_t res_store_loads (struct res_table *table);
 bool res_may_work (const struct res_table *table,
                    const struct flt_endpoint *endpoint);
 void res_engine_step (struct res_table *table, struct res_engine *engine);
--- a/regress/res_sim.c
+++ b/regress/res_sim.c
@@ -171,6 +171,8 @@
   engine->kind = order->kind;
   g_free (engine->model);
   engine->model = g_strdup (order->model);
+  if (needs_ms == RSM_STORE_MS)
+    needs_ms *= sim->store_slow;
   engine->end_us = now_us + needs_ms * RSM_US_PER_MS;
   return PRT_STARTED;
 }
@@ -468,6 +470,7 @@
   sim->engines = g_ptr_array_new ();
   sim->store_loads = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   sim->may_order = true;
+  sim->store_slow = 1;
   sim->fleet = flt_new (sim->tm);
   sim->res = res_new (sim->tm, sim->fleet, &rsm_callbacks, sim);
   res_configure (sim->res, sim->config);
--- a/regress/res_sim.h
+++ b/regress/res_sim.h
@@ -53,6 +53,7 @@
   struct res_table *res;
   GPtrArray *engines; /* struct rsm_engine */
   struct rsm_faults faults;
+  uint32_t store_slow; /* factor of load times from the weight store */
   struct tm_timer step;
   bool may_order;
   bool print;
