Pause watches by what they may miss

Store calls of a follower on the grown site were 2.0 a second: one of the watch of endpoints, up to one of the members' keys while instances are replaced. Members are watched with pauses of 4 s, endpoints with drain_ms less 1 s. The leader is still missed within 1.3 s by its beacon.

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -125,9 +125,9 @@
   gw->protocol = pf_protocol ();
   if (!gw_start_random (gw))
     return false;
-  gw->kv
-      = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
-                                   gw->settings->store_address, gw->random));
+  gw->kv = pf_store_kv (pf_store_new (
+      gw->client, gw->tm, gw->counters, gw->settings->store_address,
+      gw_fleet_pause_ms (gw->settings), gw->random));
   return true;
 }
 
--- a/cowslipcoved/gw_beacon.c
+++ b/cowslipcoved/gw_beacon.c
@@ -19,7 +19,7 @@
   if (gw->pace == pace)
     return;
   gw->pace = pace;
-  ldr_set_pace (gw->ldr, pace);
+  ldr_set_pace (gw->ldr, pace == KV_PROMPT ? KV_PROMPT : KV_RARE);
   kv_set_pace (&gw->kv, gw->config_watch, pace);
   kv_set_pace (&gw->kv, gw->fleet_watch, pace);
 }
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -9,10 +9,11 @@
 #define GW_FLEET_LAPSED_MS 2000
 /* The store counts as having been away this long after a failed call.  */
 #define GW_FLEET_AWAY_MS 4000
-/* Some endpoints leave by removing their entry and may get no request later
-   than drain_ms after it.  A relaxed watch needs up to 1 s to tell, and the
-   request some time to arrive.  */
-#define GW_FLEET_TOLD_MS 1400
+/* From an announcement at the store to the arrival of the last request that
+   was sent without knowledge of it, beside the pause of the watch.  */
+#define GW_FLEET_TOLD_MS 400
+/* Part of drain_ms that is not spent on the pause of a relaxed watch.  */
+#define GW_FLEET_KEPT_MS 1000
 
 static void gw_fleet_read (void *arg);
 
@@ -23,16 +24,27 @@
   gw_wake (gw);
 }
 
+/* Return how long a relaxed watch of the endpoints may pause: an endpoint that
+   leaves must get no request later than drain_ms after its announcement.  */
+uint32_t
+gw_fleet_pause_ms (const struct gws_settings *settings)
+{
+  return settings->drain_ms > GW_FLEET_KEPT_MS
+             ? settings->drain_ms - GW_FLEET_KEPT_MS
+             : settings->drain_ms / 2;
+}
+
 /* Return how long an endpoint without an entry is still used where no other
    can serve.  */
 static uint32_t
 gw_fleet_grace_ms (const struct gw *gw)
 {
   uint32_t drain_ms = gw->settings->drain_ms;
+  uint32_t told_ms = gw_fleet_pause_ms (gw->settings) + GW_FLEET_TOLD_MS;
 
   if (ldr_store_failed (gw->ldr, GW_FLEET_AWAY_MS))
     return GW_FLEET_LAPSED_MS;
-  return drain_ms > GW_FLEET_TOLD_MS ? drain_ms - GW_FLEET_TOLD_MS : 0;
+  return drain_ms > told_ms ? drain_ms - told_ms : 0;
 }
 
 static const char *
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -87,7 +87,8 @@
 enum kv_pace
 {
   KV_PROMPT,
-  KV_RELAXED /* somebody else will tell if this watch misses a change */
+  KV_RELAXED, /* somebody else will tell if this watch misses a change */
+  KV_RARE     /* and a change may be heard some seconds late */
 };
 
 struct kv_methods
--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -65,7 +65,7 @@
       g_snprintf (address, sizeof address, "127.0.0.1:%u",
                   wire_endpoint_port (peer));
       store = pf_store_new (client, clock_driver.service, counters, address,
-                            random);
+                            1000, random);
       kv = pf_store_kv (store);
     }
   for (size_t i = 0; i < count; i++)
