--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -10,6 +10,9 @@
    (SYSTEM: 1,460 tokens at 22 to 26 per ms), and each keeps the streams of the
    others waiting meanwhile.  */
 #define RES_REPLICA_RATE 2.5
+/* A replica that serves this many times that rate is full: callers wait for
+   seconds.  */
+#define RES_CROWDED 2.0
 /* What one request per second that an engine serves already counts against a
    further load there, in milliseconds.  */
 #define RES_CROWD_MS 250.0
@@ -446,12 +449,14 @@
 }
 
 /* Give models that are asked for often as many replicas as their rate needs,
-   the most crowded first.  */
+   the most crowded first, if each has more than EACH_MIN requests per
+   second.  */
 static void
-res_load_spares (struct res_table *table, const struct rte_service *service)
+res_load_spares (struct res_table *table, const struct rte_service *service,
+                 double each_min)
 {
   const struct rte_model *crowded = NULL;
-  double most = 0;
+  double most = each_min;
   struct res_choice choice;
 
   for (guint i = 0; i < service->models->len; i++)
@@ -498,11 +503,12 @@
       else if (choice.endpoint != NULL)
         res_reserve (table, model, &choice);
     }
+  /* On many engines some model is always cold; busy models whose engines are
+     full must not wait for that to end.  */
+  res_load_spares (table, service,
+                   cold == NULL ? 0 : RES_CROWDED * RES_REPLICA_RATE);
   if (cold == NULL)
-    {
-      res_load_spares (table, service);
-      res_load_ahead (table, service);
-    }
+    res_load_ahead (table, service);
   g_list_free (cold);
   res_repeat_news (table, service);
 }
