--- a/libcowslip/gws.c
+++ b/libcowslip/gws.c
@@ -9,26 +9,6 @@
 #define GWS_CORES_MAX         1024.0
 #define GWS_PERCENT           100.0
 
-static char *
-gws_address (struct jsn_reader *reader, const char *key)
-{
-  char *address = jsn_string (reader, key, true);
-
-  if (address != NULL && !jsn_is_address (address))
-    jsn_fail (reader, key, "not an IPv4 address and port");
-  return address;
-}
-
-static char *
-gws_name (struct jsn_reader *reader, const char *key)
-{
-  char *name = jsn_string (reader, key, true);
-
-  if (name != NULL && !jsn_is_name (name))
-    jsn_fail (reader, key, "not a valid name");
-  return name;
-}
-
 static uint32_t
 gws_count (struct jsn_reader *reader, const char *key, uint64_t max)
 {
@@ -47,13 +27,13 @@
 gws_read (struct jsn_reader *reader, struct gws_settings *settings)
 {
   (void)jsn_flag (reader, "gateway", false);
-  settings->instance = gws_name (reader, "instance");
-  settings->zone = gws_name (reader, "zone");
-  settings->caller_address = gws_address (reader, "caller_address");
-  settings->ready_address = gws_address (reader, "ready_address");
-  settings->peer_address = gws_address (reader, "peer_address");
-  settings->metrics_address = gws_address (reader, "metrics_address");
-  settings->store_address = gws_address (reader, "store_address");
+  settings->instance = jsn_name (reader, "instance");
+  settings->zone = jsn_name (reader, "zone");
+  settings->caller_address = jsn_address (reader, "caller_address", true);
+  settings->ready_address = jsn_address (reader, "ready_address", true);
+  settings->peer_address = jsn_address (reader, "peer_address", true);
+  settings->metrics_address = jsn_address (reader, "metrics_address", true);
+  settings->store_address = jsn_address (reader, "store_address", true);
   settings->grace_ms = gws_seconds_ms (reader, "grace_s");
   settings->orders_apart_ms
       = gws_count (reader, "orders_apart_ms", GWS_TIME_MAX_MS);
--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -252,3 +252,25 @@
 
   return adr_parse_peer (text, &unused);
 }
+
+/* Return a copy of the name at KEY, which is required, or NULL.  */
+char *
+jsn_name (struct jsn_reader *reader, const char *key)
+{
+  char *name = jsn_string (reader, key, true);
+
+  if (name != NULL && !jsn_is_name (name))
+    jsn_fail (reader, key, "not a valid name");
+  return name;
+}
+
+/* Return a copy of the address at KEY, or NULL.  */
+char *
+jsn_address (struct jsn_reader *reader, const char *key, bool required)
+{
+  char *address = jsn_string (reader, key, required);
+
+  if (address != NULL && !jsn_is_address (address))
+    jsn_fail (reader, key, "not an IPv4 address and port");
+  return address;
+}
--- a/libcowslip/jsn.h
+++ b/libcowslip/jsn.h
@@ -51,6 +51,8 @@
                      int32_t fallback);
 bool jsn_flag (struct jsn_reader *reader, const char *key, bool fallback);
 char *jsn_string (struct jsn_reader *reader, const char *key, bool required);
+char *jsn_name (struct jsn_reader *reader, const char *key);
+char *jsn_address (struct jsn_reader *reader, const char *key, bool required);
 void jsn_fail (struct jsn_reader *reader, const char *key, const char *format,
                ...) __attribute__ ((format (printf, 3, 4)));
 bool jsn_is_name (const char *text);
--- a/libcowslip/kv_etcd.c
+++ b/libcowslip/kv_etcd.c
@@ -1,7 +1,6 @@
 #include <string.h>
 
 #include "kv_etcd_impl.h"
-#include "lg.h"
 
 struct kv_etcd_call
 {
@@ -26,7 +25,7 @@
 
   kv->client = client;
   kv->tm = tm;
-  kv->counters = counters;
+  kv->note.counters = counters;
   kv->random = random;
   kv->address = g_strdup (address);
   kv->calls = g_ptr_array_new ();
@@ -87,23 +86,10 @@
 }
 
 static void
-kv_etcd_note (struct kv_etcd *kv, const struct http_answer *answer,
-              enum kv_outcome outcome)
-{
-  static const char *const names[]
-      = { [KV_OK] = "kv_calls_total{outcome=\"ok\"}",
-          [KV_CONFLICT] = "kv_calls_total{outcome=\"conflict\"}",
-          [KV_UNKNOWN] = "kv_calls_total{outcome=\"unknown\"}",
-          [KV_UNAVAILABLE] = "kv_calls_total{outcome=\"unavailable\"}" };
-  bool failed = outcome == KV_UNKNOWN || outcome == KV_UNAVAILABLE;
-
-  ctr_add (kv->counters, names[outcome], 1);
-  if (failed && !kv->failing)
-    lg_write (LG_KV_UNAVAILABLE, "address=%s http=%s status=%u", kv->address,
-              http_outcome_text (answer->outcome), answer->status);
-  if (!failed && kv->failing)
-    lg_write (LG_KV_AVAILABLE, "address=%s", kv->address);
-  kv->failing = failed;
+kv_etcd_note (struct kv_etcd *kv, enum kv_etcd_path path,
+              const struct http_answer *answer, enum kv_outcome outcome)
+{
+  kv_note (&kv->note, kv_etcd_path_text (path), answer, outcome);
   /* A break that no packet announces would leave a watch silent for ever; a
      call without an answer is the sign of one.  */
   if (answer->outcome == HTTP_TIMEOUT)
@@ -152,7 +138,7 @@
     }
   if (call->kv != NULL)
     {
-      kv_etcd_note (call->kv, answer, result.outcome);
+      kv_etcd_note (call->kv, call->path, answer, result.outcome);
       g_ptr_array_remove_fast (call->kv->calls, call);
       if (call->lease_done != NULL)
         call->lease_done (call->arg, result.outcome, lease);
--- a/libcowslip/kv_etcd_impl.h
+++ b/libcowslip/kv_etcd_impl.h
@@ -4,6 +4,7 @@
 #include "kv_backoff.h"
 #include "kv_etcd.h"
 #include "kv_etcd_json.h"
+#include "kv_note.h"
 
 /* Shared by the parts of the etcd client.  */
 
@@ -11,12 +12,11 @@
 {
   struct http_client *client;
   struct tm_service *tm;
-  struct ctr_set *counters;
   gsl_rng *random;
   char *address;
   GPtrArray *calls;   /* struct kv_etcd_call under way */
   GPtrArray *watches; /* struct kv_etcd_watch */
-  bool failing;       /* the last call was not answered */
+  struct kv_note note;
 };
 
 void kv_etcd_request (struct kv_etcd *kv, enum kv_etcd_path path,
--- /dev/null
+++ b/libcowslip/kv_note.c
@@ -0,0 +1,24 @@
+#include "kv_note.h"
+#include "lg.h"
+
+/* Note that CALL, a name for the log, was answered with ANSWER, which means
+   OUTCOME.  */
+void
+kv_note (struct kv_note *note, const char *call,
+         const struct http_answer *answer, enum kv_outcome outcome)
+{
+  static const char *const names[]
+      = { [KV_OK] = "kv_calls_total{outcome=\"ok\"}",
+          [KV_CONFLICT] = "kv_calls_total{outcome=\"conflict\"}",
+          [KV_UNKNOWN] = "kv_calls_total{outcome=\"unknown\"}",
+          [KV_UNAVAILABLE] = "kv_calls_total{outcome=\"unavailable\"}" };
+  bool failed = outcome == KV_UNKNOWN || outcome == KV_UNAVAILABLE;
+
+  ctr_add (note->counters, names[outcome], 1);
+  if (failed && !note->failing)
+    lg_write (LG_KV_UNAVAILABLE, "call=%s http=\"%s\" status=%u", call,
+              http_outcome_text (answer->outcome), answer->status);
+  if (!failed && note->failing)
+    lg_write (LG_KV_AVAILABLE, "call=%s", call);
+  note->failing = failed;
+}
--- a/libcowslip/set.c
+++ b/libcowslip/set.c
@@ -46,26 +46,6 @@
   return secret;
 }
 
-static char *
-set_name (struct jsn_reader *reader, const char *key)
-{
-  char *name = jsn_string (reader, key, true);
-
-  if (name != NULL && !jsn_is_name (name))
-    jsn_fail (reader, key, "not a valid name");
-  return name;
-}
-
-static char *
-set_address (struct jsn_reader *reader, const char *key, bool required)
-{
-  char *address = jsn_string (reader, key, required);
-
-  if (address != NULL && !jsn_is_address (address))
-    jsn_fail (reader, key, "not an IPv4 address and port");
-  return address;
-}
-
 static GPtrArray *
 set_peers (struct jsn_reader *reader)
 {
@@ -113,15 +93,15 @@
 {
   size_t token_bytes = 0;
 
-  settings->instance = set_name (reader, "instance");
-  settings->zone = set_name (reader, "zone");
-  settings->region = set_name (reader, "region");
-  settings->environment = set_name (reader, "environment");
-  settings->http_address = set_address (reader, "http_address", true);
-  settings->rpc_address = set_address (reader, "rpc_address", true);
-  settings->kv_address = set_address (reader, "kv_address", true);
+  settings->instance = jsn_name (reader, "instance");
+  settings->zone = jsn_name (reader, "zone");
+  settings->region = jsn_name (reader, "region");
+  settings->environment = jsn_name (reader, "environment");
+  settings->http_address = jsn_address (reader, "http_address", true);
+  settings->rpc_address = jsn_address (reader, "rpc_address", true);
+  settings->kv_address = jsn_address (reader, "kv_address", true);
   settings->instance_list_address
-      = set_address (reader, "instance_list_address", false);
+      = jsn_address (reader, "instance_list_address", false);
   settings->peers = set_peers (reader);
   settings->peer_key
       = set_secret (reader, "peer_key_file", file, SET_KEY_MIN_BYTES,
