--- a/cowslipcoved/gw_beacon.c
+++ b/cowslipcoved/gw_beacon.c
@@ -1,4 +1,5 @@
 #include "gw_impl.h"
+#include "lg.h"
 
 /* The leader follows the store promptly and tells the others that it lives and
    which configuration it knows.  They let the store keep their watches waiting
@@ -9,6 +10,9 @@
    itself.  With the prompt watch's wait, a change that is missed with the
    leader is heard within the 2 s in which it must be in force.  */
 #define GW_BEACON_LOST_MS 1300
+/* The same for the watch of the endpoints.  A new leader is heard within 3 s
+   of the end of the last one.  */
+#define GW_FLEET_LOST_MS 4000
 /* The watch brings a new configuration at about the time of the beacon; one
    that is still missing after this is read.  */
 #define GW_BEHIND_MS 150
@@ -19,8 +23,25 @@
   if (gw->pace == pace)
     return;
   gw->pace = pace;
+  lg_write (pace == KV_PROMPT ? LG_BEACON_LOST : LG_BEACON_HEARD,
+            "leader=%s age_ms=%" G_GUINT64_FORMAT,
+            ldr_leader (gw->ldr) == NULL ? "-" : ldr_leader (gw->ldr),
+            gw->beacon_us == 0
+                ? 0
+                : (tm_now_us (gw->tm) - gw->beacon_us) / GW_US_PER_MS);
   ldr_set_pace (gw->ldr, pace == KV_PROMPT ? KV_PROMPT : KV_RARE);
   kv_set_pace (&gw->kv, gw->config_watch, pace);
+}
+
+/* The endpoints change their entries all the time, so their watch costs most.
+   Only the leader, which decides by it, follows it promptly, and an instance
+   that has not heard a leader for so long that its connection may be dead.  */
+static void
+gw_set_fleet_pace (struct gw *gw, enum kv_pace pace)
+{
+  if (gw->fleet_pace == pace)
+    return;
+  gw->fleet_pace = pace;
   kv_set_pace (&gw->kv, gw->fleet_watch, pace);
 }
 
@@ -37,10 +58,14 @@
             gw_beacon_due, gw);
   if (leads)
     gw_peers_beacon (gw, &beacon);
-  gw_set_pace (gw, leads || gw->beacon_us == 0
-                           || silent_us > GW_BEACON_LOST_MS * GW_US_PER_MS
+  if (gw->beacon_us == 0)
+    silent_us = UINT64_MAX;
+  gw_set_pace (gw, leads || silent_us > GW_BEACON_LOST_MS * GW_US_PER_MS
                        ? KV_PROMPT
                        : KV_RELAXED);
+  gw_set_fleet_pace (gw, leads || silent_us > GW_FLEET_LOST_MS * GW_US_PER_MS
+                             ? KV_PROMPT
+                             : KV_RELAXED);
 }
 
 /* The leader sent BEACON.  */
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -134,7 +134,7 @@
   gw->fleet_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
       gw_fleet_on_change, gw_fleet_watch_ended, gw);
-  kv_set_pace (&gw->kv, gw->fleet_watch, gw->pace);
+  kv_set_pace (&gw->kv, gw->fleet_watch, gw->fleet_pace);
   gw_fleet_changed (gw);
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -53,6 +53,7 @@
   void *config_watch; /* NULL: being read anew */
   void *fleet_watch;
   enum kv_pace pace;
+  enum kv_pace fleet_pace;
   uint64_t beacon_us; /* last sign of the leader */
   uint64_t behind_us; /* since when it knows a newer configuration; 0: not */
   struct rbg_budgets *budgets;
