--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -11,7 +11,7 @@
 #define GW_FLEET_AWAY_MS 4000
 /* From an announcement at the store to the arrival of the last request that
    was sent without knowledge of it, beside the pause of the watch.  */
-#define GW_FLEET_TOLD_MS 400
+#define GW_FLEET_TOLD_MS 800
 /* Part of drain_ms that is not spent on the pause of a relaxed watch.  */
 #define GW_FLEET_KEPT_MS 1000
 
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -480,6 +480,31 @@
     res_carry_out (table, crowded, &choice, "asked for often");
 }
 
+/* Return whether more than half of the engines of SERVICE can take an order.
+   Where there are few engines, those that are idle are soon needed for a model
+   that somebody waits for.  */
+static bool
+res_has_idle_half (struct res_table *table, const struct rte_service *service)
+{
+  GPtrArray *all = flt_all (table->fleet);
+  uint32_t engines = 0;
+  uint32_t idle = 0;
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
+      const struct res_engine *engine;
+
+      if (!res_serves (table, service, endpoint))
+        continue;
+      engine = res_engine (table, endpoint);
+      engines++;
+      if (engine->phase == RES_IDLE && engine->reserved == NULL)
+        idle++;
+    }
+  return idle * 2 > engines;
+}
+
 /* Order the loads of models of SERVICE.  Requests that wait come first, the
    most urgent model first, each on the engine where it is soonest ready, which
    is kept for it if it is busy; the weight store, which is the scarcest, is
@@ -505,8 +530,9 @@
     }
   /* On many engines some model is always cold; busy models whose engines are
      full must not wait for that to end.  */
-  res_load_spares (table, service,
-                   cold == NULL ? 0 : RES_CROWDED * RES_REPLICA_RATE);
+  if (cold == NULL || res_has_idle_half (table, service))
+    res_load_spares (table, service,
+                     cold == NULL ? 0 : RES_CROWDED * RES_REPLICA_RATE);
   if (cold == NULL)
     res_load_ahead (table, service);
   g_list_free (cold);
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -61,19 +61,27 @@
 
   CU_ASSERT_PTR_NULL (failure);
   CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  if (config == NULL)
+    return;
   CU_ASSERT_EQUAL (config->version, 9);
   CU_ASSERT_EQUAL (config->idle_timeout_ms, 400);
   route = rte_match (config, "h", "/p/x");
   CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  if (route == NULL)
+    return;
   CU_ASSERT_EQUAL (route->kind, RTE_STREAM);
   CU_ASSERT_TRUE (rte_may_repeat (route));
   CU_ASSERT_EQUAL (route->attempts_max, 3);
   CU_ASSERT_EQUAL (route->targets->len, 2);
   service = rte_service (config, "a");
   CU_ASSERT_PTR_NOT_NULL_FATAL (service);
+  if (service == NULL)
+    return;
   CU_ASSERT_EQUAL (service->adapter_slots, 8);
   model = rte_model (service, "m");
   CU_ASSERT_PTR_NOT_NULL_FATAL (model);
+  if (model == NULL)
+    return;
   /* Sizes are rounded up, so that no memory is counted twice.  */
   CU_ASSERT_EQUAL (model->weights_mb, 65100);
   CU_ASSERT_EQUAL (model->store_ms, 6000);
@@ -108,6 +116,8 @@
 
       CU_ASSERT_PTR_NULL (read_config (cases[i].text, &failure));
       CU_ASSERT_PTR_NOT_NULL_FATAL (failure);
+      if (failure == NULL)
+        return;
       CU_ASSERT_PTR_NOT_NULL (strstr (failure, cases[i].failure));
       g_free (failure);
     }
@@ -125,6 +135,8 @@
       &failure);
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (config);
+  if (config == NULL)
+    return;
   CU_ASSERT_FALSE (rte_may_repeat (rte_match (config, "h", "/p/")));
   rte_config_unref (config);
 }
@@ -166,6 +178,8 @@
                                     "\"OnDisk\":[\"m\",\"n\"]}"));
 
   CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  if (entry == NULL)
+    return;
   CU_ASSERT_EQUAL (entry->started_ms, 12);
   CU_ASSERT_EQUAL (entry->weights.orders, 0);
   CU_ASSERT_EQUAL (entry->weights.on_disk->len, 2);
@@ -174,6 +188,8 @@
   flt_entry_free (entry);
   entry = read_entry (ENTRY ("draining", ",\"RemainingMs\":1600"));
   CU_ASSERT_PTR_NOT_NULL_FATAL (entry);
+  if (entry == NULL)
+    return;
   CU_ASSERT_TRUE (entry->leaving);
   CU_ASSERT_EQUAL (entry->leaves_in_ms, 1600);
   flt_entry_free (entry);
--- a/regress/res_sim.c
+++ b/regress/res_sim.c
@@ -42,12 +42,14 @@
   message->sim = sim;
   message->engine = g_strdup (engine);
   message->term = sim->term;
+  g_hash_table_add (sim->messages, message);
   return message;
 }
 
 static void
 rsm_message_free (struct rsm_message *message)
 {
+  g_hash_table_remove (message->sim->messages, message);
   g_free (message->engine);
   g_free (message->model);
   g_free (message->adapter);
@@ -417,6 +419,7 @@
       entry->leaving = engine->leaving;
       flt_weights_clear (&entry->weights);
       entry->weights = message->weights;
+      message->weights = (struct flt_weights){ 0 };
       flt_announced (sim->fleet, entry);
     }
   else
@@ -451,6 +454,44 @@
   res_step (sim->res);
 }
 
+static void
+rsm_engine_free (gpointer data)
+{
+  struct rsm_engine *engine = data;
+
+  for (guint i = 0; i < engine->incoming->len; i++)
+    {
+      struct rsm_incoming *incoming
+          = &g_array_index (engine->incoming, struct rsm_incoming, i);
+
+      g_free (incoming->model);
+      g_free (incoming->adapter);
+    }
+  g_array_free (engine->incoming, TRUE);
+  flt_weights_clear (&engine->held);
+  g_free (engine->name);
+  g_free (engine->zone);
+  g_free (engine->model);
+  g_free (engine);
+}
+
+static void
+rsm_free_messages (struct rsm *sim)
+{
+  GList *all = g_hash_table_get_keys (sim->messages);
+
+  for (GList *item = all; item != NULL; item = item->next)
+    {
+      struct rsm_message *message = item->data;
+
+      if (message->weights.models != NULL)
+        flt_weights_clear (&message->weights);
+      rsm_message_free (message);
+    }
+  g_list_free (all);
+  g_hash_table_destroy (sim->messages);
+}
+
 /* Return engines of WEIGHTS_MB and ADAPTER_SLOTS each, none yet.  */
 struct rsm *
 rsm_new (uint64_t seed, uint32_t weights_mb, uint32_t adapter_slots)
@@ -467,7 +508,8 @@
   sim->service->weights_mb = weights_mb;
   sim->service->adapter_slots = adapter_slots;
   g_ptr_array_add (sim->config->services, sim->service);
-  sim->engines = g_ptr_array_new ();
+  sim->engines = g_ptr_array_new_with_free_func (rsm_engine_free);
+  sim->messages = g_hash_table_new (g_direct_hash, g_direct_equal);
   sim->store_loads = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   sim->may_order = true;
   sim->store_slow = 1;
@@ -479,11 +521,13 @@
   return sim;
 }
 
-/* Free SIM.  What is still on its way is left to the end of the process.  */
+/* Free SIM and what is still on its way.  */
 void
 rsm_free (struct rsm *sim)
 {
   res_free (sim->res);
+  rsm_free_messages (sim);
+  g_ptr_array_free (sim->engines, TRUE);
   flt_free (sim->fleet);
   rte_config_unref (sim->config);
   gsl_rng_free (sim->random);
@@ -563,6 +607,14 @@
   engine->busy = false;
   g_ptr_array_set_size (engine->held.models, 0);
   g_ptr_array_set_size (engine->held.in_memory, 0);
+  for (guint i = 0; i < engine->incoming->len; i++)
+    {
+      struct rsm_incoming *incoming
+          = &g_array_index (engine->incoming, struct rsm_incoming, i);
+
+      g_free (incoming->model);
+      g_free (incoming->adapter);
+    }
   g_array_set_size (engine->incoming, 0);
   rsm_announce (sim, engine);
 }
--- a/regress/res_sim.h
+++ b/regress/res_sim.h
@@ -55,6 +55,7 @@
   struct rsm_faults faults;
   uint32_t store_slow; /* factor of load times from the weight store */
   struct tm_timer step;
+  GHashTable *messages; /* set of messages on their way */
   bool may_order;
   bool print;
   uint32_t term; /* of the leader; answers of earlier terms are dropped */
