Let the leader read its own record

The store drops a leader's record and still renews its lease (revoke); the old leader trusted the renewals and had not heard of the removal. It now reads its record each 0.3 s and orders for 0.9 s after a read that found it. ldr/removed fails on the code before: both instances may order.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -206,7 +206,7 @@
     ldr->failed_us = tm_now_us (ldr->config.tm);
   if (lease != ldr->lease)
     return;
-  if (outcome == KV_OK)
+  if (outcome == KV_OK && !ldr->leading)
     ldr->safe_us = ldr->renew_us + LDR_SAFE_MS * LDR_US_PER_MS;
   else if (outcome == KV_CONFLICT)
     {
@@ -216,6 +216,41 @@
     }
 }
 
+static void
+ldr_checked (void *arg, const struct kv_result *result)
+{
+  struct ldr *ldr = arg;
+
+  if (!ldr_call_ended (ldr))
+    return;
+  ldr->checking = false;
+  if (!ldr->leading || result->outcome != KV_OK)
+    return;
+  if (result->pair_count > 0
+      && (uint64_t)result->pairs[0].revision == ldr->fence)
+    {
+      ldr->safe_us = ldr->check_us + LDR_SAFE_MS * LDR_US_PER_MS;
+      return;
+    }
+  /* The record is gone or another instance's, whatever the lease says.  */
+  ldr_table_apply (ldr, ldr_leader_key, NULL, 0, result->revision, 0);
+  ldr_evaluate (ldr);
+}
+
+/* The leader reads its own record: the store may remove it and still renew the
+   lease.  */
+static void
+ldr_check_record (struct ldr *ldr, uint64_t now_us)
+{
+  if (!ldr->leading || ldr->checking || now_us < ldr->next_check_us)
+    return;
+  ldr->checking = true;
+  ldr->check_us = now_us;
+  ldr->next_check_us = now_us + LDR_CHECK_MS * LDR_US_PER_MS;
+  ldr->calls++;
+  kv_get (&ldr->config.kv, ldr_leader_key, ldr_checked, ldr);
+}
+
 static void
 ldr_keep_lease (struct ldr *ldr, uint64_t now_us)
 {
@@ -233,10 +268,7 @@
     {
       ldr->renewing = true;
       ldr->renew_us = now_us;
-      ldr->next_renew_us
-          = now_us
-            + (ldr->leading ? LDR_LEADER_RENEW_MS : LDR_RENEW_MS)
-                  * LDR_US_PER_MS;
+      ldr->next_renew_us = now_us + LDR_RENEW_MS * LDR_US_PER_MS;
       ldr->calls++;
       ldr->config.kv.methods->lease_renew (ldr->config.kv.context, ldr->lease,
                                            ldr_renewed, ldr);
@@ -254,6 +286,7 @@
   if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_us)
     ldr_read (ldr);
   ldr_keep_lease (ldr, now_us);
+  ldr_check_record (ldr, now_us);
   ldr_write_due (ldr);
 }
 
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -16,15 +16,15 @@
 
 #define LDR_KEY_BYTES 32
 
-/* The lease is renewed this often, by the leader and by others, and lasts this
-   long at the store.  Three renewals may fail before others take over.  */
-#define LDR_LEADER_RENEW_MS 300
-#define LDR_RENEW_MS        600
-#define LDR_TTL_S           2
-/* Orders are sent only this long after a renewal that succeeded was sent.  The
-   store may drop a lease early without a word, so a successor counts this time
-   from its own election.  */
-#define LDR_SAFE_MS 900
+/* The lease is renewed this often and lasts this long at the store.  Three
+   renewals may fail before others take over.  */
+#define LDR_RENEW_MS 600
+#define LDR_TTL_S    2
+/* The leader reads its record this often, and sends orders only this long
+   after a read that found it was sent.  A successor counts that time from its
+   own election.  */
+#define LDR_CHECK_MS 300
+#define LDR_SAFE_MS  900
 
 struct ldr_member
 {
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -49,6 +49,9 @@
   bool renewing;
   bool writing;
   uint64_t renew_us; /* when the renewal under way was sent */
+  bool checking;     /* the leader's record is being read */
+  uint64_t check_us; /* when that read was sent */
+  uint64_t next_check_us;
   uint64_t next_renew_us;
   uint64_t retry_us;  /* no grant, read or write before */
   uint64_t safe_us;   /* the lease is safe until then */
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -8,7 +8,9 @@
 /* Runs the election from commands, one a line:
      start I | kill I | resign I   instance I, 1 to 4
      cut I | heal I                from the store
+     deaf I                        the watches of I tell nothing
      expire I                      the store drops the lease of I early
+     remove                        the store drops the leader's record only
      advance MS
      may                           who may order engines
      members                       as the first running instance sees them  */
@@ -25,6 +27,10 @@
   uint64_t incarnation;
   int64_t lease;
   bool cut;
+  bool deaf;
+  kv_changed changed; /* of the election */
+  kv_watch_ended ended;
+  void *arg;
 };
 
 static struct tm_service *tm;
@@ -75,12 +81,34 @@
   base.methods->lease_revoke (base.context, lease);
 }
 
+static void
+script_changed (void *arg, const struct kv_change *change)
+{
+  struct instance *instance = arg;
+
+  if (!instance->deaf)
+    instance->changed (instance->arg, change);
+}
+
+static void
+script_ended (void *arg)
+{
+  struct instance *instance = arg;
+
+  instance->ended (instance->arg);
+}
+
 static void *
 script_watch (void *context, const char *prefix, int64_t from,
               kv_changed changed, kv_watch_ended ended, void *arg)
 {
-  (void)context;
-  return base.methods->watch (base.context, prefix, from, changed, ended, arg);
+  struct instance *instance = context;
+
+  instance->changed = changed;
+  instance->ended = ended;
+  instance->arg = arg;
+  return base.methods->watch (base.context, prefix, from, script_changed,
+                              script_ended, instance);
 }
 
 static void
@@ -101,6 +129,22 @@
           instance->name, what);
 }
 
+static void
+on_removed (void *arg, const struct kv_result *result)
+{
+  (void)arg;
+  (void)result;
+}
+
+static void
+remove_record (void)
+{
+  struct kv_op op = { .kind = KV_DELETE, .key = "cowslip/leader" };
+  struct kv_txn txn = { .then_ops = &op, .then_count = 1 };
+
+  base.methods->txn (base.context, &txn, on_removed, NULL);
+}
+
 static void
 on_gained (void *arg, uint64_t fence)
 {
@@ -188,6 +232,8 @@
     }
   else if (strcmp (command, "resign") == 0)
     ldr_resign (instance->ldr);
+  else if (strcmp (command, "deaf") == 0)
+    instance->deaf = true;
   else if (strcmp (command, "expire") == 0)
     fake_kv_expire (store, instance->lease);
   else
@@ -205,6 +251,8 @@
   printf ("> %s", line);
   if (strcmp (command, "advance") == 0)
     tm_advance (tm, tm_now_us (tm) + strtoull (word, NULL, 10) * US_PER_MS);
+  else if (strcmp (command, "remove") == 0)
+    remove_record ();
   else if (strcmp (command, "may") == 0)
     print_rights ();
   else if (strcmp (command, "members") == 0)
