Remove state that nothing reads

The read of the whole change found a count of open connections per peer, a fact of waiting that no decision uses, a wrapper of gw_wake and a print switch of a test's simulation.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -17,13 +17,6 @@
 
 static void gw_fleet_read (void *arg);
 
-/* The fleet has changed: requests that wait may have an endpoint now.  */
-void
-gw_fleet_changed (struct gw *gw)
-{
-  gw_wake (gw);
-}
-
 /* Return how long a relaxed watch of the endpoints may pause: an endpoint that
    leaves must get no request later than drain_ms after its announcement.  */
 uint32_t
@@ -101,7 +94,7 @@
       flt_withdrawn (gw->fleet, gw_fleet_id (gw, change->key),
                      gw_fleet_grace_ms (gw));
     }
-  gw_fleet_changed (gw);
+  gw_wake (gw);
 }
 
 static void
@@ -135,7 +128,7 @@
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
       gw_fleet_on_change, gw_fleet_watch_ended, gw);
   kv_set_pace (&gw->kv, gw->fleet_watch, gw->fleet_pace);
-  gw_fleet_changed (gw);
+  gw_wake (gw);
 }
 
 static void
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -146,7 +146,6 @@
 /* gw_fleet.c */
 void gw_fleet_start (struct gw *gw);
 uint32_t gw_fleet_pause_ms (const struct gws_settings *settings);
-void gw_fleet_changed (struct gw *gw);
 
 /* gw_request.c */
 void gw_on_request (void *arg, struct h1_exchange *exchange);
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -148,7 +148,7 @@
   res_refreshed (gw->res, call->endpoint, good);
   gw_engine_call_free (call);
   gw_lead_step (gw);
-  gw_fleet_changed (gw);
+  gw_wake (gw);
 }
 
 static void
@@ -211,7 +211,7 @@
             news->endpoint, news->news, news->model, news->adapter);
   flt_told_news (gw->fleet, endpoint, (enum flt_news)news->news, news->model,
                  news->adapter[0] == '\0' ? NULL : news->adapter);
-  gw_fleet_changed (gw);
+  gw_wake (gw);
 }
 
 /* INSTANCE reports what its callers ask for.  */
--- a/cowslipcoved/gw_wait.c
+++ b/cowslipcoved/gw_wait.c
@@ -21,7 +21,6 @@
   uint64_t now_us = tm_now_us (gw->tm);
   struct wtq_facts facts = {
     .cold = request->model != NULL,
-    .leader = ldr_leader (gw->ldr) != NULL,
     .stream = request->route->kind == RTE_STREAM,
     .target_ms = request->route->target_ms,
     .gap_ms = request->route->gap_ms,
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -22,7 +22,6 @@
   uv_loop_t *loop;
   struct tm_service *tm;
   GHashTable *idle; /* peer -> GQueue of struct h1_channel, newest first */
-  GHashTable *open; /* peer -> number of connections (uint32_t) */
   uint64_t connects;
 };
 
@@ -73,7 +72,6 @@
   pool->tm = tm;
   pool->idle
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, h1_queue_free);
-  pool->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return pool;
 }
 
@@ -90,28 +88,6 @@
   return queue;
 }
 
-static void
-h1_pool_opened (struct h1_pool *pool, const char *peer)
-{
-  uint32_t *count = g_hash_table_lookup (pool->open, peer);
-
-  if (count == NULL)
-    {
-      count = g_new0 (uint32_t, 1);
-      g_hash_table_insert (pool->open, g_strdup (peer), count);
-    }
-  (*count)++;
-}
-
-static void
-h1_pool_closed (struct h1_pool *pool, const char *peer)
-{
-  uint32_t *count = g_hash_table_lookup (pool->open, peer);
-
-  if (--*count == 0)
-    g_hash_table_remove (pool->open, peer);
-}
-
 static void
 h1_channel_free (struct h1_channel *channel)
 {
@@ -122,7 +98,6 @@
   tm_cancel (pool->tm, &channel->timer);
   if (channel->call == NULL && !channel->cancelled)
     g_queue_remove (h1_pool_queue (pool, channel->peer), channel);
-  h1_pool_closed (pool, channel->peer);
   h1_parser_clear (&channel->parser);
   g_free (channel->peer);
   g_free (channel);
@@ -155,19 +130,9 @@
     }
   g_list_free (peers);
   g_hash_table_destroy (pool->idle);
-  g_hash_table_destroy (pool->open);
   g_free (pool);
 }
 
-/* Return how many connections to PEER are open, idle ones included.  */
-uint32_t
-h1_pool_open (const struct h1_pool *pool, const char *peer)
-{
-  const uint32_t *count = g_hash_table_lookup (pool->open, peer);
-
-  return count == NULL ? 0 : *count;
-}
-
 /* Return how many connections were opened since the start.  */
 uint64_t
 h1_pool_connects (const struct h1_pool *pool)
@@ -421,7 +386,6 @@
   channel->peer = g_strdup (request->peer);
   h1_parser_init (&channel->parser, HTTP_RESPONSE, H1_ANSWER_HEAD_MAX_BYTES,
                   &h1_channel_parser_events, channel);
-  h1_pool_opened (pool, channel->peer);
   pool->connects++;
   return channel;
 }
--- a/libcowslip/wtq.h
+++ b/libcowslip/wtq.h
@@ -10,7 +10,6 @@
 {
   bool cold;          /* it needs a model or adapter that is to be loaded */
   bool known_model;   /* the configuration names the model */
-  bool leader;        /* some instance can order engines */
   bool stream;        /* the answer is a stream of events */
   uint32_t target_ms; /* latency objective */
   uint32_t gap_ms;    /* longest pause between events; 0: no bound */
--- a/regress/res_sim.c
+++ b/regress/res_sim.c
@@ -297,12 +297,6 @@
   const struct flt_endpoint *endpoint = flt_find (sim->fleet, order->endpoint);
   struct rsm_message *message = rsm_message_new (sim, order->endpoint);
 
-  if (sim->print)
-    printf ("%" G_GUINT64_FORMAT " ms: %s %s %s%s%s (%s)\n",
-            rsm_now (sim) / RSM_US_PER_MS, order->endpoint,
-            order->kind == PRT_LOAD ? "load" : "unload", order->model,
-            order->adapter == NULL ? "" : "/",
-            order->adapter == NULL ? "" : order->adapter, order->reason);
   message->order = order->id;
   message->started_ms = endpoint->entry.started_ms;
   message->kind = order->kind;
--- a/regress/res_sim.h
+++ b/regress/res_sim.h
@@ -57,7 +57,6 @@
   struct tm_timer step;
   GHashTable *messages; /* set of messages on their way */
   bool may_order;
-  bool print;
   uint32_t term; /* of the leader; answers of earlier terms are dropped */
   /* What must stay 0.  */
   uint32_t over_limit;
