Keep endpoints without an entry only when most entries are gone

Cause: for 4 s after a failed call to the store every removed entry counted as lapsed with an outage, so its endpoint stayed in use for 2 s more where no other had the model. Ruled out: the pause of the relaxed watch (at most 1 s) and the list read.

Change: entries that an outage ended lapse together, so the longer time is given only when more than half of the endpoints are without an entry. Test: flt_test 'lapsed'.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -35,11 +35,21 @@
   uint32_t drain_ms = gw->settings->drain_ms;
   uint32_t told_ms = gw_fleet_pause_ms (gw->settings) + GW_FLEET_TOLD_MS;
 
-  if (ldr_store_failed (gw->ldr, GW_FLEET_AWAY_MS))
-    return GW_FLEET_LAPSED_MS;
   return drain_ms > told_ms ? drain_ms - told_ms : 0;
 }
 
+/* Entries were removed.  Only after an outage, and if most of them are gone,
+   do they count as lapsed: an endpoint that leaves just after the outage must
+   get no more requests.  */
+static void
+gw_fleet_keep_lapsed (struct gw *gw)
+{
+  if (ldr_store_failed (gw->ldr, GW_FLEET_AWAY_MS)
+      && flt_keep_lapsed (gw->fleet, GW_FLEET_LAPSED_MS))
+    lg_write (LG_ENTRIES_LAPSED, "endpoints=%u kept_ms=%u",
+              flt_all (gw->fleet)->len, GW_FLEET_LAPSED_MS);
+}
+
 static const char *
 gw_fleet_id (const struct gw *gw, const char *key)
 {
@@ -93,6 +103,7 @@
                 gw_fleet_id (gw, change->key), change->revision);
       flt_withdrawn (gw->fleet, gw_fleet_id (gw, change->key),
                      gw_fleet_grace_ms (gw));
+      gw_fleet_keep_lapsed (gw);
     }
   gw_wake (gw);
 }
@@ -123,6 +134,7 @@
                         result->pairs[i].value_bytes,
                         result->pairs[i].revision);
   flt_list_end (gw->fleet, gw_fleet_grace_ms (gw));
+  gw_fleet_keep_lapsed (gw);
   gw->fleet_known = true;
   gw->fleet_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -334,8 +334,7 @@
 }
 
 /* The entry of ID was removed.  The endpoint may be used for GRACE_MS more
-   where no other can serve: after an outage of the store entries that lapsed
-   are announced again.  */
+   where no other can serve.  */
 void
 flt_withdrawn (struct flt_fleet *fleet, const char *id, uint32_t grace_ms)
 {
@@ -347,6 +346,35 @@
   endpoint->gone_us = tm_now_us (fleet->tm) + grace_ms * FLT_US_PER_MS;
 }
 
+/* Entries that an outage of the store ended lapse together; an endpoint that
+   leaves removes its own.  If more than half of the endpoints are without
+   their entries, let them all be used for GRACE_MS more where no other can
+   serve.  Return whether that is so.  */
+bool
+flt_keep_lapsed (struct flt_fleet *fleet, uint32_t grace_ms)
+{
+  uint64_t gone_us = tm_now_us (fleet->tm) + grace_ms * FLT_US_PER_MS;
+  guint withdrawn = 0;
+
+  for (guint i = 0; i < fleet->all->len; i++)
+    {
+      const struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
+
+      if (endpoint->gone_us != 0)
+        withdrawn++;
+    }
+  if (withdrawn * 2 <= fleet->all->len)
+    return false;
+  for (guint i = 0; i < fleet->all->len; i++)
+    {
+      struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
+
+      if (endpoint->gone_us != 0 && !endpoint->gone)
+        endpoint->gone_us = MAX (endpoint->gone_us, gone_us);
+    }
+  return true;
+}
+
 /* A whole list of announcements follows.  */
 void
 flt_list_begin (struct flt_fleet *fleet)
@@ -355,9 +383,8 @@
     ((struct flt_endpoint *)g_ptr_array_index (fleet->all, i))->listed = false;
 }
 
-/* The list has ended.  Endpoints that it did not name count as there for
-   GRACE_MS more, because a store that comes back after an outage has lost
-   entries that are announced again.  */
+/* The list has ended.  Endpoints that it did not name may be used for GRACE_MS
+   more where no other can serve.  */
 void
 flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms)
 {
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -100,6 +100,7 @@
                                     struct flt_entry *entry);
 void flt_withdrawn (struct flt_fleet *fleet, const char *id,
                     uint32_t grace_ms);
+bool flt_keep_lapsed (struct flt_fleet *fleet, uint32_t grace_ms);
 void flt_list_begin (struct flt_fleet *fleet);
 void flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms);
 void flt_sweep (struct flt_fleet *fleet);
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -76,6 +76,30 @@
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
 }
 
+/* Guards against requests to an endpoint that leaves just after an outage of
+   the store (hunt, DRAIN on scale-2), and against the loss of all endpoints
+   whose entries lapsed with the outage.  */
+static void
+test_lapsed (void)
+{
+  reset ();
+  (void)announce ("e1", "z1", NULL, 1);
+  (void)announce ("e2", "z1", NULL, 1);
+  (void)announce ("e3", "z1", NULL, 1);
+  flt_withdrawn (fleet, "e1", 200);
+  CU_ASSERT_FALSE (flt_keep_lapsed (fleet, 2000));
+  pass (200);
+  CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
+  flt_withdrawn (fleet, "e2", 200);
+  CU_ASSERT_FALSE (flt_keep_lapsed (fleet, 2000));
+  flt_withdrawn (fleet, "e3", 200);
+  CU_ASSERT_TRUE (flt_keep_lapsed (fleet, 2000));
+  pass (1900);
+  CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
+  pass (100);
+  CU_ASSERT_EQUAL (flt_all (fleet)->len, 0);
+}
+
 /* Guards against endpoints that are lost with a list read after an outage, and
    against endpoints that stay for ever.  */
 static void
@@ -170,10 +194,13 @@
 int
 main (void)
 {
-  static const struct unit_test tests[]
-      = { { "withdrawn", test_withdrawn }, { "list", test_list },
-          { "news", test_news },           { "lacks", test_lacks },
-          { "choice", test_choice },       { NULL, NULL } };
+  static const struct unit_test tests[] = { { "withdrawn", test_withdrawn },
+                                            { "lapsed", test_lapsed },
+                                            { "list", test_list },
+                                            { "news", test_news },
+                                            { "lacks", test_lacks },
+                                            { "choice", test_choice },
+                                            { NULL, NULL } };
 
   return unit_main ("flt", tests);
 }
