--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -298,6 +298,34 @@
   run_until (&heard.ended, 1);
 }
 
+/* Guards against a watch that stays silent for up to 25 s after an outage: the
+   connection of its call died with the store (DRAIN on rejoin).  */
+static void
+test_watch_after_outage (void)
+{
+  static const struct answer scripts[]
+      = { { 200, "{\"events\":[],\"CurrentRev\":5}" },
+          { SILENT, NULL },
+          { 503, "{}" },
+          { 200, "{\"Lease\":77,\"TtlMs\":2000}" },
+          { 200, EVENT },
+          { 410, "{}" } };
+  void *watch;
+
+  play (scripts, 6);
+  watch = kv.methods->watch (kv.context, "k", 5, on_change, on_ended, NULL);
+  kv_set_pace (&kv, watch, KV_RELAXED);
+  while (wire_endpoint_requests (peer) < 2)
+    uv_run (loop, UV_RUN_ONCE);
+  kv.methods->lease_renew (kv.context, 77, on_lease, NULL);
+  run_until (&heard.done, 1);
+  CU_ASSERT_EQUAL (heard.outcome, KV_UNAVAILABLE);
+  kv.methods->lease_renew (kv.context, 77, on_lease, NULL);
+  run_until (&heard.done, 2);
+  run_until (&heard.changes, 1);
+  run_until (&heard.ended, 1);
+}
+
 int
 main (void)
 {
@@ -309,6 +337,7 @@
           { "watch goes on from events", test_watch_goes_on_from_events },
           { "watch asks again", test_watch_asks_again },
           { "pace of a watch", test_watch_pace },
+          { "watch after an outage", test_watch_after_outage },
           { NULL, NULL } };
 
   return unit_main ("pf_store", tests);
