Count replicas once a step and look models up in a table

Cause: on the grown sites the leader used all of its processor time (0.139 cores, machines have 0.12 to 0.5): for each model that requests wait for and each engine it counted the replicas of every model that the engine holds, searched the list of 320 models, and did so again on each of some 300 reports and answers a second.

Change: replicas, the load of engines and models under way are counted once a step; a service finds its models by name; models without a copy are looked for every 200 ms; decisions are at least 10 ms apart. res_may_work, which only called flt_usable, is gone.

--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -68,6 +68,7 @@
   struct tm_timer config_retry;
   struct tm_timer demand_timer;
   struct tm_timer lead_timer;
+  uint64_t lead_us; /* of the last decisions */
   struct tm_timer wake_timer;
   struct tm_timer drain_timer;
   struct tm_timer beacon_timer;
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -5,6 +5,10 @@
 
 /* Decisions are looked at this often; new demand is acted on at once.  */
 #define GW_LEAD_MS 50
+/* Decisions are at least this far apart.  With 60 engines and 70 instances
+   hundreds of reports and answers a second ask for them, and each takes a
+   millisecond on an instance of 0.1 cores.  */
+#define GW_LEAD_GAP_MS 10
 /* Engines answer orders and reports at once; one that does not is cut off. */
 #define GW_ORDER_TIMEOUT_MS  1000
 #define GW_REPORT_TIMEOUT_MS 500
@@ -238,23 +242,29 @@
     gw_lead_step (gw);
 }
 
-/* Take the decisions that are due, if this instance leads.  */
-void
-gw_lead_step (struct gw *gw)
-{
-  if (ldr_is_leader (gw->ldr) && gw->fleet_known)
-    res_step (gw->res);
-}
-
 static void
 gw_lead_due (void *arg)
 {
   struct gw *gw = arg;
 
+  gw->lead_us = tm_now_us (gw->tm);
   tm_after (gw->tm, &gw->lead_timer, GW_LEAD_MS * GW_US_PER_MS, gw_lead_due,
             gw);
   flt_sweep (gw->fleet);
-  gw_lead_step (gw);
+  if (ldr_is_leader (gw->ldr) && gw->fleet_known)
+    res_step (gw->res);
+}
+
+/* Take the decisions that are due soon, if this instance leads.  */
+void
+gw_lead_step (struct gw *gw)
+{
+  uint64_t now_us = tm_now_us (gw->tm);
+  uint64_t next_us = gw->lead_us + GW_LEAD_GAP_MS * GW_US_PER_MS;
+
+  if (ldr_is_leader (gw->ldr))
+    tm_after (gw->tm, &gw->lead_timer, next_us > now_us ? next_us - now_us : 0,
+              gw_lead_due, gw);
 }
 
 /* This instance becomes the leader with FENCE.  */
--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -36,6 +36,10 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_engine_free);
   table->items
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_item_free);
+  table->replicas
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->under_way
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   table->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             res_instance_free);
   return table;
@@ -50,6 +54,8 @@
   g_hash_table_destroy (table->engines);
   g_hash_table_destroy (table->instances);
   g_hash_table_destroy (table->items);
+  g_hash_table_destroy (table->replicas);
+  g_hash_table_destroy (table->under_way);
   g_free (table);
 }
 
--- a/libcowslip/res_adapter.c
+++ b/libcowslip/res_adapter.c
@@ -59,7 +59,7 @@
       bool fits;
 
       if (!g_str_equal (endpoint->entry.service, service->name)
-          || !res_may_work (table, endpoint)
+          || !flt_usable (table->fleet, endpoint)
           || !flt_holds (table->fleet, endpoint, item->model, NULL))
         continue;
       engine = res_engine (table, endpoint);
@@ -92,7 +92,7 @@
       const struct res_engine *engine
           = g_hash_table_lookup (table->engines, endpoint->entry.id);
 
-      if (engine == NULL || !res_may_work (table, endpoint))
+      if (engine == NULL || !flt_usable (table->fleet, endpoint))
         continue;
       if (flt_holds (table->fleet, endpoint, item->model, item->adapter))
         {
@@ -151,14 +151,31 @@
                                                      : 0;
 }
 
+static GList *
+res_waited_adapters (struct res_table *table)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GList *waited = NULL;
+
+  g_hash_table_iter_init (&iter, table->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct res_item *item = value;
+
+      if (item->adapter != NULL && item->waiting > 0)
+        waited = g_list_prepend (waited, value);
+    }
+  return waited;
+}
+
 /* Order the adapters of SERVICE that requests wait for, the longest wait
    first.  Engines run one order at a time, but loads of adapters take
    milliseconds, so the order of arrival serves best.  */
 void
 res_step_adapters (struct res_table *table, const struct rte_service *service)
 {
-  GList *items
-      = g_list_sort (g_hash_table_get_values (table->items), res_oldest_first);
+  GList *items = g_list_sort (res_waited_adapters (table), res_oldest_first);
 
   for (GList *each = items; each != NULL; each = each->next)
     {
@@ -166,8 +183,7 @@
       const struct rte_model *model = rte_model (service, item->model);
       struct flt_endpoint *endpoint;
 
-      if (item->adapter == NULL || item->waiting == 0 || model == NULL
-          || res_incoming_total (table) >= RES_INCOMING_ALL_MAX
+      if (model == NULL || res_incoming_total (table) >= RES_INCOMING_ALL_MAX
           || res_adapter_known (table, item))
         continue;
       endpoint = res_adapter_engine (table, service, model, item);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -145,7 +145,6 @@
   const struct flt_weights *weights = &endpoint->reported;
   const struct res_engine *engine = res_engine (table, endpoint);
   const struct rte_model *spec;
-  uint32_t adapter_mb = 0;
   uint32_t used_mb = 0;
 
   for (guint i = 0; i < weights->models->len; i++)
@@ -156,11 +155,6 @@
       /* A model that the configuration does not name has an unknown size.  */
       used_mb += spec == NULL ? service->weights_mb : spec->weights_mb;
     }
-  for (guint i = 0; i < service->models->len; i++)
-    {
-      spec = g_ptr_array_index (service->models, i);
-      adapter_mb = MAX (adapter_mb, spec->adapter_mb);
-    }
   if (engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
       && engine->kind == PRT_LOAD
       && flt_weights_find (weights, engine->model) == NULL)
@@ -168,7 +162,7 @@
       spec = rte_model (service, engine->model);
       used_mb += spec == NULL ? service->weights_mb : spec->weights_mb;
     }
-  return used_mb + res_adapters (table, endpoint) * adapter_mb;
+  return used_mb + res_adapters (table, endpoint) * service->adapter_mb_max;
 }
 
 /* Return how long ENDPOINT needs to load MODEL, in milliseconds, and whether
@@ -188,14 +182,6 @@
   return model->store_ms;
 }
 
-/* Return whether ENDPOINT will stay long enough for an order.  */
-bool
-res_may_work (const struct res_table *table,
-              const struct flt_endpoint *endpoint)
-{
-  return flt_usable (table->fleet, endpoint);
-}
-
 static void
 res_set_phase (struct res_table *table, struct res_engine *engine,
                enum res_phase phase)
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -44,6 +44,7 @@
   char *reserved;         /* model for which room is made, or NULL */
   uint64_t reserved_us;
   GArray *incoming; /* struct res_incoming */
+  double crowd;     /* requests per second, as counted by the last step */
   /* The order for an adapter that waits for its answer; 0: none.  */
   uint64_t adapter_order;
   enum prt_order_kind adapter_kind;
@@ -103,6 +104,10 @@
   uint64_t next_order;
   uint32_t store_max; /* loads from the weight store at once */
   uint64_t begun_us;
+  GHashTable *replicas; /* model -> engines that hold it, of the last step */
+  GHashTable
+      *under_way;    /* set of models that an engine loads or is kept for */
+  uint64_t ahead_us; /* when to look for models without a copy again */
 };
 
 static inline uint64_t
@@ -118,6 +123,16 @@
 void res_repeat_ready (struct res_table *table, struct res_item *item,
                        const struct flt_endpoint *endpoint);
 
+/* res_replica.c */
+bool res_serves (struct res_table *table, const struct rte_service *service,
+                 const struct flt_endpoint *endpoint);
+uint32_t res_replicas (const struct res_table *table, const char *model);
+bool res_is_under_way (const struct res_table *table, const char *model);
+void res_count_replicas (struct res_table *table,
+                         const struct rte_service *service);
+GHashTable *res_copies (struct res_table *table,
+                        const struct rte_service *service);
+
 /* res_engine.c */
 struct res_engine *res_engine (struct res_table *table,
                                struct flt_endpoint *endpoint);
@@ -133,8 +148,6 @@
 uint32_t res_load_ms (const struct flt_endpoint *endpoint,
                       const struct rte_model *model, bool *from_store);
 uint32_t res_store_loads (struct res_table *table);
-bool res_may_work (const struct res_table *table,
-                   const struct flt_endpoint *endpoint);
 void res_engine_step (struct res_table *table, struct res_engine *engine);
 bool res_can_order (const struct res_table *table,
                     const struct res_engine *engine);
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -35,6 +35,9 @@
 /* A wait of one second counts like this many requests.  Callers of the longest
    class wait 10 s; a busy model has 10 to 20 requests waiting by then.  */
 #define RES_AGE_WEIGHT 0.5
+/* Models without a copy are looked for this often; a load from the weight
+   store takes seconds.  */
+#define RES_AHEAD_EVERY_MS 200
 
 /* One way to load a model.  */
 struct res_choice
@@ -45,32 +48,6 @@
   bool now; /* false: the engine is busy and worth waiting for */
 };
 
-static bool
-res_serves (struct res_table *table, const struct rte_service *service,
-            const struct flt_endpoint *endpoint)
-{
-  return g_str_equal (endpoint->entry.service, service->name)
-         && res_may_work (table, endpoint);
-}
-
-static uint32_t
-res_replicas (struct res_table *table, const struct rte_service *service,
-              const char *model)
-{
-  GPtrArray *all = flt_all (table->fleet);
-  uint32_t count = 0;
-
-  for (guint i = 0; i < all->len; i++)
-    {
-      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-
-      if (res_serves (table, service, endpoint)
-          && flt_holds (table->fleet, endpoint, model, NULL))
-        count++;
-    }
-  return count;
-}
-
 /* Return the replicas that MODEL should have.  */
 static uint32_t
 res_wanted (const struct res_table *table, const char *model)
@@ -81,54 +58,6 @@
   return rate < RES_SPARE_RATE ? 1 : MAX (by_rate, 2);
 }
 
-/* Return the requests per second that ENDPOINT serves, if each model's spread
-   evenly over its replicas.  */
-static double
-res_crowd (struct res_table *table, const struct rte_service *service,
-           const struct flt_endpoint *endpoint)
-{
-  const GPtrArray *models = endpoint->entry.weights.models;
-  double rate = 0;
-
-  for (guint i = 0; i < models->len; i++)
-    {
-      const struct flt_model *model = g_ptr_array_index (models, i);
-
-      rate += res_rate (table, model->name)
-              / MAX (res_replicas (table, service, model->name), 1);
-    }
-  return rate;
-}
-
-static bool
-res_works_on (struct res_table *table, struct flt_endpoint *endpoint,
-              const char *model)
-{
-  const struct res_engine *engine = res_engine (table, endpoint);
-
-  return (engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
-          && engine->kind == PRT_LOAD && g_str_equal (engine->model, model))
-         || (engine->reserved != NULL
-             && g_str_equal (engine->reserved, model));
-}
-
-static bool
-res_under_way (struct res_table *table, const struct rte_service *service,
-               const char *model)
-{
-  GPtrArray *all = flt_all (table->fleet);
-
-  for (guint i = 0; i < all->len; i++)
-    {
-      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-
-      if (res_serves (table, service, endpoint)
-          && res_works_on (table, endpoint, model))
-        return true;
-    }
-  return false;
-}
-
 /* Return what it costs to unload MODEL from ENDPOINT, as milliseconds of
    waiting that follow from it, or a negative number if it must stay.  */
 static double
@@ -137,7 +66,7 @@
 {
   const struct rte_model *spec = rte_model (service, model);
   const struct res_item *item = g_hash_table_lookup (table->items, model);
-  uint32_t replicas = res_replicas (table, service, model);
+  uint32_t replicas = res_replicas (table, model);
   bool from_store;
   double cost_ms = RES_MAKE_ROOM_MS;
   double back_ms;
@@ -195,12 +124,13 @@
   return (double)(engine->expected_us - now_us) / RES_US_PER_MS;
 }
 
-/* Fill CHOICE with what loading MODEL at ENDPOINT takes.  Return false if it
-   is not possible.  */
+/* Fill CHOICE with what loading MODEL at ENDPOINT takes; STORE_FREE says that
+   the weight store serves one more load.  Return false if it is not
+   possible.  */
 static bool
 res_weigh (struct res_table *table, const struct rte_service *service,
            const struct rte_model *model, struct flt_endpoint *endpoint,
-           uint32_t store_max, struct res_choice *choice)
+           bool store_free, struct res_choice *choice)
 {
   struct res_engine *engine = res_engine (table, endpoint);
   bool from_store;
@@ -214,9 +144,9 @@
   *choice = (struct res_choice){ .endpoint = endpoint };
   choice->cost_ms = res_load_ms (endpoint, model, &from_store)
                     + res_busy_ms (table, engine)
-                    + RES_CROWD_MS * res_crowd (table, service, endpoint);
+                    + RES_CROWD_MS * engine->crowd;
   choice->now = engine->phase == RES_IDLE && res_can_order (table, engine);
-  if (from_store && res_store_loads (table) >= store_max)
+  if (from_store && !store_free)
     return false;
   if (res_used_mb (table, service, endpoint) + model->weights_mb
       > service->weights_mb)
@@ -237,6 +167,7 @@
 {
   GPtrArray *all = flt_all (table->fleet);
   struct res_choice best = { 0 };
+  bool store_free = res_store_loads (table) < store_max;
 
   for (guint i = 0; i < all->len; i++)
     {
@@ -244,17 +175,18 @@
       struct res_choice choice;
 
       if (res_serves (table, service, endpoint)
-          && res_weigh (table, service, model, endpoint, store_max, &choice)
+          && res_weigh (table, service, model, endpoint, store_free, &choice)
           && (best.endpoint == NULL || choice.cost_ms < best.cost_ms))
         best = choice;
     }
   return best;
 }
 
-/* Carry CHOICE out: load MODEL, or make room for it.  */
+/* Carry CHOICE out: load MODEL of SERVICE, or make room for it.  */
 static void
-res_carry_out (struct res_table *table, const struct rte_model *model,
-               const struct res_choice *choice, const char *reason)
+res_carry_out (struct res_table *table, const struct rte_service *service,
+               const struct rte_model *model, const struct res_choice *choice,
+               const char *reason)
 {
   struct res_engine *engine = res_engine (table, choice->endpoint);
 
@@ -265,6 +197,7 @@
     res_order_model (table, engine, PRT_UNLOAD, choice->victim, reason);
   else
     res_order_model (table, engine, PRT_LOAD, model->name, reason);
+  res_count_replicas (table, service);
 }
 
 /* Keep the engine of CHOICE, which is busy, for MODEL.  */
@@ -277,6 +210,7 @@
   g_free (engine->reserved);
   engine->reserved = g_strdup (model->name);
   engine->reserved_us = res_now (table);
+  g_hash_table_add (table->under_way, g_strdup (model->name));
 }
 
 /* Go on with engines on which room was made.  */
@@ -302,10 +236,10 @@
         continue;
       model = rte_model (service, engine->reserved);
       if (model != NULL && res_can_order (table, engine)
-          && res_weigh (table, service, model, endpoint, table->store_max,
-                        &choice)
+          && res_weigh (table, service, model, endpoint,
+                        res_store_loads (table) < table->store_max, &choice)
           && choice.now)
-        res_carry_out (table, model, &choice, "room was made");
+        res_carry_out (table, service, model, &choice, "room was made");
     }
 }
 
@@ -348,8 +282,8 @@
 
       if (item->adapter == NULL && item->waiting > 0
           && rte_model (service, item->model) != NULL
-          && res_replicas (table, service, item->model) == 0
-          && !res_under_way (table, service, item->model))
+          && res_replicas (table, item->model) == 0
+          && !res_is_under_way (table, item->model))
         cold = g_list_prepend (cold, item);
     }
   return g_list_sort_with_data (cold, res_most_urgent, table);
@@ -390,57 +324,45 @@
   return table->store_max - 1;
 }
 
-/* Return whether some engine has a copy of MODEL or is loading it.  */
-static bool
-res_has_copy (struct res_table *table, const struct rte_service *service,
-              const struct rte_model *model)
-{
-  GPtrArray *all = flt_all (table->fleet);
-
-  for (guint i = 0; i < all->len; i++)
-    {
-      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-      bool from_store;
-
-      if (!res_serves (table, service, endpoint))
-        continue;
-      (void)res_load_ms (endpoint, model, &from_store);
-      if (!from_store || res_works_on (table, endpoint, model->name)
-          || flt_weights_find (&endpoint->reported, model->name) != NULL)
-        return true;
-    }
-  return false;
-}
-
 /* Load models of which no engine has a copy, so that a later request finds
    them on a disk, which takes a second and not the weight store's time.  */
 static void
 res_load_ahead (struct res_table *table, const struct rte_service *service)
 {
-  for (guint i = 0; i < service->models->len; i++)
+  uint64_t now_us = res_now (table);
+  GHashTable *copies;
+
+  if (now_us < table->ahead_us
+      || res_store_loads (table) >= res_store_ahead (table))
+    return;
+  table->ahead_us = now_us + RES_AHEAD_EVERY_MS * RES_US_PER_MS;
+  copies = res_copies (table, service);
+  for (guint i = 0; i < service->models->len
+                    && res_store_loads (table) < res_store_ahead (table);
+       i++)
     {
       const struct rte_model *model = g_ptr_array_index (service->models, i);
       struct res_choice choice;
 
-      if (res_store_loads (table) >= res_store_ahead (table))
-        return;
-      if (res_has_copy (table, service, model))
+      if (g_hash_table_contains (copies, model->name))
         continue;
       choice = res_choose (table, service, model, res_store_ahead (table));
       if (choice.endpoint != NULL && choice.now)
-        res_carry_out (table, model, &choice, "no copy outside the store");
+        res_carry_out (table, service, model, &choice,
+                       "no copy outside the store");
     }
+  g_hash_table_destroy (copies);
 }
 
 /* Return whether the replicas of MODEL are worth more than what VICTIM, which
    would give way, serves: one of the requests per second of a crowded replica
    against all of the victim's.  */
 static bool
-res_is_worth (struct res_table *table, const struct rte_service *service,
-              const char *model, const char *victim)
+res_is_worth (const struct res_table *table, const char *model,
+              const char *victim)
 {
-  uint32_t replicas = res_replicas (table, service, model);
-  uint32_t others = victim == NULL ? 0 : res_replicas (table, service, victim);
+  uint32_t replicas = res_replicas (table, model);
+  uint32_t others = victim == NULL ? 0 : res_replicas (table, victim);
 
   if (victim == NULL)
     return true;
@@ -462,11 +384,11 @@
   for (guint i = 0; i < service->models->len; i++)
     {
       const struct rte_model *model = g_ptr_array_index (service->models, i);
-      uint32_t replicas = res_replicas (table, service, model->name);
+      uint32_t replicas = res_replicas (table, model->name);
       double each = res_rate (table, model->name) / MAX (replicas, 1);
 
       if (replicas < res_wanted (table, model->name) && each > most
-          && !res_under_way (table, service, model->name))
+          && !res_is_under_way (table, model->name))
         {
           crowded = model;
           most = each;
@@ -476,8 +398,8 @@
     return;
   choice = res_choose (table, service, crowded, res_store_ahead (table));
   if (choice.endpoint != NULL && choice.now
-      && res_is_worth (table, service, crowded->name, choice.victim))
-    res_carry_out (table, crowded, &choice, "asked for often");
+      && res_is_worth (table, crowded->name, choice.victim))
+    res_carry_out (table, service, crowded, &choice, "asked for often");
 }
 
 /* Return whether more than half of the engines of SERVICE can take an order.
@@ -514,6 +436,7 @@
 {
   GList *cold;
 
+  res_count_replicas (table, service);
   res_finish_reserved (table, service);
   cold = res_cold_models (table, service);
   for (GList *each = cold; each != NULL; each = each->next)
@@ -524,7 +447,7 @@
           = res_choose (table, service, model, table->store_max);
 
       if (choice.endpoint != NULL && choice.now)
-        res_carry_out (table, model, &choice, "requests wait");
+        res_carry_out (table, service, model, &choice, "requests wait");
       else if (choice.endpoint != NULL)
         res_reserve (table, model, &choice);
     }
--- /dev/null
+++ b/libcowslip/res_replica.c
@@ -0,0 +1,146 @@
+#include "res_impl.h"
+
+/* What a step counts once and then asks for often: with 60 engines and 320
+   models, counting anew for each pair took all of the processor time of a
+   small instance.  */
+
+/* Return whether ENDPOINT is an engine of SERVICE that takes work.  */
+bool
+res_serves (struct res_table *table, const struct rte_service *service,
+            const struct flt_endpoint *endpoint)
+{
+  return g_str_equal (endpoint->entry.service, service->name)
+         && flt_usable (table->fleet, endpoint);
+}
+
+/* Return the engines that hold MODEL and take work.  */
+uint32_t
+res_replicas (const struct res_table *table, const char *model)
+{
+  return GPOINTER_TO_UINT (g_hash_table_lookup (table->replicas, model));
+}
+
+/* Return whether an engine loads MODEL or is kept for it.  */
+bool
+res_is_under_way (const struct res_table *table, const char *model)
+{
+  return g_hash_table_contains (table->under_way, model);
+}
+
+/* Return the model that ENGINE loads, or NULL.  */
+static const char *
+res_loads (const struct res_engine *engine)
+{
+  return engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
+                 && engine->kind == PRT_LOAD
+             ? engine->model
+             : NULL;
+}
+
+static void
+res_add_name (GHashTable *names, const char *name)
+{
+  if (name != NULL)
+    g_hash_table_add (names, g_strdup (name));
+}
+
+static void
+res_count_endpoint (struct res_table *table, struct flt_endpoint *endpoint)
+{
+  const GPtrArray *models = endpoint->entry.weights.models;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (models, i);
+      uint32_t count = res_replicas (table, model->name);
+
+      if (flt_holds (table->fleet, endpoint, model->name, NULL))
+        g_hash_table_insert (table->replicas, g_strdup (model->name),
+                             GUINT_TO_POINTER (count + 1));
+    }
+}
+
+/* Return the requests per second that ENDPOINT serves, if each model's spread
+   evenly over its replicas.  */
+static double
+res_crowd_of (const struct res_table *table,
+              const struct flt_endpoint *endpoint)
+{
+  const GPtrArray *models = endpoint->entry.weights.models;
+  double rate = 0;
+
+  for (guint i = 0; i < models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (models, i);
+
+      rate += res_rate (table, model->name)
+              / MAX (res_replicas (table, model->name), 1);
+    }
+  return rate;
+}
+
+/* Count the replicas of the models of SERVICE, the requests per second that
+   each of its engines serves, and what they are loading.  */
+void
+res_count_replicas (struct res_table *table, const struct rte_service *service)
+{
+  GPtrArray *all = flt_all (table->fleet);
+
+  g_hash_table_remove_all (table->replicas);
+  g_hash_table_remove_all (table->under_way);
+  for (guint i = 0; i < all->len; i++)
+    if (res_serves (table, service, g_ptr_array_index (all, i)))
+      res_count_endpoint (table, g_ptr_array_index (all, i));
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
+      struct res_engine *engine;
+
+      if (!res_serves (table, service, endpoint))
+        continue;
+      engine = res_engine (table, endpoint);
+      engine->crowd = res_crowd_of (table, endpoint);
+      res_add_name (table->under_way, res_loads (engine));
+      res_add_name (table->under_way, engine->reserved);
+    }
+}
+
+static void
+res_note_copies (GHashTable *copies, const GPtrArray *names)
+{
+  for (guint i = 0; i < names->len; i++)
+    g_hash_table_add (copies, g_strdup (g_ptr_array_index (names, i)));
+}
+
+/* Return the names of the models of which an engine of SERVICE has a copy or
+   is loading one.  */
+GHashTable *
+res_copies (struct res_table *table, const struct rte_service *service)
+{
+  GHashTable *copies
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GPtrArray *all = flt_all (table->fleet);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
+      const struct flt_weights *weights = &endpoint->reported;
+      const struct res_engine *engine;
+
+      if (!res_serves (table, service, endpoint))
+        continue;
+      engine = res_engine (table, endpoint);
+      res_note_copies (copies, weights->in_memory);
+      res_note_copies (copies, weights->on_disk);
+      for (guint j = 0; j < weights->models->len; j++)
+        {
+          const struct flt_model *model
+              = g_ptr_array_index (weights->models, j);
+
+          g_hash_table_add (copies, g_strdup (model->name));
+        }
+      res_add_name (copies, res_loads (engine));
+      res_add_name (copies, engine->reserved);
+    }
+  return copies;
+}
--- a/libcowslip/rte.c
+++ b/libcowslip/rte.c
@@ -47,6 +47,7 @@
   struct rte_service *service = data;
 
   g_free (service->name);
+  g_hash_table_destroy (service->by_name);
   g_ptr_array_free (service->models, TRUE);
   g_free (service);
 }
@@ -58,9 +59,19 @@
   struct rte_service *service = g_new0 (struct rte_service, 1);
 
   service->models = g_ptr_array_new_with_free_func (rte_model_free);
+  service->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   return service;
 }
 
+/* Add MODEL, which is taken over, to SERVICE.  */
+void
+rte_add_model (struct rte_service *service, struct rte_model *model)
+{
+  g_ptr_array_add (service->models, model);
+  g_hash_table_insert (service->by_name, model->name, model);
+  service->adapter_mb_max = MAX (service->adapter_mb_max, model->adapter_mb);
+}
+
 /* Return a configuration without routes.  */
 struct rte_config *
 rte_config_new (void)
@@ -169,14 +180,7 @@
 const struct rte_model *
 rte_model (const struct rte_service *service, const char *name)
 {
-  for (guint i = 0; i < service->models->len; i++)
-    {
-      const struct rte_model *model = g_ptr_array_index (service->models, i);
-
-      if (g_str_equal (model->name, name))
-        return model;
-    }
-  return NULL;
+  return g_hash_table_lookup (service->by_name, name);
 }
 
 /* Return whether a request of ROUTE may run again after it may have run.  */
--- a/libcowslip/rte.h
+++ b/libcowslip/rte.h
@@ -63,6 +63,8 @@
   uint32_t adapter_slots;
   double store_loads_per_s; /* what the weight store allows */
   GPtrArray *models;        /* struct rte_model */
+  GHashTable *by_name;      /* model name -> struct rte_model */
+  uint32_t adapter_mb_max;  /* of all models */
 };
 
 struct rte_config
@@ -83,6 +85,7 @@
 struct rte_route *rte_route_new (void);
 struct rte_service *rte_service_new (void);
 void rte_model_free (gpointer data);
+void rte_add_model (struct rte_service *service, struct rte_model *model);
 const struct rte_route *rte_match (const struct rte_config *config,
                                    const char *host, const char *target);
 const char *rte_pick_service (const struct rte_route *route, double draw);
--- a/regress/res_sim.c
+++ b/regress/res_sim.c
@@ -544,7 +544,7 @@
   model->store_ms = RSM_STORE_MS;
   model->disk_ms = RSM_DISK_MS;
   model->memory_ms = RSM_MEMORY_MS;
-  g_ptr_array_add (sim->service->models, model);
+  rte_add_model (sim->service, model);
 }
 
 /* Add an empty engine.  */
