Wait for an engine that has a copy instead of loading from the store

An engine on which room was made for such a load did not count as one, so six ran at once where four run at full speed. Ruled out: unloads (73 of 79 took 0.1 s) and the engines' disks (0.96 s).

Change: an engine that is kept counts as a candidate for its copy at the price of one more swap, and the model waits its turn; an engine that makes room for a load from the store holds a place there.

--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -301,8 +301,10 @@
     {
       const struct res_engine *engine = value;
 
-      /* An order in doubt, or of an earlier leader, may be such a load.  */
+      /* An order in doubt, or of an earlier leader, may be such a load, and an
+         engine on which room is made has its place already.  */
       if (engine->phase == RES_FOREIGN
+          || (engine->reserved != NULL && engine->reserved_store)
           || (engine->phase != RES_IDLE && engine->kind == PRT_LOAD
               && (engine->from_store || engine->phase != RES_WORKING)))
         count++;
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -43,8 +43,9 @@
   uint64_t not_before_us; /* after a failed order */
   char *reserved;         /* model for which room is made, or NULL */
   uint64_t reserved_us;
-  GArray *incoming; /* struct res_incoming */
-  double crowd;     /* requests per second, as counted by the last step */
+  bool reserved_store; /* it comes from the weight store */
+  GArray *incoming;    /* struct res_incoming */
+  double crowd;        /* requests per second, as counted by the last step */
   /* The order for an adapter that waits for its answer; 0: none.  */
   uint64_t adapter_order;
   enum prt_order_kind adapter_kind;
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -21,6 +21,10 @@
 /* An unload that finds the model unused takes about this long, with the
    report that shows it.  */
 #define RES_MAKE_ROOM_MS 200.0
+/* An engine that is kept for another model takes about this long for it: an
+   unload and a load from its disk.  Worth waiting for, because a load from the
+   weight store takes 6 to 9 s.  */
+#define RES_TURN_MS 1200.0
 /* What an unloaded model would have served within this time counts against
    its unload: a replica stays useful about as long as demand stays put, which
    is 5 s (model_shift).  */
@@ -45,7 +49,9 @@
   struct flt_endpoint *endpoint; /* NULL: none */
   char *victim;                  /* to be unloaded first, or NULL */
   double cost_ms;
-  bool now; /* false: the engine is busy and worth waiting for */
+  bool now;   /* false: the engine is busy and worth waiting for */
+  bool taken; /* the engine is kept for another model first */
+  bool from_store;
 };
 
 /* Return the replicas that MODEL should have.  */
@@ -133,21 +139,23 @@
            bool store_free, struct res_choice *choice)
 {
   struct res_engine *engine = res_engine (table, endpoint);
-  bool from_store;
   double victim_ms = 0;
 
-  if (engine->reserved != NULL && !g_str_equal (engine->reserved, model->name))
-    return false;
   if (!endpoint->reported_known
       || flt_weights_find (&endpoint->reported, model->name) != NULL)
     return false;
   *choice = (struct res_choice){ .endpoint = endpoint };
-  choice->cost_ms = res_load_ms (endpoint, model, &from_store)
+  choice->taken = engine->reserved != NULL
+                  && !g_str_equal (engine->reserved, model->name);
+  choice->cost_ms = res_load_ms (endpoint, model, &choice->from_store)
                     + res_busy_ms (table, engine)
                     + RES_CROWD_MS * engine->crowd;
-  choice->now = engine->phase == RES_IDLE && res_can_order (table, engine);
-  if (from_store && !store_free)
+  choice->now = engine->phase == RES_IDLE && res_can_order (table, engine)
+                && !choice->taken;
+  if (choice->from_store && (!store_free || choice->taken))
     return false;
+  if (choice->taken)
+    choice->cost_ms += RES_TURN_MS;
   if (res_used_mb (table, service, endpoint) + model->weights_mb
       > service->weights_mb)
     {
@@ -182,6 +190,16 @@
   return best;
 }
 
+static void
+res_keep (const struct res_table *table, struct res_engine *engine,
+          const char *model, bool from_store)
+{
+  g_free (engine->reserved);
+  engine->reserved = g_strdup (model);
+  engine->reserved_us = res_now (table);
+  engine->reserved_store = from_store;
+}
+
 /* Carry CHOICE out: load MODEL of SERVICE, or make room for it.  */
 static void
 res_carry_out (struct res_table *table, const struct rte_service *service,
@@ -190,9 +208,7 @@
 {
   struct res_engine *engine = res_engine (table, choice->endpoint);
 
-  g_free (engine->reserved);
-  engine->reserved = g_strdup (model->name);
-  engine->reserved_us = res_now (table);
+  res_keep (table, engine, model->name, choice->from_store);
   if (choice->victim != NULL)
     res_order_model (table, engine, PRT_UNLOAD, choice->victim, reason);
   else
@@ -207,9 +223,7 @@
 {
   struct res_engine *engine = res_engine (table, choice->endpoint);
 
-  g_free (engine->reserved);
-  engine->reserved = g_strdup (model->name);
-  engine->reserved_us = res_now (table);
+  res_keep (table, engine, model->name, choice->from_store);
   g_hash_table_add (table->under_way, g_strdup (model->name));
 }
 
@@ -237,7 +251,7 @@
       model = rte_model (service, engine->reserved);
       if (model != NULL && res_can_order (table, engine)
           && res_weigh (table, service, model, endpoint,
-                        res_store_loads (table) < table->store_max, &choice)
+                        engine->reserved_store, &choice)
           && choice.now)
         res_carry_out (table, service, model, &choice, "room was made");
     }
@@ -448,7 +462,7 @@
 
       if (choice.endpoint != NULL && choice.now)
         res_carry_out (table, service, model, &choice, "requests wait");
-      else if (choice.endpoint != NULL)
+      else if (choice.endpoint != NULL && !choice.taken)
         res_reserve (table, model, &choice);
     }
   /* On many engines some model is always cold; busy models whose engines are
