Find copies, room and victims once a step

Change: which engines have a copy of a model is found once a step; engines with a copy are weighed first and the others only if none of these is faster than the weight store; memory in use and the victim of an engine are kept until the next order.

--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -38,6 +38,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_item_free);
   table->replicas
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  table->nobody = g_ptr_array_new ();
   table->under_way
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   table->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
@@ -56,6 +57,8 @@
   g_hash_table_destroy (table->items);
   g_hash_table_destroy (table->replicas);
   g_hash_table_destroy (table->under_way);
+  res_forget_copies (table);
+  g_ptr_array_free (table->nobody, TRUE);
   g_free (table);
 }
 
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -46,6 +46,12 @@
   bool reserved_store; /* it comes from the weight store */
   GArray *incoming;    /* struct res_incoming */
   double crowd;        /* requests per second, as counted by the last step */
+  /* As of the count LOOKED: memory that is taken, and the model that costs
+     least to unload, which belongs to the report; NULL: none.  */
+  uint64_t looked;
+  uint32_t used_mb;
+  char *victim;
+  double victim_ms;
   /* The order for an adapter that waits for its answer; 0: none.  */
   uint64_t adapter_order;
   enum prt_order_kind adapter_kind;
@@ -107,8 +113,11 @@
   uint64_t begun_us;
   GHashTable *replicas; /* model -> engines that hold it, of the last step */
   GHashTable
-      *under_way;    /* set of models that an engine loads or is kept for */
-  uint64_t ahead_us; /* when to look for models without a copy again */
+      *under_way;     /* set of models that an engine loads or is kept for */
+  uint64_t counts;    /* how often replicas were counted */
+  GPtrArray *nobody;  /* an empty list of engines */
+  GHashTable *copies; /* model -> engines that have one, of this step */
+  uint64_t ahead_us;  /* when to look for models without a copy again */
 };
 
 static inline uint64_t
@@ -131,8 +140,9 @@
 bool res_is_under_way (const struct res_table *table, const char *model);
 void res_count_replicas (struct res_table *table,
                          const struct rte_service *service);
-GHashTable *res_copies (struct res_table *table,
-                        const struct rte_service *service);
+GPtrArray *res_holders (struct res_table *table,
+                        const struct rte_service *service, const char *model);
+void res_forget_copies (struct res_table *table);
 
 /* res_engine.c */
 struct res_engine *res_engine (struct res_table *table,
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -115,6 +115,20 @@
   return best;
 }
 
+/* Find how full ENGINE, at ENDPOINT, is and what could give way there, unless
+   that is known since the last order.  */
+static void
+res_look_at (struct res_table *table, const struct rte_service *service,
+             struct flt_endpoint *endpoint, struct res_engine *engine)
+{
+  if (engine->looked == table->counts)
+    return;
+  engine->looked = table->counts;
+  engine->used_mb = res_used_mb (table, service, endpoint);
+  engine->victim
+      = res_cheapest_victim (table, service, endpoint, &engine->victim_ms);
+}
+
 /* Return how long ENDPOINT is still busy with its order, in milliseconds.  */
 static double
 res_busy_ms (struct res_table *table, const struct res_engine *engine)
@@ -130,62 +144,78 @@
   return (double)(engine->expected_us - now_us) / RES_US_PER_MS;
 }
 
-/* Fill CHOICE with what loading MODEL at ENDPOINT takes; STORE_FREE says that
-   the weight store serves one more load.  Return false if it is not
-   possible.  */
+/* Fill CHOICE with what loading MODEL at ENDPOINT takes, from the weight store
+   or from a copy there.  Return false if it is not possible.  */
 static bool
 res_weigh (struct res_table *table, const struct rte_service *service,
            const struct rte_model *model, struct flt_endpoint *endpoint,
-           bool store_free, struct res_choice *choice)
+           bool from_store, struct res_choice *choice)
 {
   struct res_engine *engine = res_engine (table, endpoint);
-  double victim_ms = 0;
 
   if (!endpoint->reported_known
       || flt_weights_find (&endpoint->reported, model->name) != NULL)
     return false;
-  *choice = (struct res_choice){ .endpoint = endpoint };
+  *choice
+      = (struct res_choice){ .endpoint = endpoint, .from_store = from_store };
   choice->taken = engine->reserved != NULL
                   && !g_str_equal (engine->reserved, model->name);
-  choice->cost_ms = res_load_ms (endpoint, model, &choice->from_store)
-                    + res_busy_ms (table, engine)
-                    + RES_CROWD_MS * engine->crowd;
+  choice->cost_ms = from_store
+                        ? model->store_ms
+                        : res_load_ms (endpoint, model, &choice->from_store);
+  choice->cost_ms
+      += res_busy_ms (table, engine) + RES_CROWD_MS * engine->crowd;
   choice->now = engine->phase == RES_IDLE && res_can_order (table, engine)
                 && !choice->taken;
-  if (choice->from_store && (!store_free || choice->taken))
+  if (from_store && choice->taken)
     return false;
   if (choice->taken)
     choice->cost_ms += RES_TURN_MS;
-  if (res_used_mb (table, service, endpoint) + model->weights_mb
-      > service->weights_mb)
-    {
-      choice->victim
-          = res_cheapest_victim (table, service, endpoint, &victim_ms);
-      if (choice->victim == NULL)
-        return false;
-    }
-  choice->cost_ms += victim_ms;
-  return true;
+  res_look_at (table, service, endpoint, engine);
+  if (engine->used_mb + model->weights_mb <= service->weights_mb)
+    return true;
+  choice->victim = engine->victim;
+  choice->cost_ms += engine->victim_ms;
+  return choice->victim != NULL;
 }
 
-/* Return the cheapest way to load MODEL.  */
+/* Take loading MODEL at ENDPOINT as BEST, if that is possible and cheaper.  */
+static void
+res_consider (struct res_table *table, const struct rte_service *service,
+              const struct rte_model *model, struct flt_endpoint *endpoint,
+              bool from_store, struct res_choice *best)
+{
+  struct res_choice choice;
+
+  if (res_weigh (table, service, model, endpoint, from_store, &choice)
+      && (best->endpoint == NULL || choice.cost_ms < best->cost_ms))
+    *best = choice;
+}
+
+/* Return the cheapest way to load MODEL.  Engines that have a copy are looked
+   at first: the weight store is seldom faster, and the other engines are
+   many.  */
 static struct res_choice
 res_choose (struct res_table *table, const struct rte_service *service,
             const struct rte_model *model, uint32_t store_max)
 {
+  GPtrArray *holders = res_holders (table, service, model->name);
   GPtrArray *all = flt_all (table->fleet);
   struct res_choice best = { 0 };
-  bool store_free = res_store_loads (table) < store_max;
 
+  for (guint i = 0; i < holders->len; i++)
+    res_consider (table, service, model, g_ptr_array_index (holders, i), false,
+                  &best);
+  if ((best.endpoint != NULL && best.cost_ms <= model->store_ms)
+      || res_store_loads (table) >= store_max)
+    return best;
   for (guint i = 0; i < all->len; i++)
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-      struct res_choice choice;
 
       if (res_serves (table, service, endpoint)
-          && res_weigh (table, service, model, endpoint, store_free, &choice)
-          && (best.endpoint == NULL || choice.cost_ms < best.cost_ms))
-        best = choice;
+          && !g_ptr_array_find (holders, endpoint, NULL))
+        res_consider (table, service, model, endpoint, true, &best);
     }
   return best;
 }
@@ -344,13 +374,11 @@
 res_load_ahead (struct res_table *table, const struct rte_service *service)
 {
   uint64_t now_us = res_now (table);
-  GHashTable *copies;
 
   if (now_us < table->ahead_us
       || res_store_loads (table) >= res_store_ahead (table))
     return;
   table->ahead_us = now_us + RES_AHEAD_EVERY_MS * RES_US_PER_MS;
-  copies = res_copies (table, service);
   for (guint i = 0; i < service->models->len
                     && res_store_loads (table) < res_store_ahead (table);
        i++)
@@ -358,14 +386,15 @@
       const struct rte_model *model = g_ptr_array_index (service->models, i);
       struct res_choice choice;
 
-      if (g_hash_table_contains (copies, model->name))
+      if (res_holders (table, service, model->name)->len > 0
+          || res_replicas (table, model->name) > 0
+          || res_is_under_way (table, model->name))
         continue;
       choice = res_choose (table, service, model, res_store_ahead (table));
       if (choice.endpoint != NULL && choice.now)
         res_carry_out (table, service, model, &choice,
                        "no copy outside the store");
     }
-  g_hash_table_destroy (copies);
 }
 
 /* Return whether the replicas of MODEL are worth more than what VICTIM, which
@@ -450,6 +479,7 @@
 {
   GList *cold;
 
+  res_forget_copies (table);
   res_count_replicas (table, service);
   res_finish_reserved (table, service);
   cold = res_cold_models (table, service);
--- a/libcowslip/res_replica.c
+++ b/libcowslip/res_replica.c
@@ -86,6 +86,7 @@
 {
   GPtrArray *all = flt_all (table->fleet);
 
+  table->counts++;
   g_hash_table_remove_all (table->replicas);
   g_hash_table_remove_all (table->under_way);
   for (guint i = 0; i < all->len; i++)
@@ -106,41 +107,66 @@
 }
 
 static void
-res_note_copies (GHashTable *copies, const GPtrArray *names)
+res_note_copies (GHashTable *copies, struct flt_endpoint *endpoint,
+                 const GPtrArray *names)
 {
   for (guint i = 0; i < names->len; i++)
-    g_hash_table_add (copies, g_strdup (g_ptr_array_index (names, i)));
+    {
+      const char *name = g_ptr_array_index (names, i);
+      GPtrArray *holders = g_hash_table_lookup (copies, name);
+
+      if (holders == NULL)
+        {
+          holders = g_ptr_array_new ();
+          g_hash_table_insert (copies, g_strdup (name), holders);
+        }
+      g_ptr_array_add (holders, endpoint);
+    }
 }
 
-/* Return the names of the models of which an engine of SERVICE has a copy or
-   is loading one.  */
-GHashTable *
-res_copies (struct res_table *table, const struct rte_service *service)
+static void
+res_free_holders (gpointer data)
+{
+  g_ptr_array_free (data, TRUE);
+}
+
+static void
+res_find_copies (struct res_table *table, const struct rte_service *service)
 {
-  GHashTable *copies
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   GPtrArray *all = flt_all (table->fleet);
 
+  table->copies = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         res_free_holders);
   for (guint i = 0; i < all->len; i++)
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-      const struct flt_weights *weights = &endpoint->reported;
-      const struct res_engine *engine;
 
       if (!res_serves (table, service, endpoint))
         continue;
-      engine = res_engine (table, endpoint);
-      res_note_copies (copies, weights->in_memory);
-      res_note_copies (copies, weights->on_disk);
-      for (guint j = 0; j < weights->models->len; j++)
-        {
-          const struct flt_model *model
-              = g_ptr_array_index (weights->models, j);
-
-          g_hash_table_add (copies, g_strdup (model->name));
-        }
-      res_add_name (copies, res_loads (engine));
-      res_add_name (copies, engine->reserved);
+      res_note_copies (table->copies, endpoint, endpoint->reported.in_memory);
+      res_note_copies (table->copies, endpoint, endpoint->reported.on_disk);
     }
-  return copies;
+}
+
+/* Return the engines of SERVICE (struct flt_endpoint) that have a copy of
+   MODEL in host memory or on disk.  */
+GPtrArray *
+res_holders (struct res_table *table, const struct rte_service *service,
+             const char *model)
+{
+  GPtrArray *holders;
+
+  if (table->copies == NULL)
+    res_find_copies (table, service);
+  holders = g_hash_table_lookup (table->copies, model);
+  return holders == NULL ? table->nobody : holders;
+}
+
+/* Forget what the last step found of copies.  */
+void
+res_forget_copies (struct res_table *table)
+{
+  if (table->copies != NULL)
+    g_hash_table_destroy (table->copies);
+  table->copies = NULL;
 }
