Send the leader's beacons only while the store confirms it

Cause: a leader that is cut off from the store gives no orders after 0.9 s but told the others each 0.5 s that it lives, so they asked for changes of its record every 4 s only. Ruled out: the lease (2 s) and the new leader's first reports (0.3 s).

Change: beacons stop when the store has not named the leader within LDR_SAFE_MS.

--- a/cowslipcoved/gw_beacon.c
+++ b/cowslipcoved/gw_beacon.c
@@ -2,8 +2,9 @@
 #include "lg.h"
 
 /* The leader follows the store promptly and tells the others that it lives and
-   which configuration it knows.  They let the store keep their watches waiting
-   for long, which saves most of the calls, as long as they hear the leader. */
+   which configuration it knows, as long as it reaches the store.  They let the
+   store keep their watches waiting for long, which saves most of the calls, as
+   long as they hear the leader. */
 
 #define GW_BEACON_MS 500
 /* Without a beacon for this long an instance follows the store promptly
@@ -52,7 +53,7 @@
   cs_beacon beacon
       = { .config_version = gw->config == NULL ? 0 : gw->config->version };
   uint64_t silent_us = tm_now_us (gw->tm) - gw->beacon_us;
-  bool leads = ldr_is_leader (gw->ldr);
+  bool leads = ldr_is_confirmed (gw->ldr);
 
   tm_after (gw->tm, &gw->beacon_timer, GW_BEACON_MS * GW_US_PER_MS,
             gw_beacon_due, gw);
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -341,6 +341,15 @@
   return ldr->leading;
 }
 
+/* Return whether the store named this instance as the leader within
+   LDR_SAFE_MS.  One that is cut off from the store leads on by name until it
+   hears of the end, while another takes its place.  */
+bool
+ldr_is_confirmed (const struct ldr *ldr)
+{
+  return ldr->leading && tm_now_us (ldr->config.tm) < ldr->safe_us;
+}
+
 /* Return the name of the leader, or NULL if none is known.  */
 const char *
 ldr_leader (const struct ldr *ldr)
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -63,6 +63,7 @@
                      const struct ldr_callbacks *callbacks, void *arg);
 void ldr_free (struct ldr *ldr);
 bool ldr_may_order (const struct ldr *ldr, uint64_t *fence);
+bool ldr_is_confirmed (const struct ldr *ldr);
 bool ldr_is_leader (const struct ldr *ldr);
 const char *ldr_leader (const struct ldr *ldr);
 const struct ldr_member *ldr_find (const struct ldr *ldr,
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -201,6 +201,14 @@
     }
 }
 
+static void
+print_confirmed (void)
+{
+  for (size_t i = 0; i < INSTANCES; i++)
+    if (instances[i].ldr != NULL && ldr_is_confirmed (instances[i].ldr))
+      printf ("%s is confirmed\n", instances[i].name);
+}
+
 static void
 print_members (void)
 {
@@ -255,6 +263,8 @@
     remove_record ();
   else if (strcmp (command, "may") == 0)
     print_rights ();
+  else if (strcmp (command, "confirmed") == 0)
+    print_confirmed ();
   else if (strcmp (command, "members") == 0)
     print_members ();
   else
