Notice a dead watch of the engines after 3 s of silence

Cause: the watch of the engines may wait for 25 s at the store. An outage that ends before another call of the same instance fails (renewals are 0.6 s apart) kills its connection unnoticed.

Change: a pace for watches whose changes are frequent (KV_BUSY): the call waits 3 s at the most; each engine changes its entry about once a second, so it costs no call more. Test: pf_store_test 'busy watch'.

--- a/cowslipcoved/gw_beacon.c
+++ b/cowslipcoved/gw_beacon.c
@@ -66,7 +66,7 @@
                        : KV_RELAXED);
   gw_set_fleet_pace (gw, leads || silent_us > GW_FLEET_LOST_MS * GW_US_PER_MS
                              ? KV_PROMPT
-                             : KV_RELAXED);
+                             : KV_BUSY);
 }
 
 /* The leader sent BEACON.  */
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -88,6 +88,8 @@
 {
   KV_PROMPT,
   KV_RELAXED, /* somebody else will tell if this watch misses a change */
+  KV_BUSY,    /* as KV_RELAXED; changes are frequent, so that a silence of
+                 seconds shows that the connection is lost */
   KV_RARE     /* and a change may be heard some seconds late */
 };
 
--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -11,6 +11,8 @@
 
 #define LIMIT_US    4000000
 #define ANSWERS_MAX 8
+/* The wait of 3 s, its margin and the longest pause before a new call.  */
+#define BUSY_NOTICED_US 4600000
 
 /* One answer of the store; status 0: the connection is closed without one,
    SILENT: nothing comes.  */
@@ -326,6 +328,33 @@
   run_until (&heard.ended, 1);
 }
 
+/* Guards against a watch of the engines whose connection dies in an outage so
+   short that no other call fails: silence of 3 s shows it.  */
+static void
+test_watch_busy (void)
+{
+  static const struct answer scripts[]
+      = { { 200, "{\"events\":[],\"CurrentRev\":5}" },
+          { SILENT, NULL },
+          { 200, EVENT },
+          { 410, "{}" } };
+  uint64_t silent_us;
+  void *watch;
+
+  play (scripts, 4);
+  watch = kv.methods->watch (kv.context, "k", 5, on_change, on_ended, NULL);
+  kv_set_pace (&kv, watch, KV_BUSY);
+  while (wire_endpoint_requests (peer) < 2)
+    uv_run (loop, UV_RUN_ONCE);
+  silent_us = tm_now_us (clock_driver.service);
+  while (wire_endpoint_requests (peer) < 3)
+    uv_run (loop, UV_RUN_ONCE);
+  CU_ASSERT_TRUE (tm_now_us (clock_driver.service) - silent_us
+                  < BUSY_NOTICED_US);
+  run_until (&heard.changes, 1);
+  run_until (&heard.ended, 1);
+}
+
 int
 main (void)
 {
@@ -338,6 +367,7 @@
           { "watch asks again", test_watch_asks_again },
           { "pace of a watch", test_watch_pace },
           { "watch after an outage", test_watch_after_outage },
+          { "busy watch", test_watch_busy },
           { NULL, NULL } };
 
   return unit_main ("pf_store", tests);
