--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -84,6 +84,7 @@
   gw->fleet = flt_new (gw->tm);
   gw->budgets = rbg_new (gw->tm);
   gw->latencies = hst_new ("request_seconds");
+  gw->decisions = hst_new ("decision_seconds");
   gw->demand
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_demand_free);
   gw->requests = g_hash_table_new (g_direct_hash, g_direct_equal);
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -35,6 +35,7 @@
   struct tm_service *tm;
   struct ctr_set *counters;
   struct hst_set *latencies;
+  struct hst_set *decisions; /* time that the leader's decisions take */
   const char *settings_file;
   struct gws_settings *settings;
   struct http_client *client; /* to the store and for orders */
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -9,6 +9,7 @@
    hundreds of reports and answers a second ask for them, and each takes a
    millisecond on an instance of 0.1 cores.  */
 #define GW_LEAD_GAP_MS 10
+#define GW_NS_PER_US   1000
 /* Engines answer orders and reports at once; one that does not is cut off. */
 #define GW_ORDER_TIMEOUT_MS  1000
 #define GW_REPORT_TIMEOUT_MS 500
@@ -242,6 +243,16 @@
     gw_lead_step (gw);
 }
 
+static void
+gw_lead_decide (struct gw *gw)
+{
+  uint64_t start_ns = uv_hrtime ();
+
+  res_step (gw->res);
+  hst_observe (gw->decisions, "residency",
+               (uv_hrtime () - start_ns) / GW_NS_PER_US);
+}
+
 static void
 gw_lead_due (void *arg)
 {
@@ -252,7 +263,7 @@
             gw);
   flt_sweep (gw->fleet);
   if (ldr_is_leader (gw->ldr) && gw->fleet_known)
-    res_step (gw->res);
+    gw_lead_decide (gw);
 }
 
 /* Take the decisions that are due soon, if this instance leads.  */
--- a/cowslipcoved/gw_status.c
+++ b/cowslipcoved/gw_status.c
@@ -43,6 +43,7 @@
   ctr_set_gauge (gw->counters, "log_lines_dropped_total",
                  (int64_t)lg_dropped ());
   hst_flush (gw->latencies, gw->counters);
+  hst_flush (gw->decisions, gw->counters);
   ctr_print (gw->counters, text);
   h1_answer (exchange, 200, NULL, 0, text->str);
   g_string_free (text, TRUE);
