--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -144,12 +144,7 @@
                         const struct rte_service *service, const char *model);
 void res_forget_copies (struct res_table *table);
 
-/* res_engine.c */
-struct res_engine *res_engine (struct res_table *table,
-                               struct flt_endpoint *endpoint);
-void res_engine_free (gpointer data);
-struct flt_endpoint *res_endpoint (struct res_table *table,
-                                   const struct res_engine *engine);
+/* res_room.c */
 uint32_t res_used_mb (struct res_table *table,
                       const struct rte_service *service,
                       struct flt_endpoint *endpoint);
@@ -158,6 +153,13 @@
 uint32_t res_adapters (struct res_table *table, struct flt_endpoint *endpoint);
 uint32_t res_load_ms (const struct flt_endpoint *endpoint,
                       const struct rte_model *model, bool *from_store);
+
+/* res_engine.c */
+struct res_engine *res_engine (struct res_table *table,
+                               struct flt_endpoint *endpoint);
+void res_engine_free (gpointer data);
+struct flt_endpoint *res_endpoint (struct res_table *table,
+                                   const struct res_engine *engine);
 uint32_t res_store_loads (struct res_table *table);
 void res_engine_step (struct res_table *table, struct res_engine *engine);
 bool res_can_order (const struct res_table *table,
--- /dev/null
+++ b/libcowslip/res_room.c
@@ -0,0 +1,112 @@
+#include <string.h>
+
+#include "res_impl.h"
+
+/* What fits into an engine, and how long it takes to get there.  */
+
+/* Return whether ADAPTER of MODEL was ordered and may not be loaded yet.  */
+bool
+res_sent_adapter (const struct res_engine *engine, const char *model,
+                  const char *adapter)
+{
+  for (guint i = 0; i < engine->incoming->len; i++)
+    {
+      const struct res_incoming *incoming
+          = &g_array_index (engine->incoming, struct res_incoming, i);
+
+      if (g_str_equal (incoming->model, model)
+          && g_str_equal (incoming->adapter, adapter))
+        return true;
+    }
+  return false;
+}
+
+/* Return how many adapters ENDPOINT reports as on their way that neither it
+   holds nor this leader has ordered.  An earlier leader has.  */
+static uint32_t
+res_foreign_adapters (const struct res_engine *engine,
+                      const struct flt_weights *weights)
+{
+  uint32_t count = 0;
+
+  for (guint i = 0; i < weights->incoming->len; i++)
+    {
+      const char *name = g_ptr_array_index (weights->incoming, i);
+      const char *slash = strchr (name, '/');
+      const struct flt_model *held;
+      char *model;
+
+      if (slash == NULL)
+        continue;
+      model = g_strndup (name, (gsize)(slash - name));
+      held = flt_weights_find (weights, model);
+      if ((held == NULL || !flt_model_has (held, slash + 1))
+          && !res_sent_adapter (engine, model, slash + 1))
+        count++;
+      g_free (model);
+    }
+  return count;
+}
+
+/* Return how many adapters ENDPOINT holds or is fetching.  */
+uint32_t
+res_adapters (struct res_table *table, struct flt_endpoint *endpoint)
+{
+  const struct flt_weights *weights = &endpoint->reported;
+  const struct res_engine *engine = res_engine (table, endpoint);
+  uint32_t count
+      = engine->incoming->len + res_foreign_adapters (engine, weights);
+
+  for (guint i = 0; i < weights->models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (weights->models, i);
+
+      count += model->adapters->len;
+    }
+  return count;
+}
+
+/* Return the memory at ENDPOINT that is taken, or about to be, in MB.  */
+uint32_t
+res_used_mb (struct res_table *table, const struct rte_service *service,
+             struct flt_endpoint *endpoint)
+{
+  const struct flt_weights *weights = &endpoint->reported;
+  const struct res_engine *engine = res_engine (table, endpoint);
+  const struct rte_model *spec;
+  uint32_t used_mb = 0;
+
+  for (guint i = 0; i < weights->models->len; i++)
+    {
+      const struct flt_model *model = g_ptr_array_index (weights->models, i);
+
+      spec = rte_model (service, model->name);
+      /* A model that the configuration does not name has an unknown size.  */
+      used_mb += spec == NULL ? service->weights_mb : spec->weights_mb;
+    }
+  if (engine->phase != RES_IDLE && engine->phase != RES_FOREIGN
+      && engine->kind == PRT_LOAD
+      && flt_weights_find (weights, engine->model) == NULL)
+    {
+      spec = rte_model (service, engine->model);
+      used_mb += spec == NULL ? service->weights_mb : spec->weights_mb;
+    }
+  return used_mb + res_adapters (table, endpoint) * service->adapter_mb_max;
+}
+
+/* Return how long ENDPOINT needs to load MODEL, in milliseconds, and whether
+   it fetches the weights from the weight store.  */
+uint32_t
+res_load_ms (const struct flt_endpoint *endpoint,
+             const struct rte_model *model, bool *from_store)
+{
+  const struct flt_weights *weights = &endpoint->reported;
+
+  *from_store = false;
+  if (flt_list_has (weights->in_memory, model->name))
+    return model->memory_ms;
+  if (flt_list_has (weights->on_disk, model->name))
+    return model->disk_ms;
+  *from_store = true;
+  return model->store_ms;
+}
