--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -37,7 +37,7 @@
   table->items
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, res_item_free);
   table->replicas
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   table->nobody = g_ptr_array_new ();
   table->under_way
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/libcowslip/res_replica.c
+++ b/libcowslip/res_replica.c
@@ -17,7 +17,9 @@
 uint32_t
 res_replicas (const struct res_table *table, const char *model)
 {
-  return GPOINTER_TO_UINT (g_hash_table_lookup (table->replicas, model));
+  const uint32_t *count = g_hash_table_lookup (table->replicas, model);
+
+  return count == NULL ? 0 : *count;
 }
 
 /* Return whether an engine loads MODEL or is kept for it.  */
@@ -52,11 +54,16 @@
   for (guint i = 0; i < models->len; i++)
     {
       const struct flt_model *model = g_ptr_array_index (models, i);
-      uint32_t count = res_replicas (table, model->name);
+      uint32_t *count = g_hash_table_lookup (table->replicas, model->name);
 
-      if (flt_holds (table->fleet, endpoint, model->name, NULL))
-        g_hash_table_insert (table->replicas, g_strdup (model->name),
-                             GUINT_TO_POINTER (count + 1));
+      if (!flt_holds (table->fleet, endpoint, model->name, NULL))
+        continue;
+      if (count == NULL)
+        {
+          count = g_new0 (uint32_t, 1);
+          g_hash_table_insert (table->replicas, g_strdup (model->name), count);
+        }
+      (*count)++;
     }
 }
 
