Let a begun stream wait for an engine that has room

Cause: a stream that left a silent engine was broken off at once when the next engine was full (503, not run) and no further one had the model, with 6 s of the caller's time left. Ruled out: the configuration (the requests keep the limits they came with) and the caller's time.

Change: a begun answer that can go on waits like one that has not begun.

--- a/libcowslip/fwd.c
+++ b/libcowslip/fwd.c
@@ -27,16 +27,16 @@
 }
 
 /* Return the next step for a request of which FACTS hold.  A refusal that says
-   "not run" is given only if no send may have run.  */
+   "not run" is given only if no send may have run.  A begun answer that can go
+   on is not broken off because the next endpoint is full: it has the rest of
+   the caller's time to find one.  */
 enum fwd_step
 fwd_decide (const struct fwd_facts *facts)
 {
   if (facts->end != FWD_NOT_SENT && facts->end != FWD_NOT_RUN)
     return fwd_after_run (facts);
-  if (facts->answer_begun)
-    return facts->can_resume && facts->endpoint_left && fwd_can_send (facts)
-               ? FWD_AGAIN
-               : FWD_CUT;
+  if (facts->answer_begun && !(facts->can_resume && fwd_can_send (facts)))
+    return FWD_CUT;
   if (fwd_can_send (facts))
     return facts->endpoint_left ? FWD_AGAIN : FWD_WAIT;
   return facts->has_run ? FWD_FAIL : FWD_REFUSE;
--- a/libcowslip/fwd.h
+++ b/libcowslip/fwd.h
@@ -34,7 +34,7 @@
 enum fwd_step
 {
   FWD_AGAIN,  /* send it once more; arrivals need a budget */
-  FWD_WAIT,   /* nothing has run; wait for an endpoint that can take it */
+  FWD_WAIT,   /* the last send did not run; wait for an endpoint */
   FWD_REFUSE, /* tell the caller truthfully that it did not run */
   FWD_FAIL,   /* tell the caller that it failed */
   FWD_PASS,   /* give the caller the endpoint's own answer */
