Leave kept engines out of store loads before anything else is looked at

A load from the store never goes to an engine that is kept for another model, but its load and place were weighed first.

Change: that check comes first. No decision changes.

--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -153,13 +153,17 @@
 {
   struct res_engine *engine = res_engine (table, endpoint);
 
+  bool taken = engine->reserved != NULL
+               && !g_str_equal (engine->reserved, model->name);
+
+  if (from_store && taken)
+    return false;
   if (!endpoint->reported_known
       || flt_weights_find (&endpoint->reported, model->name) != NULL)
     return false;
   *choice
       = (struct res_choice){ .endpoint = endpoint, .from_store = from_store };
-  choice->taken = engine->reserved != NULL
-                  && !g_str_equal (engine->reserved, model->name);
+  choice->taken = taken;
   choice->cost_ms = from_store
                         ? model->store_ms
                         : res_load_ms (endpoint, model, &choice->from_store);
@@ -167,8 +171,6 @@
       += res_busy_ms (table, engine) + RES_CROWD_MS * engine->crowd;
   choice->now = engine->phase == RES_IDLE && res_can_order (table, engine)
                 && !choice->taken;
-  if (from_store && choice->taken)
-    return false;
   if (choice->taken)
     choice->cost_ms += RES_TURN_MS;
   res_look_at (table, service, endpoint, engine);
