--- a/libcowslip/h1_answer.c
+++ b/libcowslip/h1_answer.c
@@ -65,7 +65,6 @@
     h1_link_write (exchange->link, last, sizeof last - 1);
   exchange->chunked = false;
   exchange->busy = false;
-  exchange->server->active--;
   if (exchange->close_after)
     {
       h1_link_finish (exchange->link);
--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -14,14 +14,11 @@
 
   if (exchange->link != NULL)
     h1_link_close (exchange->link);
-  if (exchange->busy)
-    server->active--;
   tm_cancel (server->tm, &exchange->timer);
   g_hash_table_remove (server->connections, exchange);
   h1_parser_clear (&exchange->parser);
   g_byte_array_free (exchange->body, TRUE);
   g_byte_array_free (exchange->held, TRUE);
-  g_free (exchange->peer);
   g_free (exchange);
 }
 
@@ -69,11 +66,7 @@
 h1_exchange_refuse (struct h1_exchange *exchange, uint16_t status)
 {
   exchange->close_after = true;
-  if (!exchange->busy)
-    {
-      exchange->busy = true;
-      exchange->server->active++;
-    }
+  exchange->busy = true;
   exchange->events = NULL;
   h1_answer (exchange, status, NULL, 0, "");
 }
@@ -124,7 +117,6 @@
   tm_cancel (server->tm, &exchange->timer);
   exchange->busy = true;
   exchange->close_after |= server->draining;
-  server->active++;
   server->events.request (server->arg, exchange);
 }
 
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -115,24 +115,6 @@
     g_hash_table_remove (pool->idle, peer);
 }
 
-/* Free POOL.  No call may be under way.  */
-void
-h1_pool_free (struct h1_pool *pool)
-{
-  GList *peers = g_hash_table_get_keys (pool->idle);
-
-  for (GList *item = peers; item != NULL; item = item->next)
-    {
-      GQueue *queue = g_hash_table_lookup (pool->idle, item->data);
-
-      while (!g_queue_is_empty (queue))
-        h1_channel_free (g_queue_peek_head (queue));
-    }
-  g_list_free (peers);
-  g_hash_table_destroy (pool->idle);
-  g_free (pool);
-}
-
 /* Return how many connections were opened since the start.  */
 uint64_t
 h1_pool_connects (const struct h1_pool *pool)
--- a/libcowslip/h1_pool.h
+++ b/libcowslip/h1_pool.h
@@ -48,7 +48,6 @@
 };
 
 struct h1_pool *h1_pool_new (uv_loop_t *loop, struct tm_service *tm);
-void h1_pool_free (struct h1_pool *pool);
 void h1_pool_forget (struct h1_pool *pool, const char *peer);
 uint64_t h1_pool_connects (const struct h1_pool *pool);
 
--- a/libcowslip/h1_server.c
+++ b/libcowslip/h1_server.c
@@ -107,13 +107,6 @@
   uv_close ((uv_handle_t *)&server->listener, h1_server_closed);
 }
 
-/* Return how many requests wait for the end of their answers.  */
-uint32_t
-h1_server_active (const struct h1_server *server)
-{
-  return server->active;
-}
-
 /* Return how many connections are open.  */
 uint32_t
 h1_server_connections (const struct h1_server *server)
--- a/libcowslip/h1_server.h
+++ b/libcowslip/h1_server.h
@@ -47,14 +47,12 @@
 void h1_server_drain (struct h1_server *server);
 void h1_server_close_idle (struct h1_server *server);
 void h1_server_free (struct h1_server *server);
-uint32_t h1_server_active (const struct h1_server *server);
 uint32_t h1_server_connections (const struct h1_server *server);
 uint16_t h1_server_port (const struct h1_server *server);
 
 const struct h1_head *h1_exchange_head (const struct h1_exchange *exchange);
 const char *h1_exchange_body (const struct h1_exchange *exchange,
                               size_t *bytes);
-const char *h1_exchange_peer (const struct h1_exchange *exchange);
 void h1_exchange_listen (struct h1_exchange *exchange,
                          const struct h1_exchange_events *events, void *arg);
 size_t h1_exchange_pending_bytes (const struct h1_exchange *exchange);
--- a/libcowslip/h1_server_impl.h
+++ b/libcowslip/h1_server_impl.h
@@ -15,7 +15,6 @@
   void *arg;
   struct h1_limits limits;
   GHashTable *connections; /* set of struct h1_exchange */
-  uint32_t active;         /* requests that wait for their answer */
   bool draining;
 };
 
@@ -28,7 +27,6 @@
   struct tm_timer timer;
   GByteArray *body;
   GByteArray *held; /* bytes behind the current request */
-  char *peer;
   const struct h1_exchange_events *events;
   void *arg;
   bool busy; /* a request waits for its answer */
--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -75,7 +75,6 @@
 res_begin (struct res_table *table)
 {
   g_hash_table_remove_all (table->engines);
-  table->begun_us = res_now (table);
 }
 
 static void
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -109,8 +109,7 @@
   GHashTable *items;     /* name -> struct res_item */
   GHashTable *instances; /* name -> struct res_instance */
   uint64_t next_order;
-  uint32_t store_max; /* loads from the weight store at once */
-  uint64_t begun_us;
+  uint32_t store_max;   /* loads from the weight store at once */
   GHashTable *replicas; /* model -> engines that hold it, of the last step */
   GHashTable
       *under_way;     /* set of models that an engine loads or is kept for */
