Use one piece of code for fields, wishes and sends that may have run

Cause: the loop that writes the fields of a head stood in the server and in the pool; what a request asks of an endpoint was described twice with small differences that do not matter; whether a send may have run the request was worked out in three places; the timer of a request was set in two; and the Connection field was found and split anew for each field of each message.

Change: h1_head_print, gw_wish, fwd_may_have_run and gw_request_look_again serve all of them; the names in the Connection field are read once a message. No decision and no byte on the wire changes.

Measured: gw_http_test and flt_test pass.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -4,7 +4,6 @@
 
 #include "gw_impl.h"
 #include "lg.h"
-#include "pck.h"
 
 /* Connections within a region take 1 ms.  A lost opening packet is sent again
    after a second, so waiting that long costs more than another endpoint.  */
@@ -29,30 +28,34 @@
 
 static void gw_next_step (struct gw_request *request);
 
-/* Return whether the Connection field of HEAD names the field NAME.  */
-static bool
-gw_is_connection_field (const struct h1_head *head, const char *name)
+/* Return the names of the fields in the Connection field of HEAD, to be freed
+   with g_strfreev; NULL: none.  */
+static char **
+gw_connection_fields (const struct h1_head *head)
 {
   const char *value = h1_head_get (head, "Connection");
-  char **names;
-  bool found = false;
+  char **names = value == NULL ? NULL : g_strsplit (value, ",", -1);
 
-  if (value == NULL)
-    return false;
-  names = g_strsplit (value, ",", -1);
-  for (char **each = names; *each != NULL; each++)
-    found |= g_ascii_strcasecmp (g_strstrip (*each), name) == 0;
-  g_strfreev (names);
-  return found;
+  for (char **each = names; each != NULL && *each != NULL; each++)
+    g_strstrip (*each);
+  return names;
 }
 
+/* Return whether NAMES, which may be NULL, has NAME in any case.  */
 static bool
-gw_is_reserved (const struct prt_fields *fields, const char *name)
+gw_has_name (const char *const *names, const char *name)
 {
-  for (const char *const *each = fields->reserved; *each != NULL; each++)
-    if (g_ascii_strcasecmp (*each, name) == 0)
+  for (; names != NULL && *names != NULL; names++)
+    if (g_ascii_strcasecmp (*names, name) == 0)
       return true;
-  return g_ascii_strcasecmp (fields->time_left_ms, name) == 0;
+  return false;
+}
+
+static bool
+gw_is_reserved (const struct prt_fields *fields, const char *name)
+{
+  return gw_has_name (fields->reserved, name)
+         || g_ascii_strcasecmp (fields->time_left_ms, name) == 0;
 }
 
 static void
@@ -86,6 +89,7 @@
 {
   const struct prt_fields *names = &request->gw->protocol->fields;
   const struct h1_head *from = h1_exchange_head (request->exchange);
+  char **dropped = gw_connection_fields (from);
 
   h1_head_init (head);
   head->method = g_strdup (from->method);
@@ -98,12 +102,13 @@
           = &g_array_index (from->fields, struct h1_field, i);
 
       if (gw_is_reserved (names, field->name)
-          || gw_is_connection_field (from, field->name)
+          || gw_has_name ((const char *const *)dropped, field->name)
           || (request->answer_begun
               && g_ascii_strcasecmp (field->name, names->last_event) == 0))
         continue;
       h1_head_add (head, field->name, field->value);
     }
+  g_strfreev (dropped);
   gw_add_own_fields (request, endpoint, head);
 }
 
@@ -184,21 +189,15 @@
 gw_endpoint_left (const struct gw_request *request)
 {
   struct gw *gw = request->gw;
-  struct pck_wish wish = { .service = request->service_name,
-                           .model = request->model,
-                           .adapter = request->adapter,
-                           .zone = gw->settings->zone,
-                           .instances = 1,
-                           .tried = request->tried,
-                           .only_untried = true };
+  struct pck_wish wish = gw_wish (request);
 
+  wish.only_untried = true;
   return pck_choose (gw->fleet, gw->tm, &wish) != NULL;
 }
 
 static enum fwd_step
 gw_decide (const struct gw_request *request, enum fwd_end end)
 {
-  bool ran = end != FWD_NOT_SENT && end != FWD_NOT_RUN;
   struct fwd_facts facts
       = { .end = end,
           .may_repeat = rte_may_repeat (request->route),
@@ -206,7 +205,7 @@
           .answer_begun = request->answer_begun,
           .can_resume = request->event_stream && request->route->resumable
                         && request->events.any,
-          .runs = request->runs + (ran ? 1 : 0),
+          .runs = request->runs + (fwd_may_have_run (end) ? 1 : 0),
           .runs_max = request->route->attempts_max,
           .sends = request->sends,
           .left_ms = gw_left_ms (request),
@@ -259,6 +258,7 @@
 gw_hold_head (struct gw_request *request, const struct h1_head *head)
 {
   const char *type = h1_head_get (head, "Content-Type");
+  char **dropped = gw_connection_fields (head);
 
   request->event_stream = type != NULL
                           && g_ascii_strncasecmp (type, "text/event-stream",
@@ -273,9 +273,10 @@
       const struct h1_field *field
           = &g_array_index (head->fields, struct h1_field, i);
 
-      if (!gw_is_connection_field (head, field->name))
+      if (!gw_has_name ((const char *const *)dropped, field->name))
         h1_head_add (&request->answer, field->name, field->value);
     }
+  g_strfreev (dropped);
   request->answer_held = true;
 }
 
@@ -410,11 +411,10 @@
 {
   struct gw *gw = request->gw;
   enum fwd_step step = gw_decide (request, request->end);
-  bool ran = request->end != FWD_NOT_SENT && request->end != FWD_NOT_RUN;
 
   if (request->end != FWD_NOT_SENT)
     request->arrivals++;
-  if (ran)
+  if (fwd_may_have_run (request->end))
     request->runs++;
   lg_write (LG_SEND_ENDED,
             "id=%s endpoint=%s end=%d step=%d sends=%u runs=%u left_ms=%u",
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -16,6 +16,7 @@
 #include "http_client.h"
 #include "kv.h"
 #include "ldr.h"
+#include "pck.h"
 #include "prt.h"
 #include "rbg.h"
 #include "res.h"
@@ -151,6 +152,7 @@
 
 /* gw_request.c */
 void gw_on_request (void *arg, struct h1_exchange *exchange);
+struct pck_wish gw_wish (const struct gw_request *request);
 void gw_request_dispatch (struct gw_request *request);
 void gw_request_ended (struct gw_request *request, uint16_t status,
                        const char *outcome);
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -6,7 +6,6 @@
 #include "drn.h"
 #include "gw_impl.h"
 #include "lg.h"
-#include "pck.h"
 
 /* An instance answers a request this long before its caller stops waiting, so
    that the answer arrives: one way takes 3 ms (SYSTEM).  */
@@ -100,6 +99,16 @@
   gw_request_ended (request, 0, "caller_gone");
 }
 
+static void gw_request_tick (void *arg);
+
+static void
+gw_request_look_again (struct gw_request *request)
+{
+  tm_after (request->gw->tm, &request->timer,
+            MIN (GW_TICK_MS, gw_left_ms (request) + 1) * GW_US_PER_MS,
+            gw_request_tick, request);
+}
+
 /* The caller's time or the route's is over, or something needs a look before
    that.  */
 static void
@@ -112,9 +121,7 @@
       gw_give_up (request);
       return;
     }
-  tm_after (request->gw->tm, &request->timer,
-            MIN (GW_TICK_MS, gw_left_ms (request) + 1) * GW_US_PER_MS,
-            gw_request_tick, request);
+  gw_request_look_again (request);
   if (request->state == GW_SENT)
     gw_check_silence (request);
 }
@@ -263,26 +270,34 @@
       gw_refuse (request, RSN_DRAINING);
       return;
     }
-  tm_after (gw->tm, &request->timer,
-            MIN (GW_TICK_MS, gw_left_ms (request) + 1) * GW_US_PER_MS,
-            gw_request_tick, request);
+  gw_request_look_again (request);
   gw_request_dispatch (request);
 }
 
+/* Return what REQUEST asks of an endpoint.  */
+struct pck_wish
+gw_wish (const struct gw_request *request)
+{
+  const struct gw *gw = request->gw;
+
+  return (struct pck_wish){ .service = request->service_name,
+                            .model = request->model,
+                            .adapter = request->adapter,
+                            .zone = gw->settings->zone,
+                            .slots = request->service == NULL
+                                         ? 0
+                                         : request->service->slots,
+                            .instances = gw_instances (gw),
+                            .prefix = request->prefix,
+                            .tried = request->tried };
+}
+
 /* Send REQUEST to the endpoint that suits it best, or let it wait.  */
 void
 gw_request_dispatch (struct gw_request *request)
 {
   struct gw *gw = request->gw;
-  struct pck_wish wish
-      = { .service = request->service_name,
-          .model = request->model,
-          .adapter = request->adapter,
-          .zone = gw->settings->zone,
-          .slots = request->service == NULL ? 0 : request->service->slots,
-          .instances = gw_instances (gw),
-          .prefix = request->prefix,
-          .tried = request->tried };
+  struct pck_wish wish = gw_wish (request);
   struct flt_endpoint *endpoint;
 
   for (;;)
--- a/libcowslip/fwd.c
+++ b/libcowslip/fwd.c
@@ -6,6 +6,13 @@
    that one request can cause when all endpoints refuse.  */
 #define FWD_SENDS_MAX 6
 
+/* Return whether a send that ended with END may have run the request.  */
+bool
+fwd_may_have_run (enum fwd_end end)
+{
+  return end != FWD_NOT_SENT && end != FWD_NOT_RUN;
+}
+
 static bool
 fwd_can_send (const struct fwd_facts *facts)
 {
@@ -33,7 +40,7 @@
 enum fwd_step
 fwd_decide (const struct fwd_facts *facts)
 {
-  if (facts->end != FWD_NOT_SENT && facts->end != FWD_NOT_RUN)
+  if (fwd_may_have_run (facts->end))
     return fwd_after_run (facts);
   if (facts->answer_begun && !(facts->can_resume && fwd_can_send (facts)))
     return FWD_CUT;
--- a/libcowslip/fwd.h
+++ b/libcowslip/fwd.h
@@ -41,6 +41,7 @@
   FWD_CUT     /* break the begun answer off */
 };
 
+bool fwd_may_have_run (enum fwd_end end);
 enum fwd_step fwd_decide (const struct fwd_facts *facts);
 
 #endif
--- a/libcowslip/h1_answer.c
+++ b/libcowslip/h1_answer.c
@@ -11,14 +11,7 @@
 
   g_string_printf (text, "HTTP/1.1 %u %s\r\n", head->status,
                    h1_status_text (head->status));
-  for (guint i = 0; i < head->fields->len; i++)
-    {
-      const struct h1_field *field
-          = &g_array_index (head->fields, struct h1_field, i);
-
-      if (!h1_field_is_hop_by_hop (field->name))
-        g_string_append_printf (text, "%s: %s\r\n", field->name, field->value);
-    }
+  h1_head_print (head, text);
   exchange->chunked
       = !head->has_length && head->status != 204 && head->status != 304;
   if (head->has_length)
--- a/libcowslip/h1_head.c
+++ b/libcowslip/h1_head.c
@@ -57,7 +57,7 @@
 
 /* Return whether the field NAME concerns one connection only or is set anew by
    the sender's framing, so that a proxy does not pass it on.  */
-bool
+static bool
 h1_field_is_hop_by_hop (const char *name)
 {
   static const char *const names[] = { "connection",
@@ -78,6 +78,20 @@
   return false;
 }
 
+/* Append the fields of HEAD to TEXT, without those of a connection.  */
+void
+h1_head_print (const struct h1_head *head, GString *text)
+{
+  for (guint i = 0; i < head->fields->len; i++)
+    {
+      const struct h1_field *field
+          = &g_array_index (head->fields, struct h1_field, i);
+
+      if (!h1_field_is_hop_by_hop (field->name))
+        g_string_append_printf (text, "%s: %s\r\n", field->name, field->value);
+    }
+}
+
 /* Return the reason phrase of STATUS.  */
 const char *
 h1_status_text (uint16_t status)
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -379,14 +379,7 @@
   GString *text = g_string_sized_new (512 + request->body_bytes);
 
   g_string_printf (text, "%s %s HTTP/1.1\r\n", head->method, head->target);
-  for (guint i = 0; i < head->fields->len; i++)
-    {
-      const struct h1_field *field
-          = &g_array_index (head->fields, struct h1_field, i);
-
-      if (!h1_field_is_hop_by_hop (field->name))
-        g_string_append_printf (text, "%s: %s\r\n", field->name, field->value);
-    }
+  h1_head_print (head, text);
   if (request->body_bytes > 0 || head->has_length || head->chunked)
     g_string_append_printf (text, "Content-Length: %zu\r\n",
                             request->body_bytes);
