--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -7,9 +7,8 @@
 #define GW_LEAD_MS 50
 /* Decisions are at least this far apart.  With 60 engines and 70 instances
    hundreds of reports and answers a second ask for them, and each takes a
-   millisecond on an instance of 0.1 cores.  */
+   millisecond of processor time, 10 ms on an instance of 0.1 cores.  */
 #define GW_LEAD_GAP_MS 10
-#define GW_NS_PER_US   1000
 /* Engines answer orders and reports at once; one that does not is cut off. */
 #define GW_ORDER_TIMEOUT_MS  1000
 #define GW_REPORT_TIMEOUT_MS 500
@@ -246,11 +245,10 @@
 static void
 gw_lead_decide (struct gw *gw)
 {
-  uint64_t start_ns = uv_hrtime ();
+  uint64_t start_us = tm_now_us (gw->tm);
 
   res_step (gw->res);
-  hst_observe (gw->decisions, "residency",
-               (uv_hrtime () - start_ns) / GW_NS_PER_US);
+  hst_observe (gw->decisions, "residency", tm_now_us (gw->tm) - start_us);
 }
 
 static void
