Split the two longest tests and drop copies of library code in them

Change: regress/gw_fixture.c starts the gateway, gw_answers_test.c holds the table, gw_http_test.c the rest; res_sim_engine.c holds the engines and uses flt_weights_copy and a clear function.

--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -84,6 +84,7 @@
 
 void flt_weights_init (struct flt_weights *weights);
 void flt_weights_clear (struct flt_weights *weights);
+void flt_weights_copy (struct flt_weights *to, const struct flt_weights *from);
 struct flt_model *flt_weights_add (struct flt_weights *weights,
                                    const char *name, uint64_t version);
 bool flt_weights_drop (struct flt_weights *weights, const char *model);
--- /dev/null
+++ b/regress/gw_answers_test.c
@@ -0,0 +1,345 @@
+#include <string.h>
+
+#include "gw_fixture.h"
+#include "unit.h"
+
+/* What the gateway makes of each way in which endpoints answer, over loopback
+   against both ends byte by byte.  */
+
+/* One case: what the first endpoint answers, what the second one does if it is
+   asked, and what the caller gets.  */
+struct wire_case
+{
+  const char *name;
+  const char *path;
+  struct wire_script first;
+  struct wire_script second;
+  uint16_t status;
+  const char *body; /* as far as it arrives */
+  bool whole;
+  bool asks_second;
+};
+
+static const struct wire_case cases[] = {
+  { "length",
+    "once",
+    { GWF_OK_HEAD "Content-Length: 3\r\n\r\nabc", WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    "abc",
+    true,
+    false },
+  { "length in pieces",
+    "once",
+    { GWF_OK_HEAD "Content-Len|gth: 3\r\n\r\na|bc", WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    "abc",
+    true,
+    false },
+  { "chunks",
+    "once",
+    { GWF_OK_HEAD
+      "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n|2\r\nbc\r\n0\r\n"
+      "\r\n",
+      WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    "abc",
+    true,
+    false },
+  { "no length, closed",
+    "once",
+    { GWF_OK_HEAD "\r\nabc", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    "abc",
+    true,
+    false },
+  { "no length, reset",
+    "once",
+    { GWF_OK_HEAD "\r\nabc", WIRE_RESET, 0 },
+    { 0 },
+    200,
+    "abc",
+    false,
+    false },
+  { "length, cut",
+    "once",
+    { GWF_OK_HEAD "Content-Length: 5\r\n\r\nabc", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    "abc",
+    false,
+    false },
+  { "chunks, cut",
+    "once",
+    { GWF_OK_HEAD "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n", WIRE_CLOSE,
+      0 },
+    { 0 },
+    200,
+    "a",
+    false,
+    false },
+  { "head only, cut, may run once",
+    "once",
+    { GWF_OK_HEAD "Content-Length: 5\r\n\r\n", WIRE_CLOSE, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "head only, cut, may run again",
+    "again",
+    { GWF_OK_HEAD "Content-Length: 5\r\n\r\n", WIRE_CLOSE, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    200,
+    "B",
+    true,
+    true },
+  { "silent close, may run once",
+    "once",
+    { "", WIRE_CLOSE, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "silent close, may run again",
+    "again",
+    { "", WIRE_CLOSE, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    200,
+    "B",
+    true,
+    true },
+  { "reset, may run once",
+    "once",
+    { "", WIRE_RESET, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "not run",
+    "once",
+    { "HTTP/1.1 503 S\r\nX-Cowslipcove-Not-Executed: 1\r\n" GWF_OWN_ID
+      "Content-Length: 0\r\n\r\n",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    200,
+    "B",
+    true,
+    true },
+  { "not run anywhere",
+    "once",
+    { "HTTP/1.1 503 S\r\nX-Cowslipcove-Not-Executed: 1\r\n" GWF_OWN_ID
+      "Content-Length: 0\r\n\r\n",
+      WIRE_KEEP, 0 },
+    { "HTTP/1.1 429 S\r\nX-Cowslipcove-Not-Executed: 1\r\n" GWF_OWN_ID
+      "Content-Length: 0\r\n\r\n",
+      WIRE_KEEP, 0 },
+    503,
+    "",
+    true,
+    true },
+  { "another endpoint has the address",
+    "once",
+    { "HTTP/1.1 421 M\r\nX-Cowslipcove-Instance-Id: other\r\n" GWF_OWN_ID
+      "Content-Length: 0\r\n\r\n",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    200,
+    "B",
+    true,
+    true },
+  { "error, may run once",
+    "once",
+    { "HTTP/1.1 500 E\r\n" GWF_SEAL GWF_OWN_ID "Content-Length: 1\r\n\r\nE",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    500,
+    "E",
+    true,
+    false },
+  { "error, may run again",
+    "again",
+    { "HTTP/1.1 500 E\r\n" GWF_SEAL GWF_OWN_ID "Content-Length: 1\r\n\r\nE",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    200,
+    "B",
+    true,
+    true },
+  { "503 that does not say not run",
+    "once",
+    { "HTTP/1.1 503 S\r\n" GWF_SEAL GWF_OWN_ID "Content-Length: 1\r\n\r\nS",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    503,
+    "S",
+    true,
+    false },
+  { "success without a seal",
+    "once",
+    { "HTTP/1.1 200 OK\r\n" GWF_OWN_ID "Content-Length: 1\r\n\r\nx", WIRE_KEEP,
+      0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "late answer to an earlier request",
+    "once",
+    { "HTTP/1.1 200 OK\r\n" GWF_SEAL GWF_ID_NAME
+      ": r-old\r\nContent-Length: 3\r\n\r\nold" GWF_OK_HEAD
+      "Content-Length: 3\r\n\r\nnew",
+      WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    "new",
+    true,
+    false },
+  { "only a late answer",
+    "once",
+    { "HTTP/1.1 200 OK\r\n" GWF_SEAL GWF_ID_NAME
+      ": r-old\r\nContent-Length: 3\r\n\r\nold",
+      WIRE_CLOSE, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "100 before the answer",
+    "once",
+    { "HTTP/1.1 100 Continue\r\n\r\n" GWF_OK_HEAD "Content-Length: 1\r\n\r\na",
+      WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    "a",
+    true,
+    false },
+  { "no answer at all",
+    "once",
+    { "garbage\r\n\r\n", WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "two lengths",
+    "once",
+    { GWF_OK_HEAD "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      WIRE_KEEP, 0 },
+    { GWF_WHOLE_B, 0, 0 },
+    502,
+    "",
+    true,
+    false },
+  { "204 without a body",
+    "once",
+    { "HTTP/1.1 204 N\r\n" GWF_SEAL GWF_OWN_ID "\r\n", WIRE_KEEP, 0 },
+    { 0 },
+    204,
+    "",
+    true,
+    false },
+  { "stream",
+    "flow",
+    { GWF_EVENTS GWF_EVENT ("1") "|" GWF_EVENT ("2") "0\r\n\r\n", WIRE_KEEP,
+      0 },
+    { 0 },
+    200,
+    "id: 1\ndata: x\n\nid: 2\ndata: x\n\n",
+    true,
+    false },
+  { "stream cut in an event",
+    "flow",
+    { GWF_EVENTS GWF_EVENT ("1") "8\r\nid: 2\nda\r\n", WIRE_CLOSE, 0 },
+    { GWF_EVENTS GWF_EVENT ("2") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    "id: 1\ndata: x\n\n",
+    false,
+    false },
+  { "stream resumed",
+    "resume",
+    { GWF_EVENTS GWF_EVENT ("1") "|8\r\nid: 2\nda\r\n", WIRE_RESET, 0 },
+    { GWF_EVENTS GWF_EVENT ("2") GWF_EVENT ("3") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n",
+    true,
+    true },
+  { "stream resumed with a doubled event",
+    "resume",
+    { GWF_EVENTS GWF_EVENT ("1") GWF_EVENT ("2"), WIRE_CLOSE, 0 },
+    { GWF_EVENTS GWF_EVENT ("2") GWF_EVENT ("3") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n",
+    true,
+    true },
+  { "stream that fails before its first event",
+    "resume",
+    { GWF_EVENTS, WIRE_CLOSE, 0 },
+    { GWF_EVENTS GWF_EVENT ("1") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    "id: 1\ndata: x\n\n",
+    true,
+    true },
+  { "stream refused at its second engine",
+    "resume",
+    { GWF_EVENTS GWF_EVENT ("1"), WIRE_CLOSE, 0 },
+    { "HTTP/1.1 500 E\r\n" GWF_SEAL GWF_OWN_ID "Content-Length: 1\r\n\r\nE",
+      WIRE_KEEP, 0 },
+    200,
+    "id: 1\ndata: x\n\n",
+    false,
+    true },
+};
+
+static void
+run_case (const struct wire_case *c)
+{
+  char *bytes = gwf_ask (c->path);
+  struct wire_caller *caller;
+
+  gwf_forgive ();
+  gwf_play (0, &c->first);
+  gwf_play (1, &c->second);
+  caller = gwf_call (bytes, 1);
+  if (wire_caller_status (caller) != c->status
+      || strcmp (wire_caller_body (caller), c->body) != 0
+      || (wire_caller_whole (caller) == 1) != c->whole
+      || (wire_endpoint_requests (gwf_endpoints[1]) > 0) != c->asks_second)
+    {
+      printf ("\n%s: status %u, body \"%s\", whole %u, second asked %u\n",
+              c->name, wire_caller_status (caller), wire_caller_body (caller),
+              wire_caller_whole (caller),
+              wire_endpoint_requests (gwf_endpoints[1]));
+      CU_FAIL ("case");
+    }
+  /* A failure of the gateway's own bears no seal of an endpoint.  */
+  CU_ASSERT_TRUE (c->status != 502
+                  || wire_caller_field (caller, "X-Cowslipcove-Response-Seal")
+                         == NULL);
+  gwf_end_call (caller);
+  g_free (bytes);
+}
+
+/* Guards against answers that are mixed up, cut but complete to look at, run
+   twice, or called "not run" although they may have run.  */
+static void
+test_cases (void)
+{
+  gwf_start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    run_case (&cases[i]);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "ways to answer", test_cases }, { NULL, NULL } };
+
+  return unit_main ("gw_answers", tests);
+}
--- /dev/null
+++ b/regress/gw_fixture.c
@@ -0,0 +1,157 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_kv.h"
+#include "gw_fixture.h"
+#include "lg.h"
+#include "pf.h"
+#include "unit.h"
+
+#define GWF_LIMIT_MS 3000
+
+struct gw gwf_gw;
+struct wire_endpoint *gwf_endpoints[GWF_ENDPOINTS];
+static struct gws_settings settings;
+static uint32_t next_id;
+
+static const char config_text[]
+    = "{\"Version\":1,\"Routes\":["
+      "{\"Name\":\"once\",\"Host\":\"h\",\"PathPrefix\":\"/once/\",\"Kind\":"
+      "\"non_idempotent\",\"TimeoutMs\":700,\"TargetLatencyMs\":100,"
+      "\"Priority\":1,\"MaxAttempts\":1,\"Service\":\"plain\"},"
+      "{\"Name\":\"again\",\"Host\":\"h\",\"PathPrefix\":\"/again/\","
+      "\"Kind\":\"idempotent\",\"TimeoutMs\":1000,\"TargetLatencyMs\":100,"
+      "\"Priority\":1,\"MaxAttempts\":2,\"Service\":\"plain\"},"
+      "{\"Name\":\"flow\",\"Host\":\"h\",\"PathPrefix\":\"/flow/\",\"Kind\":"
+      "\"streaming\",\"TimeoutMs\":2000,\"TargetLatencyMs\":500,"
+      "\"GapTargetMs\":300,\"Priority\":1,\"MaxAttempts\":1,"
+      "\"Service\":\"plain\"},"
+      "{\"Name\":\"resume\",\"Host\":\"h\",\"PathPrefix\":\"/resume/\","
+      "\"Kind\":\"streaming\",\"TimeoutMs\":2000,\"TargetLatencyMs\":500,"
+      "\"Resumable\":true,\"GapTargetMs\":300,\"Priority\":1,"
+      "\"MaxAttempts\":2,\"Service\":\"plain\"}],"
+      "\"Services\":[{\"Name\":\"plain\",\"MaxConns\":100}],"
+      "\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":400000,"
+      "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":5000}}";
+
+static char *
+entry_text (uint32_t index)
+{
+  /* The first endpoint is in the own zone and so is asked first.  */
+  return g_strdup_printf (
+      "{\"Service\":\"plain\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z%u\","
+      "\"Version\":\"v\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,"
+      "\"Seq\":1}",
+      wire_endpoint_port (gwf_endpoints[index]), index + 1);
+}
+
+/* Start the gateway with two endpoints, once for all tests of a program.  */
+void
+gwf_start (void)
+{
+  static struct fake_kv *kv;
+  GError *error = NULL;
+
+  if (gwf_gw.loop != NULL)
+    return;
+  gwf_gw.loop = uv_default_loop ();
+  settings = (struct gws_settings){ .instance = "i1",
+                                    .zone = "z1",
+                                    .caller_address = "127.0.0.1:0",
+                                    .ready_address = "127.0.0.1:0",
+                                    .peer_address = "127.0.0.1:0",
+                                    .metrics_address = "127.0.0.1:0",
+                                    .grace_ms = 8000,
+                                    .retry_ratio = 0.2,
+                                    .retry_extra = 1000,
+                                    .retry_window_ms = 10000,
+                                    .sockets_max = 1000 };
+  gwf_gw.settings = &settings;
+  tm_uv_start (&gwf_gw.clock, gwf_gw.loop);
+  gwf_gw.tm = gwf_gw.clock.service;
+  gwf_gw.counters = ctr_new ();
+  gwf_gw.protocol = pf_protocol ();
+  gwf_gw.random = gsl_rng_alloc (gsl_rng_mt19937);
+  gwf_gw.client = http_client_new (gwf_gw.loop, gwf_gw.tm);
+  kv = fake_kv_new (gwf_gw.tm, 500);
+  gwf_gw.kv = fake_kv_store (kv);
+  lg_set_threshold (LG_ERR);
+  fake_kv_put (kv, "op/config", config_text);
+  for (uint32_t i = 0; i < GWF_ENDPOINTS; i++)
+    {
+      char *key = g_strdup_printf ("servers/e%u", i + 1);
+      char *text;
+
+      gwf_endpoints[i] = wire_endpoint_new (gwf_gw.loop, GWF_ID_NAME);
+      text = entry_text (i);
+      fake_kv_put (kv, key, text);
+      g_free (text);
+      g_free (key);
+    }
+  CU_ASSERT_TRUE_FATAL (gw_start (&gwf_gw, &error));
+  while (gwf_gw.config == NULL || !gwf_gw.fleet_known
+         || ldr_strength (gwf_gw.ldr) == 0)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+}
+
+/* Let endpoint INDEX answer requests with SCRIPT; NULL: it is silent.  */
+void
+gwf_play (uint32_t index, const struct wire_script *script)
+{
+  wire_endpoint_play (gwf_endpoints[index], script,
+                      script == NULL || script->bytes == NULL ? 0 : 1);
+}
+
+/* Let the endpoints be as good as new: what earlier cases taught the gateway
+   of their failures is no part of this one.  */
+void
+gwf_forgive (void)
+{
+  GPtrArray *all = flt_all (gwf_gw.fleet);
+
+  for (guint i = 0; i < all->len; i++)
+    flt_answered (g_ptr_array_index (all, i));
+  h1_pool_forget (gwf_gw.pool, "e1");
+  h1_pool_forget (gwf_gw.pool, "e2");
+}
+
+/* Return a request for a route, PATH, with an id of its own, to be freed.  */
+char *
+gwf_ask (const char *path)
+{
+  return g_strdup_printf (
+      "POST /%s/x HTTP/1.1\r\nHost: h\r\n" GWF_ID_NAME ": r%u\r\n"
+      "X-Cowslipcove-Deadline-Remaining: 900\r\nContent-Length: 4\r\n\r\nbody",
+      path, ++next_id);
+}
+
+/* Return whether CALLER has ANSWERS whole answers or lost its connection.  */
+bool
+gwf_is_over (const struct wire_caller *caller, uint32_t answers)
+{
+  return wire_caller_closed (caller) || wire_caller_whole (caller) >= answers;
+}
+
+/* Send BYTES as a new caller and wait for ANSWERS whole answers.  */
+struct wire_caller *
+gwf_call (const char *bytes, uint32_t answers)
+{
+  struct wire_caller *caller
+      = wire_caller_new (gwf_gw.loop, h1_server_port (gwf_gw.callers), bytes);
+  uint64_t start_us = tm_now_us (gwf_gw.tm);
+
+  while (!gwf_is_over (caller, answers)
+         && tm_now_us (gwf_gw.tm) - start_us < GWF_LIMIT_MS * GW_US_PER_MS)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  return caller;
+}
+
+/* Close the connection of CALLER and wait until the gateway has noticed.  */
+void
+gwf_end_call (struct wire_caller *caller)
+{
+  wire_caller_close (caller);
+  while (h1_server_connections (gwf_gw.callers) > 0)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  uv_run (gwf_gw.loop, UV_RUN_NOWAIT);
+}
--- /dev/null
+++ b/regress/res_sim_engine.c
@@ -0,0 +1,287 @@
+#include <stdio.h>
+
+#include "res_sim_impl.h"
+
+/* The engines of the simulation: what they hold and how they take orders.  */
+
+#define RSM_ADAPTER_MS 10
+#define RSM_UNLOAD_MS  20
+
+static void
+rsm_incoming_clear (gpointer data)
+{
+  struct rsm_incoming *incoming = data;
+
+  g_free (incoming->model);
+  g_free (incoming->adapter);
+}
+
+static uint32_t
+rsm_adapters (const struct rsm_engine *engine)
+{
+  uint32_t count = engine->incoming->len;
+
+  for (guint i = 0; i < engine->held.models->len; i++)
+    count += ((struct flt_model *)g_ptr_array_index (engine->held.models, i))
+                 ->adapters->len;
+  return count;
+}
+
+static uint32_t
+rsm_used_mb (struct rsm *sim, const struct rsm_engine *engine)
+{
+  uint32_t used_mb = rsm_adapters (engine) * RSM_ADAPTER_MB;
+
+  for (guint i = 0; i < engine->held.models->len; i++)
+    {
+      const struct flt_model *model
+          = g_ptr_array_index (engine->held.models, i);
+
+      used_mb += rte_model (sim->service, model->name)->weights_mb;
+    }
+  if (engine->busy && engine->kind == PRT_LOAD)
+    used_mb += rte_model (sim->service, engine->model)->weights_mb;
+  return used_mb;
+}
+
+/* Complete what is due at ENGINE.  */
+static void
+rsm_settle (struct rsm *sim, struct rsm_engine *engine)
+{
+  for (guint i = engine->incoming->len; i-- > 0;)
+    {
+      struct rsm_incoming *incoming
+          = &g_array_index (engine->incoming, struct rsm_incoming, i);
+      struct flt_model *model;
+
+      if (incoming->end_us > rsm_now (sim))
+        continue;
+      model = flt_weights_find (&engine->held, incoming->model);
+      if (model != NULL)
+        g_ptr_array_add (model->adapters, g_strdup (incoming->adapter));
+      g_array_remove_index (engine->incoming, i);
+    }
+  if (!engine->busy || engine->end_us > rsm_now (sim))
+    return;
+  engine->busy = false;
+  if (engine->kind == PRT_UNLOAD)
+    flt_weights_drop (&engine->held, engine->model);
+  else
+    {
+      flt_weights_add (&engine->held, engine->model, 1);
+      rsm_copy (engine, engine->model);
+      if (!flt_list_has (engine->held.in_memory, engine->model))
+        g_ptr_array_add (engine->held.in_memory, g_strdup (engine->model));
+    }
+}
+
+static void
+rsm_crash (struct rsm *sim, struct rsm_engine *engine, const char *what)
+{
+  sim->over_limit++;
+  printf ("%" G_GUINT64_FORMAT " ms: %s has no room for %s\n",
+          rsm_now (sim) / RSM_US_PER_MS, engine->name, what);
+  rsm_restart (sim, engine);
+}
+
+static enum prt_order_result
+rsm_accept_model (struct rsm *sim, struct rsm_engine *engine,
+                  const struct rsm_message *order)
+{
+  const struct rte_model *spec = rte_model (sim->service, order->model);
+  uint64_t now_us = rsm_now (sim);
+  uint32_t needs_ms = RSM_UNLOAD_MS;
+
+  if ((flt_weights_find (&engine->held, order->model) != NULL)
+      == (order->kind == PRT_LOAD))
+    return PRT_HOLDS;
+  if (order->kind == PRT_LOAD)
+    {
+      if (rsm_used_mb (sim, engine) + spec->weights_mb
+          > sim->service->weights_mb)
+        {
+          rsm_crash (sim, engine, order->model);
+          return PRT_NO_ANSWER;
+        }
+      needs_ms
+          = flt_list_has (engine->held.in_memory, order->model) ? RSM_MEMORY_MS
+            : flt_list_has (engine->held.on_disk, order->model) ? RSM_DISK_MS
+                                                                : RSM_STORE_MS;
+      sim->loads++;
+      if (needs_ms == RSM_STORE_MS)
+        g_array_append_val (sim->store_loads, now_us);
+    }
+  else
+    sim->unloads++;
+  engine->orders++;
+  engine->busy = true;
+  engine->kind = order->kind;
+  g_free (engine->model);
+  engine->model = g_strdup (order->model);
+  if (needs_ms == RSM_STORE_MS)
+    needs_ms *= sim->store_slow;
+  engine->end_us = now_us + needs_ms * RSM_US_PER_MS;
+  return PRT_STARTED;
+}
+
+static enum prt_order_result
+rsm_accept_adapter (struct rsm *sim, struct rsm_engine *engine,
+                    const struct rsm_message *order)
+{
+  struct flt_model *model = flt_weights_find (&engine->held, order->model);
+  struct rsm_incoming incoming
+      = { g_strdup (order->model), g_strdup (order->adapter),
+          rsm_now (sim) + RSM_ADAPTER_MS * RSM_US_PER_MS };
+
+  if (model != NULL && order->kind == PRT_LOAD
+      && !flt_model_has (model, order->adapter))
+    {
+      if (rsm_adapters (engine) >= sim->service->adapter_slots)
+        {
+          rsm_crash (sim, engine, order->adapter);
+          return PRT_NO_ANSWER;
+        }
+      engine->orders++;
+      g_array_append_val (engine->incoming, incoming);
+      return PRT_STARTED;
+    }
+  g_free (incoming.model);
+  g_free (incoming.adapter);
+  if (model == NULL)
+    return PRT_REFUSED;
+  if (order->kind == PRT_LOAD)
+    return PRT_HOLDS;
+  for (guint i = 0; i < model->adapters->len; i++)
+    if (g_str_equal (g_ptr_array_index (model->adapters, i), order->adapter))
+      {
+        g_ptr_array_remove_index (model->adapters, i);
+        break;
+      }
+  engine->orders++;
+  return PRT_HOLDS;
+}
+
+/* Let ENGINE take ORDER.  */
+enum prt_order_result
+rsm_accept (struct rsm *sim, struct rsm_engine *engine,
+            const struct rsm_message *order)
+{
+  rsm_settle (sim, engine);
+  if (engine->started_ms != order->started_ms)
+    return PRT_REFUSED;
+  if (engine->busy || engine->orders != order->orders)
+    return PRT_BUSY;
+  return order->adapter == NULL ? rsm_accept_model (sim, engine, order)
+                                : rsm_accept_adapter (sim, engine, order);
+}
+
+/* Fill WEIGHTS, which is prepared, with what ENGINE says of itself.  */
+void
+rsm_describe (struct rsm *sim, struct rsm_engine *engine,
+              struct flt_weights *weights)
+{
+  rsm_settle (sim, engine);
+  flt_weights_copy (weights, &engine->held);
+  for (guint i = 0; i < engine->incoming->len; i++)
+    {
+      const struct rsm_incoming *incoming
+          = &g_array_index (engine->incoming, struct rsm_incoming, i);
+
+      g_ptr_array_add (
+          weights->incoming,
+          g_strconcat (incoming->model, "/", incoming->adapter, NULL));
+    }
+  weights->orders = engine->orders;
+  weights->busy = engine->busy;
+}
+
+/* Free the struct rsm_engine at DATA.  */
+void
+rsm_engine_free (gpointer data)
+{
+  struct rsm_engine *engine = data;
+
+  g_array_free (engine->incoming, TRUE);
+  flt_weights_clear (&engine->held);
+  g_free (engine->name);
+  g_free (engine->zone);
+  g_free (engine->model);
+  g_free (engine);
+}
+
+/* Add an empty engine.  */
+struct rsm_engine *
+rsm_add_engine (struct rsm *sim, const char *name, const char *zone)
+{
+  struct rsm_engine *engine = g_new0 (struct rsm_engine, 1);
+
+  engine->name = g_strdup (name);
+  engine->zone = g_strdup (zone);
+  engine->started_ms = 1;
+  engine->incoming = g_array_new (FALSE, FALSE, sizeof (struct rsm_incoming));
+  g_array_set_clear_func (engine->incoming, rsm_incoming_clear);
+  flt_weights_init (&engine->held);
+  g_ptr_array_add (sim->engines, engine);
+  return engine;
+}
+
+/* Return the engine called NAME, or NULL.  */
+struct rsm_engine *
+rsm_find (struct rsm *sim, const char *name)
+{
+  for (guint i = 0; i < sim->engines->len; i++)
+    {
+      struct rsm_engine *engine = g_ptr_array_index (sim->engines, i);
+
+      if (g_str_equal (engine->name, name))
+        return engine;
+    }
+  return NULL;
+}
+
+/* ENGINE holds MODEL from the start.  */
+void
+rsm_hold (struct rsm_engine *engine, const char *model)
+{
+  flt_weights_add (&engine->held, model, 1);
+  rsm_copy (engine, model);
+}
+
+/* ENGINE has a copy of MODEL on its disk.  */
+void
+rsm_copy (struct rsm_engine *engine, const char *model)
+{
+  if (!flt_list_has (engine->held.on_disk, model))
+    g_ptr_array_add (engine->held.on_disk, g_strdup (model));
+}
+
+/* ENGINE starts anew, empty but for its disk.  */
+void
+rsm_restart (struct rsm *sim, struct rsm_engine *engine)
+{
+  engine->started_ms = rsm_now (sim) / RSM_US_PER_MS + 2;
+  engine->orders = 0;
+  engine->busy = false;
+  g_ptr_array_set_size (engine->held.models, 0);
+  g_ptr_array_set_size (engine->held.in_memory, 0);
+  g_array_set_size (engine->incoming, 0);
+  rsm_announce (sim, engine);
+}
+
+/* Return whether some engine can run requests for MODEL and ADAPTER, which may
+   be NULL.  */
+bool
+rsm_serves (struct rsm *sim, const char *model, const char *adapter)
+{
+  for (guint i = 0; i < sim->engines->len; i++)
+    {
+      struct rsm_engine *engine = g_ptr_array_index (sim->engines, i);
+      const struct flt_model *held;
+
+      rsm_settle (sim, engine);
+      held = flt_weights_find (&engine->held, model);
+      if (held != NULL && (adapter == NULL || flt_model_has (held, adapter)))
+        return true;
+    }
+  return false;
+}
