--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -91,12 +91,12 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_demand_free);
   gw->requests = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gw->waiting);
+  gw_relay_start (gw);
   gw_lead_start (gw);
   gw_peers_start (gw);
   gw_config_start (gw);
   gw_fleet_start (gw);
   gw_demand_start (gw);
-  gw_beacon_start (gw);
 }
 
 static bool
@@ -128,9 +128,9 @@
   gw->protocol = pf_protocol ();
   if (!gw_init_random (gw))
     return false;
-  gw->kv = pf_store_kv (pf_store_new (
-      gw->client, gw->tm, gw->counters, gw->settings->store_address,
-      gw_fleet_pause_ms (gw->settings), gw->random));
+  gw->store
+      = pf_store_kv (pf_store_new (gw->client, gw->tm, gw->counters,
+                                   gw->settings->store_address, gw->random));
   return true;
 }
 
--- a/cowslipcoved/gw_config.c
+++ b/cowslipcoved/gw_config.c
@@ -96,7 +96,6 @@
   gw->config_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.config, result->revision + 1,
       gw_config_changed, gw_config_watch_ended, gw);
-  kv_set_pace (&gw->kv, gw->config_watch, gw->pace);
 }
 
 static void
@@ -113,15 +112,3 @@
 {
   gw_config_read (gw);
 }
-
-/* Read the configuration again, because the leader has a newer version than
-   the watch has delivered.  */
-void
-gw_config_refresh (struct gw *gw)
-{
-  if (gw->config_watch == NULL)
-    return;
-  gw->kv.methods->unwatch (gw->kv.context, gw->config_watch);
-  gw->config_watch = NULL;
-  gw_config_read (gw);
-}
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -9,37 +9,24 @@
 #define GW_FLEET_REANNOUNCE_MS 2000
 /* An outage of the store counts as recent for this long after a failed
    call.  */
-#define GW_FLEET_OUTAGE_MS 4000
+#define GW_FLEET_OUTAGE_MS 6000
 /* Longest time from the update of an entry to the arrival of the last request
-   that was sent without knowledge of it, in addition to the pause of the
-   watch.  */
-#define GW_FLEET_PROPAGATION_MS 800
-/* Part of drain_ms that the pause of a relaxed watch leaves unused.  */
-#define GW_FLEET_DRAIN_RESERVE_MS 1000
+   that was sent without knowledge of it: a pause of the watch, two batches of
+   the relay and the request's own way.  */
+#define GW_FLEET_PROPAGATION_MS 1500
 
 static void gw_fleet_read (void *arg);
 
-/* Return the pause between two calls of a relaxed watch of the endpoints, in
-   milliseconds: an endpoint that leaves must get no request later than
-   drain_ms after its announcement.  */
-uint32_t
-gw_fleet_pause_ms (const struct gws_settings *settings)
-{
-  return settings->drain_ms > GW_FLEET_DRAIN_RESERVE_MS
-             ? settings->drain_ms - GW_FLEET_DRAIN_RESERVE_MS
-             : settings->drain_ms / 2;
-}
-
 /* Return how long an endpoint without an entry is still used where no other
    can serve, in milliseconds.  */
 static uint32_t
 gw_fleet_grace_ms (const struct gw *gw)
 {
   uint32_t drain_ms = gw->settings->drain_ms;
-  uint32_t notice_ms
-      = gw_fleet_pause_ms (gw->settings) + GW_FLEET_PROPAGATION_MS;
 
-  return drain_ms > notice_ms ? drain_ms - notice_ms : 0;
+  return drain_ms > GW_FLEET_PROPAGATION_MS
+             ? drain_ms - GW_FLEET_PROPAGATION_MS
+             : 0;
 }
 
 /* Handle the removal of entries.  They count as expired, and their endpoints
@@ -145,7 +132,6 @@
   gw->fleet_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
       gw_fleet_on_change, gw_fleet_watch_ended, gw);
-  kv_set_pace (&gw->kv, gw->fleet_watch, gw->fleet_pace);
   gw_dispatch_queued (gw);
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -20,6 +20,7 @@
 #include "prt.h"
 #include "rbg.h"
 #include "res.h"
+#include "rly.h"
 #include "rpc.h"
 #include "rte.h"
 #include "tm_uv.h"
@@ -46,7 +47,9 @@
   struct h1_server *ready; /* readiness checks of the load balancer */
   struct h1_server *metrics;
   const struct prt_protocol *protocol;
-  struct kv_store kv;
+  struct kv_store store; /* the store itself */
+  struct kv_store kv;    /* the same with relayed watches */
+  struct rly *relay;
   gsl_rng *random;
   uint64_t incarnation;
 
@@ -55,11 +58,6 @@
   bool fleet_loaded;
   void *config_watch; /* NULL while CONFIG is being read */
   void *fleet_watch;
-  enum kv_pace pace;
-  enum kv_pace fleet_pace;
-  uint64_t last_beacon_us;  /* last beacon received; 0: none yet */
-  uint64_t config_stale_us; /* first beacon with a version newer than CONFIG;
-                               0: up to date */
   struct rbg_budgets *budgets;
   struct ldr *ldr;
   struct rpc_node *rpc; /* NULL until the peer key is known */
@@ -75,7 +73,6 @@
   uint64_t last_decision_us; /* when decisions were last due */
   struct tm_timer queue_timer;
   struct tm_timer drain_timer;
-  struct tm_timer beacon_timer;
   bool demand_scheduled;
   bool draining;
   uint64_t drain_start_us;
@@ -139,6 +136,7 @@
   uint32_t runs;       /* endpoints on which it may have run */
   enum fwd_result end; /* result of the current attempt, once known */
   bool response_started;
+  bool retry_acquired; /* a retry from the budget that was not sent yet */
   struct evs_parser events;
 };
 
@@ -147,15 +145,14 @@
 
 /* gw_config.c */
 void gw_config_start (struct gw *gw);
-void gw_config_refresh (struct gw *gw);
 
 /* gw_fleet.c */
 void gw_fleet_start (struct gw *gw);
-uint32_t gw_fleet_pause_ms (const struct gws_settings *settings);
 
 /* gw_request.c */
 void gw_on_request (void *arg, struct h1_exchange *exchange);
 struct pck_criteria gw_endpoint_query (const struct gw_request *request);
+bool gw_acquire_retry (struct gw_request *request);
 void gw_request_dispatch (struct gw_request *request);
 void gw_request_finish (struct gw_request *request, uint16_t status,
                         const char *outcome);
@@ -186,13 +183,16 @@
 /* gw_peers.c */
 void gw_peers_start (struct gw *gw);
 void gw_peers_report (struct gw *gw, const cs_residency_report *report);
-void gw_peers_beacon (struct gw *gw, const cs_beacon *beacon);
 void gw_peers_notify_residency (struct gw *gw, const cs_residency_news *news);
+void gw_peers_send (struct gw *gw, const char *address, uint32_t procedure,
+                    xdrproc_t encode, void *args);
 uint32_t gw_instance_count (const struct gw *gw);
 
-/* gw_beacon.c */
-void gw_beacon_start (struct gw *gw);
-void gw_beacon_handle (struct gw *gw, const cs_beacon *beacon);
+/* gw_relay.c */
+void gw_relay_start (struct gw *gw);
+void gw_relay_members_changed (struct gw *gw);
+void gw_relay_handle (struct gw *gw, const struct rpc_origin *origin,
+                      const cs_relay *batch);
 
 /* gw_lead.c */
 void gw_lead_start (struct gw *gw);
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -32,6 +32,7 @@
 gw_peers_changed (void *arg)
 {
   gw_set_budgets (arg);
+  gw_relay_members_changed (arg);
 }
 
 static void
@@ -68,14 +69,11 @@
 }
 
 static void
-gw_beacon_received (void *arg, const struct rpc_origin *origin, void *args,
-                    struct rpc_request *request)
+gw_relay_received (void *arg, const struct rpc_origin *origin, void *args,
+                   struct rpc_request *request)
 {
-  struct gw *gw = arg;
-
   (void)request;
-  if (g_strcmp0 (origin->instance, ldr_leader (gw->ldr)) == 0)
-    gw_beacon_handle (gw, args);
+  gw_relay_handle (arg, origin, args);
 }
 
 static void
@@ -87,9 +85,9 @@
   static const struct rpc_procedure news
       = { COWSLIP_RESIDENCY_NEWS, (xdrproc_t)xdr_cs_residency_news,
           sizeof (cs_residency_news), NULL, gw_residency_received };
-  static const struct rpc_procedure beacon
-      = { COWSLIP_BEACON, (xdrproc_t)xdr_cs_beacon, sizeof (cs_beacon), NULL,
-          gw_beacon_received };
+  static const struct rpc_procedure relay
+      = { COWSLIP_RELAY, (xdrproc_t)xdr_cs_relay, sizeof (cs_relay), NULL,
+          gw_relay_received };
   struct gw *gw = arg;
   struct rpc_config config = { .instance = gw->settings->instance,
                                .incarnation = gw->incarnation,
@@ -108,7 +106,7 @@
     }
   rpc_register (gw->rpc, &report, gw);
   rpc_register (gw->rpc, &news, gw);
-  rpc_register (gw->rpc, &beacon, gw);
+  rpc_register (gw->rpc, &relay, gw);
 }
 
 /* Register this instance and join the leader election.  */
@@ -138,7 +136,8 @@
   gw_set_budgets (gw);
 }
 
-static void
+/* Send a one-way message to the instance at ADDRESS.  */
+void
 gw_peers_send (struct gw *gw, const char *address, uint32_t procedure,
                xdrproc_t encode, void *args)
 {
@@ -185,19 +184,3 @@
                        (xdrproc_t)xdr_cs_residency_news, (void *)news);
     }
 }
-
-/* Send BEACON to all other instances.  */
-void
-gw_peers_beacon (struct gw *gw, const cs_beacon *beacon)
-{
-  const GPtrArray *members = ldr_members (gw->ldr);
-
-  for (guint i = 0; gw->rpc != NULL && i < members->len; i++)
-    {
-      const struct ldr_member *member = g_ptr_array_index (members, i);
-
-      if (!g_str_equal (member->instance, gw->settings->instance))
-        gw_peers_send (gw, member->address, COWSLIP_BEACON,
-                       (xdrproc_t)xdr_cs_beacon, (void *)beacon);
-    }
-}
--- /dev/null
+++ b/cowslipcoved/gw_relay.c
@@ -0,0 +1,136 @@
+#include <string.h>
+
+#include "gw_impl.h"
+#include "lg.h"
+
+/* In a fleet of at most this many instances all form one group; otherwise each
+   availability zone has its own, because bytes between zones are limited.  */
+#define GW_RELAY_FLEET_MAX 16
+/* Larger values are read from the store: sending one to 60 instances takes
+   seconds on a link of 20 Mbit/s.  */
+#define GW_RELAY_VALUE_MAX_BYTES (32U << 10)
+
+static bool
+gw_relay_in_group (const struct gw *gw, const struct ldr_member *member)
+{
+  return ldr_members (gw->ldr)->len <= GW_RELAY_FLEET_MAX
+         || g_str_equal (member->zone, gw->settings->zone);
+}
+
+/* Return whether A ranks before B as a source: the leader, which needs the
+   changes first, then the instance with the larger CPU quota.  */
+static bool
+gw_relay_ranks_before (const struct gw *gw, const struct ldr_member *a,
+                       const struct ldr_member *b)
+{
+  const char *leader = ldr_leader (gw->ldr);
+  bool a_leads = g_strcmp0 (a->instance, leader) == 0;
+  bool b_leads = g_strcmp0 (b->instance, leader) == 0;
+
+  if (a_leads != b_leads)
+    return a_leads;
+  if (a->cpu_percent != b->cpu_percent)
+    return a->cpu_percent > b->cpu_percent;
+  return strcmp (a->instance, b->instance) < 0;
+}
+
+/* Update this instance's rank after a change of the members or the leader.  */
+void
+gw_relay_members_changed (struct gw *gw)
+{
+  const GPtrArray *members = ldr_members (gw->ldr);
+  const struct ldr_member *self
+      = ldr_find_member (gw->ldr, gw->settings->instance);
+  uint32_t rank = 0;
+
+  for (guint i = 0; self != NULL && i < members->len; i++)
+    {
+      const struct ldr_member *member = g_ptr_array_index (members, i);
+
+      if (gw_relay_in_group (gw, member)
+          && gw_relay_ranks_before (gw, member, self))
+        rank++;
+    }
+  rly_set_rank (gw->relay, self == NULL ? RLY_RANK_UNKNOWN : rank);
+}
+
+static void
+gw_relay_send (void *arg, cs_relay *batch)
+{
+  struct gw *gw = arg;
+  const GPtrArray *members = ldr_members (gw->ldr);
+
+  for (guint i = 0; gw->rpc != NULL && i < members->len; i++)
+    {
+      const struct ldr_member *member = g_ptr_array_index (members, i);
+
+      if (gw_relay_in_group (gw, member)
+          && !g_str_equal (member->instance, gw->settings->instance))
+        gw_peers_send (gw, member->address, COWSLIP_RELAY,
+                       (xdrproc_t)xdr_cs_relay, batch);
+    }
+  ctr_add (gw->counters, "relay_batches_sent_total", 1);
+}
+
+static bool
+gw_relay_condense (void *arg, const char *key, const char *value, size_t bytes,
+                   GString *out)
+{
+  const struct gw *gw = arg;
+
+  if (g_str_has_prefix (key, gw->protocol->keys.endpoint_prefix))
+    gw->protocol->condense_entry (value, bytes, out);
+  else
+    g_string_append_len (out, value, (gssize)bytes);
+  return out->len <= GW_RELAY_VALUE_MAX_BYTES;
+}
+
+static void
+gw_relay_role_changed (void *arg, enum rly_role role)
+{
+  struct gw *gw = arg;
+
+  lg_write (LG_RELAY_ROLE, "role=%d leader=%s members=%u", role,
+            ldr_leader (gw->ldr) == NULL ? "-" : ldr_leader (gw->ldr),
+            ldr_members (gw->ldr)->len);
+}
+
+static void
+gw_relay_diverged (void *arg, const char *prefix)
+{
+  struct gw *gw = arg;
+
+  ctr_add (gw->counters, "relay_diverged_total", 1);
+  lg_write (LG_RELAY_DIVERGED, "prefix=%s", prefix);
+}
+
+/* Process BATCH, which ORIGIN has sent.  */
+void
+gw_relay_handle (struct gw *gw, const struct rpc_origin *origin,
+                 const cs_relay *batch)
+{
+  /* Only members relay; another may have lost its lease long ago.  */
+  if (ldr_find_member (gw->ldr, origin->instance) == NULL)
+    {
+      ctr_add (gw->counters, "relay_batches_ignored_total", 1);
+      return;
+    }
+  rly_receive (gw->relay, batch);
+}
+
+/* Create the relay, through which all watches of the store go.  */
+void
+gw_relay_start (struct gw *gw)
+{
+  static const struct rly_callbacks callbacks
+      = { gw_relay_send, gw_relay_condense, gw_relay_role_changed,
+          gw_relay_diverged };
+  const char *const prefixes[]
+      = { gw->protocol->keys.config, gw->protocol->keys.endpoint_prefix,
+          ldr_key_prefix (), NULL };
+  struct rly_config config
+      = { .kv = gw->store, .tm = gw->tm, .prefixes = prefixes };
+
+  gw->relay = rly_new (&config, &callbacks, gw);
+  gw->kv = rly_store (gw->relay);
+}
--- a/libcowslip/kv.c
+++ b/libcowslip/kv.c
@@ -32,11 +32,3 @@
 {
   kv_read (store, KV_GET_PREFIX, prefix, done, arg);
 }
-
-/* Set how promptly WATCH, which may be NULL, reports changes.  */
-void
-kv_set_pace (const struct kv_store *store, void *watch, enum kv_pace pace)
-{
-  if (watch != NULL && store->methods->set_pace != NULL)
-    store->methods->set_pace (store->context, watch, pace);
-}
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -83,17 +83,6 @@
 typedef void (*kv_changed) (void *arg, const struct kv_change *change);
 typedef void (*kv_watch_ended) (void *arg);
 
-/* How promptly a watch must detect changes and lost connections.  */
-enum kv_pace
-{
-  KV_PACE_PROMPT,
-  KV_PACE_RELAXED,  /* missed changes are also reported by another source */
-  KV_PACE_FREQUENT, /* like KV_PACE_RELAXED, but changes are frequent, so that
-                       some seconds without any indicate a lost connection */
-  KV_PACE_DELAYED   /* like KV_PACE_RELAXED, and changes may be reported some
-                       seconds late */
-};
-
 struct kv_methods
 {
   void (*txn) (void *context, const struct kv_txn *txn, kv_done done,
@@ -107,8 +96,9 @@
   void *(*watch) (void *context, const char *prefix, int64_t from_revision,
                   kv_changed changed, kv_watch_ended ended, void *arg);
   void (*unwatch) (void *context, void *watch);
-  /* Sets how promptly a watch reports changes.  NULL: always promptly.  */
-  void (*set_pace) (void *context, void *watch, enum kv_pace pace);
+  /* When the service last answered WATCH, in tm_now_us; 0: not yet.  NULL: a
+     watch that does not report is assumed to be connected.  */
+  uint64_t (*watch_answered_us) (void *context, const void *watch);
 };
 
 struct kv_store
@@ -121,8 +111,6 @@
              kv_done done, void *arg);
 void kv_get (const struct kv_store *store, const char *key, kv_done done,
              void *arg);
-void kv_set_pace (const struct kv_store *store, void *watch,
-                  enum kv_pace pace);
 void kv_get_prefix (const struct kv_store *store, const char *prefix,
                     kv_done done, void *arg);
 
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -30,7 +30,8 @@
   return ldr->leader.instance != NULL
          && g_str_equal (ldr->leader.instance, ldr->config.instance)
          && ldr->leader.incarnation == ldr->config.incarnation
-         && ldr->leader.lease == ldr->lease && ldr->lease != 0;
+         && ldr->leader.lease == ldr->leader_lease.id
+         && ldr->leader_lease.id != 0;
 }
 
 static void
@@ -135,9 +136,12 @@
 ldr_on_change (void *arg, const struct kv_change *change)
 {
   struct ldr *ldr = arg;
+  bool leader = g_str_equal (change->key, ldr_leader_key);
 
+  /* Changes do not contain the lease; an own record has the current one.  */
   ldr_table_apply (ldr, change->key, change->value, change->value_bytes,
-                   change->revision, ldr->lease);
+                   change->revision,
+                   leader ? ldr->leader_lease.id : ldr->member_lease.id);
   ldr_update_role (ldr);
 }
 
@@ -173,7 +177,6 @@
   ldr->watch = ldr->config.kv.methods->watch (
       ldr->config.kv.context, ldr_prefix, result->revision + 1, ldr_on_change,
       ldr_watch_ended, ldr);
-  kv_set_pace (&ldr->config.kv, ldr->watch, ldr->pace);
   ldr_update_role (ldr);
 }
 
@@ -185,50 +188,6 @@
   kv_get_prefix (&ldr->config.kv, ldr_prefix, ldr_read_done, ldr);
 }
 
-static void
-ldr_grant_done (void *arg, enum kv_outcome outcome, int64_t lease)
-{
-  struct ldr *ldr = arg;
-
-  if (!ldr_call_ended (ldr))
-    return;
-  ldr->granting = false;
-  if (outcome != KV_OK)
-    {
-      ldr->retry_at_us
-          = tm_now_us (ldr->config.tm) + LDR_READ_RETRY_MS * LDR_US_PER_MS;
-      return;
-    }
-  ldr->lease = lease;
-  ldr->registered = false;
-  ldr->confirmed_until_us
-      = ldr->renew_sent_us + LDR_CONFIRMED_MS * LDR_US_PER_MS;
-  ldr->next_renew_us = ldr->renew_sent_us + LDR_RENEW_MS * LDR_US_PER_MS;
-}
-
-static void
-ldr_renew_done (void *arg, enum kv_outcome outcome, int64_t lease)
-{
-  struct ldr *ldr = arg;
-
-  if (!ldr_call_ended (ldr))
-    return;
-  ldr->renewing = false;
-  if (outcome == KV_UNKNOWN || outcome == KV_UNAVAILABLE)
-    ldr->renew_failed_us = tm_now_us (ldr->config.tm);
-  if (lease != ldr->lease)
-    return;
-  if (outcome == KV_OK && !ldr->leading)
-    ldr->confirmed_until_us
-        = ldr->renew_sent_us + LDR_CONFIRMED_MS * LDR_US_PER_MS;
-  else if (outcome == KV_CONFLICT)
-    {
-      ldr->lease = 0;
-      ldr->registered = false;
-      ldr_update_role (ldr);
-    }
-}
-
 static void
 ldr_check_done (void *arg, const struct kv_result *result)
 {
@@ -265,30 +224,6 @@
   kv_get (&ldr->config.kv, ldr_leader_key, ldr_check_done, ldr);
 }
 
-static void
-ldr_maintain_lease (struct ldr *ldr, uint64_t now_us)
-{
-  if (ldr->resigned || ldr->granting || ldr->renewing)
-    return;
-  if (ldr->lease == 0 && now_us >= ldr->retry_at_us)
-    {
-      ldr->granting = true;
-      ldr->renew_sent_us = now_us;
-      ldr->calls_in_flight++;
-      ldr->config.kv.methods->lease_grant (ldr->config.kv.context, LDR_TTL_S,
-                                           ldr_grant_done, ldr);
-    }
-  else if (ldr->lease != 0 && now_us >= ldr->next_renew_us)
-    {
-      ldr->renewing = true;
-      ldr->renew_sent_us = now_us;
-      ldr->next_renew_us = now_us + LDR_RENEW_MS * LDR_US_PER_MS;
-      ldr->calls_in_flight++;
-      ldr->config.kv.methods->lease_renew (ldr->config.kv.context, ldr->lease,
-                                           ldr_renew_done, ldr);
-    }
-}
-
 static void
 ldr_tick (void *arg)
 {
@@ -299,11 +234,19 @@
             ldr);
   if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_at_us)
     ldr_read (ldr);
-  ldr_maintain_lease (ldr, now_us);
+  ldr_lease_maintain_member (ldr);
+  ldr_lease_maintain_leader (ldr);
   ldr_check_record (ldr, now_us);
   ldr_write_due (ldr);
 }
 
+/* Return the prefix of all keys of the election.  */
+const char *
+ldr_key_prefix (void)
+{
+  return ldr_prefix;
+}
+
 /* Create an election with the settings in CONFIG, whose strings must remain
    valid.  The instance registers and campaigns at once.  */
 struct ldr *
@@ -393,14 +336,6 @@
   return ldr->members;
 }
 
-/* Set how promptly changes of the members and the leader are noticed.  */
-void
-ldr_set_pace (struct ldr *ldr, enum kv_pace pace)
-{
-  ldr->pace = pace;
-  kv_set_pace (&ldr->config.kv, ldr->watch, pace);
-}
-
 /* Return whether a lease renewal went unanswered within the last WITHIN_MS
    milliseconds, which suggests an outage of the store.  */
 bool
@@ -432,7 +367,7 @@
   if (ldr->resigned)
     return;
   ldr->resigned = true;
-  if (ldr->lease != 0)
+  if (ldr->member_lease.id != 0)
     ldr_write_resign (ldr);
   ldr_lose_leadership (ldr);
 }
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -11,16 +11,23 @@
 #include "tm.h"
 
 /* Membership and leader election of the gateway instances over the key-value
-   store, with one lease per instance.  Only the leader sends orders to
+   store.  Each instance has a lease for its member record, and the leader a
+   second one for the leader record.  Only the leader sends orders to
    engines.  */
 struct ldr;
 
 #define LDR_KEY_BYTES 32
 
-/* Renewal interval and TTL of the lease.  Three consecutive renewals may fail
-   before the lease expires.  */
-#define LDR_RENEW_MS 600
-#define LDR_TTL_S    2
+/* Renewal interval and TTL of a member's lease.  Three consecutive renewals
+   may fail before the lease expires.  A lost instance remains a member until
+   then, which delays nothing, so renewals, of which there are as many as
+   instances, are rare.  */
+#define LDR_RENEW_MS 3000
+#define LDR_TTL_S    10
+/* The same for the leader's lease: loads stop until a lost leader's lease has
+   expired.  */
+#define LDR_LEADER_RENEW_MS 600
+#define LDR_LEADER_TTL_S    2
 /* The leader re-reads its own record at intervals of LDR_CHECK_MS, and sends
    orders only within LDR_CONFIRMED_MS of sending the last read that found the
    record unchanged.  A successor waits for LDR_CONFIRMED_MS after its election
@@ -63,6 +70,7 @@
   void (*members) (void *arg); /* members or leader changed */
 };
 
+const char *ldr_key_prefix (void);
 struct ldr *ldr_new (const struct ldr_config *config,
                      const struct ldr_callbacks *callbacks, void *arg);
 void ldr_free (struct ldr *ldr);
@@ -73,7 +81,6 @@
 const struct ldr_member *ldr_find_member (const struct ldr *ldr,
                                           const char *instance);
 const GPtrArray *ldr_members (const struct ldr *ldr);
-void ldr_set_pace (struct ldr *ldr, enum kv_pace pace);
 bool ldr_store_failed (const struct ldr *ldr, uint32_t within_ms);
 uint32_t ldr_peak_members (const struct ldr *ldr);
 void ldr_resign (struct ldr *ldr);
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -22,6 +22,16 @@
   int64_t lease;
 };
 
+/* A lease of this instance.  */
+struct ldr_lease
+{
+  int64_t id; /* 0: none */
+  bool granting;
+  bool renewing;
+  uint64_t sent_us; /* when the last grant or renewal was sent */
+  uint64_t next_renew_us;
+};
+
 struct ldr
 {
   struct ldr_config config;
@@ -35,7 +45,6 @@
   bool synced;
   bool reading;
   void *watch;
-  enum kv_pace pace;
   GPtrArray *members; /* struct ldr_member, sorted by name */
   struct ldr_record leader;
   int64_t term_revision; /* 0: there was never a leader */
@@ -45,15 +54,12 @@
   int64_t peak_revision;
   bool registered; /* own member record exists under the current lease */
 
-  int64_t lease; /* 0: none */
-  bool granting;
-  bool renewing;
+  struct ldr_lease member_lease;
+  struct ldr_lease leader_lease; /* held while leading or campaigning */
   bool writing;
-  uint64_t renew_sent_us; /* when the pending renewal was sent */
   bool checking;          /* read of the leader record in flight */
   uint64_t check_sent_us; /* when that read was sent */
   uint64_t next_check_us;
-  uint64_t next_renew_us;
   uint64_t retry_at_us;        /* no grant, read or write earlier */
   uint64_t confirmed_until_us; /* sending orders is safe until then */
   uint64_t renew_failed_us;    /* last unanswered renewal; 0: none */
@@ -84,6 +90,11 @@
 void ldr_write_due (struct ldr *ldr);
 void ldr_write_resign (struct ldr *ldr);
 
+/* ldr_lease.c */
+void ldr_lease_maintain_member (struct ldr *ldr);
+void ldr_lease_maintain_leader (struct ldr *ldr);
+void ldr_lease_grant_leader (struct ldr *ldr);
+
 /* ldr.c */
 void ldr_update_role (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -135,7 +135,8 @@
 
   ldr_remove_member (ldr, instance);
   if (own)
-    ldr->registered = value != NULL && lease != 0 && lease == ldr->lease;
+    ldr->registered
+        = value != NULL && lease != 0 && lease == ldr->member_lease.id;
   member = value == NULL ? NULL : ldr_decode (value, bytes, &incarnation);
   if (member == NULL)
     return;
@@ -185,6 +186,16 @@
   g_free (text);
 }
 
+static void
+ldr_apply_peak_members (struct ldr *ldr, const char *value, size_t bytes)
+{
+  char *text = g_strndup (value, bytes);
+
+  ldr->peak_members
+      = MAX (ldr->peak_members, (uint32_t)strtoul (text, NULL, 10));
+  g_free (text);
+}
+
 /* Update the cached copy of KEY.  VALUE is NULL if the key was deleted.  */
 void
 ldr_table_apply (struct ldr *ldr, const char *key, const char *value,
@@ -206,8 +217,7 @@
     {
       ldr->peak_revision = revision;
       if (value != NULL)
-        ldr->peak_members
-            = MAX (ldr->peak_members, (uint32_t)strtoul (value, NULL, 10));
+        ldr_apply_peak_members (ldr, value, bytes);
     }
   else if (g_str_equal (key, ldr_peer_key_key))
     ldr_apply_peer_key (ldr, value, bytes);
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -6,7 +6,7 @@
 /* A candidate delays its campaign by this time per member that ranks before
    it, so that usually only one instance tries to write the leader record.  */
 #define LDR_RANK_DELAY_MS 60
-#define LDR_RANK_MAX      10
+#define LDR_RANK_MAX      25
 
 static void
 ldr_write_ended (struct ldr *ldr, bool failed)
@@ -68,7 +68,7 @@
   if (result->outcome == KV_OK)
     ldr->registered = true;
   else if (result->outcome == KV_CONFLICT)
-    ldr->lease = 0; /* lease expired */
+    ldr->member_lease.id = 0; /* expired */
 }
 
 static void
@@ -80,7 +80,7 @@
                        .key = key,
                        .value = text,
                        .value_bytes = strlen (text),
-                       .lease = ldr->lease };
+                       .lease = ldr->member_lease.id };
 
   ldr_write_txn (ldr, NULL, 0, &put, 1, ldr_register_done);
   g_free (text);
@@ -96,11 +96,13 @@
   if (!ldr_call_ended (ldr))
     return;
   ldr_write_ended (ldr, result->outcome != KV_OK);
+  if (result->outcome == KV_CONFLICT)
+    ldr->leader_lease.id = 0; /* another instance was elected */
   if (result->outcome != KV_OK)
     return;
   text = ldr_encode (ldr);
   ldr_table_apply (ldr, ldr_leader_key, text, strlen (text), result->revision,
-                   ldr->lease);
+                   ldr->leader_lease.id);
   g_free (text);
   ldr_update_role (ldr);
 }
@@ -119,7 +121,7 @@
                             .key = ldr_leader_key,
                             .value = text,
                             .value_bytes = strlen (text),
-                            .lease = ldr->lease },
+                            .lease = ldr->leader_lease.id },
                           { .kind = KV_PUT,
                             .key = ldr_term_key,
                             .value = holders,
@@ -183,7 +185,7 @@
 static bool
 ldr_may_campaign (const struct ldr *ldr, uint64_t now_us)
 {
-  return ldr->vacant_since_us != 0 && now_us < ldr->confirmed_until_us
+  return ldr->vacant_since_us != 0
          && now_us >= ldr->vacant_since_us + ldr_campaign_delay_us (ldr);
 }
 
@@ -200,12 +202,17 @@
       ldr_write_peer_key (ldr);
       return;
     }
-  if (ldr->lease == 0 || ldr->resigned)
+  if (ldr->member_lease.id == 0 || ldr->resigned)
     return;
   if (!ldr->registered)
     ldr_write_member (ldr);
   else if (ldr_may_campaign (ldr, now_us))
-    ldr_campaign (ldr);
+    {
+      if (ldr->leader_lease.id != 0 && now_us < ldr->confirmed_until_us)
+        ldr_campaign (ldr);
+      else
+        ldr_lease_grant_leader (ldr);
+    }
   else if (ldr->leading && ldr->members->len > ldr->peak_members)
     ldr_write_peak_members (ldr);
 }
@@ -219,9 +226,10 @@
   if (!ldr_call_ended (ldr))
     return;
   ldr_write_ended (ldr, false);
-  if (ldr->lease != 0)
-    ldr->config.kv.methods->lease_revoke (ldr->config.kv.context, ldr->lease);
-  ldr->lease = 0;
+  if (ldr->member_lease.id != 0)
+    ldr->config.kv.methods->lease_revoke (ldr->config.kv.context,
+                                          ldr->member_lease.id);
+  ldr->member_lease.id = 0;
 }
 
 /* Remove this instance's records from the store.  */
--- a/libcowslip/prt.h
+++ b/libcowslip/prt.h
@@ -76,6 +76,8 @@
                                      GError **error);
   struct flt_entry *(*read_entry) (const char *id, const char *text,
                                    size_t bytes, GError **error);
+  /* Append to OUT the parts of an entry that routing depends on.  */
+  void (*condense_entry) (const char *text, size_t bytes, GString *out);
   /* Fill WEIGHTS, which must be initialized.  Return false and set ERROR if
      the report is invalid.  */
   bool (*read_report) (const char *text, size_t bytes,
--- /dev/null
+++ b/libcowslip/rly_impl.h
@@ -0,0 +1,75 @@
+#ifndef COWSLIP_RLY_IMPL_H
+#define COWSLIP_RLY_IMPL_H
+
+#include "rly.h"
+
+/* Shared by the rly*.c files only.  */
+
+#define RLY_US_PER_MS UINT64_C (1000)
+
+/* What is known of a key.  */
+struct rly_item
+{
+  int64_t revision; /* of its last change */
+  uint64_t hash;    /* of key and condensed value; 0: removed */
+};
+
+struct rly_change
+{
+  char *key;
+  enum rly_kind kind;
+  int64_t revision;
+  GString *value;
+};
+
+/* The keys with one prefix, and the watch of their owner.  */
+struct rly_stream
+{
+  struct rly *rly;
+  char *prefix;
+  GHashTable *items; /* key -> struct rly_item */
+  uint64_t digest;   /* exclusive or of the hashes of all items */
+  int64_t revision;  /* all changes up to it were applied or received */
+  void *inner;       /* watch of the store; NULL: none */
+  /* Changes to be relayed while INNER is set; otherwise those received while
+     the owner reads the keys.  */
+  GArray *changes; /* struct rly_change */
+  uint32_t mismatches;
+  bool stale; /* the owner must read the keys again */
+
+  bool watched; /* the owner watches; the members below are set */
+  kv_changed changed;
+  kv_watch_ended ended;
+  void *arg;
+};
+
+struct rly
+{
+  struct rly_config config;
+  struct rly_callbacks callbacks;
+  void *arg;
+  GPtrArray *streams; /* struct rly_stream */
+  struct tm_timer timer;
+  uint32_t rank;
+  enum rly_role role;
+  bool loaded;          /* all streams have been read */
+  uint64_t received_us; /* last batch, or when LOADED was set */
+  uint64_t next_send_us;
+};
+
+/* rly_stream.c */
+struct rly_stream *rly_stream_new (struct rly *rly, const char *prefix);
+void rly_stream_free (gpointer data);
+struct rly_stream *rly_find_stream (const struct rly *rly, const char *prefix);
+void rly_stream_load (struct rly_stream *stream,
+                      const struct kv_result *result);
+void rly_stream_watch_store (struct rly_stream *stream, bool watch);
+uint64_t rly_stream_answered_us (const struct rly_stream *stream);
+bool rly_stream_export (struct rly_stream *stream, cs_relay_stream *out,
+                        size_t *bytes_left);
+void rly_stream_sent (struct rly_stream *stream, const cs_relay_stream *out);
+void rly_stream_import (struct rly_stream *stream, const cs_relay_stream *in);
+void rly_stream_replay (struct rly_stream *stream);
+void rly_stream_end_stale (struct rly_stream *stream);
+
+#endif
--- /dev/null
+++ b/libcowslip/rly_stream.c
@@ -0,0 +1,383 @@
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "rly_impl.h"
+
+/* Consecutive batches whose digest differs from the own one before the keys
+   are read again.  */
+#define RLY_MISMATCHES_MAX 2
+/* Changes kept for the next batch, or during a read.  */
+#define RLY_CHANGES_MAX 2048
+
+static void
+rly_change_clear (gpointer data)
+{
+  struct rly_change *change = data;
+
+  g_free (change->key);
+  g_string_free (change->value, TRUE);
+}
+
+/* Return a stream of the keys that start with PREFIX.  */
+struct rly_stream *
+rly_stream_new (struct rly *rly, const char *prefix)
+{
+  struct rly_stream *stream = g_new0 (struct rly_stream, 1);
+
+  stream->rly = rly;
+  stream->prefix = g_strdup (prefix);
+  stream->items
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  stream->changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
+  g_array_set_clear_func (stream->changes, rly_change_clear);
+  return stream;
+}
+
+/* Free the struct rly_stream at DATA.  */
+void
+rly_stream_free (gpointer data)
+{
+  struct rly_stream *stream = data;
+
+  rly_stream_watch_store (stream, false);
+  g_array_free (stream->changes, TRUE);
+  g_hash_table_destroy (stream->items);
+  g_free (stream->prefix);
+  g_free (stream);
+}
+
+/* Return the stream of PREFIX, or NULL if its watches are not relayed.  */
+struct rly_stream *
+rly_find_stream (const struct rly *rly, const char *prefix)
+{
+  for (guint i = 0; i < rly->streams->len; i++)
+    {
+      struct rly_stream *stream = g_ptr_array_index (rly->streams, i);
+
+      if (g_str_equal (stream->prefix, prefix))
+        return stream;
+    }
+  return NULL;
+}
+
+static uint64_t
+rly_hash (const char *key, const char *value, size_t bytes)
+{
+  return XXH64 (value, bytes, XXH64 (key, strlen (key), 0)) | 1;
+}
+
+/* Record that KEY has HASH since REVISION.  Return whether that is news.  */
+static bool
+rly_update_item (struct rly_stream *stream, const char *key, uint64_t hash,
+                 int64_t revision)
+{
+  struct rly_item *item = g_hash_table_lookup (stream->items, key);
+  bool news;
+
+  if (item == NULL)
+    {
+      item = g_new0 (struct rly_item, 1);
+      g_hash_table_insert (stream->items, g_strdup (key), item);
+    }
+  else if (revision <= item->revision)
+    return false;
+  news = item->hash != hash;
+  stream->digest ^= item->hash ^ hash;
+  item->hash = hash;
+  item->revision = revision;
+  return news;
+}
+
+/* Keep a change for the next batch, or until the owner has read the keys.  A
+   change that does not fit is missed, which the digest shows.  */
+static void
+rly_keep_change (struct rly_stream *stream, const char *key,
+                 enum rly_kind kind, int64_t revision, const char *value,
+                 size_t bytes)
+{
+  struct rly_change change = { g_strdup (key), kind, revision,
+                               g_string_new_len (value, (gssize)bytes) };
+
+  for (guint i = 0; i < stream->changes->len; i++)
+    if (g_str_equal (g_array_index (stream->changes, struct rly_change, i).key,
+                     key))
+      {
+        g_array_remove_index (stream->changes, i);
+        break;
+      }
+  if (stream->changes->len >= RLY_CHANGES_MAX)
+    g_array_remove_index (stream->changes, 0);
+  g_array_append_val (stream->changes, change);
+}
+
+/* Condense VALUE into OUT and return its kind.  */
+static enum rly_kind
+rly_condense (const struct rly_stream *stream, const char *key,
+              const char *value, size_t bytes, GString *out)
+{
+  const struct rly *rly = stream->rly;
+
+  if (rly->callbacks.condense (rly->arg, key, value, bytes, out))
+    return RLY_PUT;
+  g_string_truncate (out, 0);
+  return RLY_REPLACE;
+}
+
+/* Report a change to the owner.  */
+static void
+rly_report (struct rly_stream *stream, const char *key, const char *value,
+            size_t bytes, int64_t revision)
+{
+  struct kv_change change = { key, value, bytes, revision };
+
+  if (stream->watched)
+    stream->changed (stream->arg, &change);
+}
+
+/* Handle a change that the store has reported.  */
+static void
+rly_on_change (void *arg, const struct kv_change *change)
+{
+  struct rly_stream *stream = arg;
+  enum rly_kind kind = RLY_REMOVE;
+  GString *value = g_string_new (NULL);
+  uint64_t hash = 0;
+
+  stream->revision = MAX (stream->revision, change->revision);
+  if (change->value != NULL)
+    {
+      kind = rly_condense (stream, change->key, change->value,
+                           change->value_bytes, value);
+      hash = kind == RLY_PUT
+                 ? rly_hash (change->key, value->str, value->len)
+                 : rly_hash (change->key, change->value, change->value_bytes);
+    }
+  if (rly_update_item (stream, change->key, hash, change->revision))
+    {
+      rly_keep_change (stream, change->key, kind, change->revision, value->str,
+                       value->len);
+      if (kind == RLY_PUT)
+        rly_report (stream, change->key, value->str, value->len,
+                    change->revision);
+      else
+        rly_report (stream, change->key, change->value, change->value_bytes,
+                    change->revision);
+    }
+  g_string_free (value, TRUE);
+}
+
+static void
+rly_on_ended (void *arg)
+{
+  struct rly_stream *stream = arg;
+
+  stream->inner = NULL;
+  stream->stale = true;
+}
+
+/* End the owner's watch if the keys must be read again.  */
+void
+rly_stream_end_stale (struct rly_stream *stream)
+{
+  if (!stream->stale || !stream->watched)
+    return;
+  stream->stale = false;
+  stream->watched = false;
+  stream->ended (stream->arg);
+}
+
+/* Start or stop to watch the store.  */
+void
+rly_stream_watch_store (struct rly_stream *stream, bool watch)
+{
+  const struct kv_store *kv = &stream->rly->config.kv;
+
+  if (watch && stream->inner == NULL && stream->watched && !stream->stale)
+    {
+      g_array_set_size (stream->changes, 0);
+      stream->inner = kv->methods->watch (kv->context, stream->prefix,
+                                          stream->revision + 1, rly_on_change,
+                                          rly_on_ended, stream);
+    }
+  else if (!watch && stream->inner != NULL)
+    {
+      kv->methods->unwatch (kv->context, stream->inner);
+      stream->inner = NULL;
+      g_array_set_size (stream->changes, 0);
+    }
+}
+
+/* Return when the store last answered the watch; 0: not yet.  */
+uint64_t
+rly_stream_answered_us (const struct rly_stream *stream)
+{
+  const struct kv_store *kv = &stream->rly->config.kv;
+
+  if (stream->inner == NULL)
+    return 0;
+  if (kv->methods->watch_answered_us == NULL)
+    return tm_now_us (stream->rly->config.tm);
+  return kv->methods->watch_answered_us (kv->context, stream->inner);
+}
+
+/* Fill OUT, whose strings belong to STREAM, with changes of at most BYTES_LEFT
+   bytes, which is reduced.  Return false if some did not fit.  */
+bool
+rly_stream_export (struct rly_stream *stream, cs_relay_stream *out,
+                   size_t *bytes_left)
+{
+  guint count = 0;
+
+  out->prefix = stream->prefix;
+  out->revision = stream->revision;
+  out->digest = stream->digest;
+  out->changes.changes_val = g_new0 (cs_relay_change, stream->changes->len);
+  while (count < stream->changes->len)
+    {
+      const struct rly_change *change
+          = &g_array_index (stream->changes, struct rly_change, count);
+
+      if (change->value->len > *bytes_left)
+        break;
+      *bytes_left -= change->value->len;
+      out->changes.changes_val[count++]
+          = (cs_relay_change){ change->key,
+                               change->kind,
+                               change->revision,
+                               { (u_int)change->value->len,
+                                 change->value->str } };
+    }
+  out->changes.changes_len = count;
+  out->comparable = count == stream->changes->len;
+  return out->comparable;
+}
+
+/* Drop the changes in OUT, which were sent, and free OUT's list.  */
+void
+rly_stream_sent (struct rly_stream *stream, const cs_relay_stream *out)
+{
+  if (out->changes.changes_len > 0)
+    g_array_remove_range (stream->changes, 0, out->changes.changes_len);
+  g_free (out->changes.changes_val);
+}
+
+/* Apply a relayed change.  Return false if the keys must be read again.  */
+static bool
+rly_apply (struct rly_stream *stream, const char *key, enum rly_kind kind,
+           int64_t revision, const char *value, size_t bytes)
+{
+  const struct rly_item *item = g_hash_table_lookup (stream->items, key);
+  uint64_t hash = kind == RLY_PUT ? rly_hash (key, value, bytes) : 0;
+
+  if (kind == RLY_REPLACE)
+    return item != NULL && revision <= item->revision;
+  if (rly_update_item (stream, key, hash, revision))
+    {
+      /* Owners expect a null-terminated value.  */
+      GString *copy = g_string_new_len (value, (gssize)bytes);
+
+      rly_report (stream, key, kind == RLY_PUT ? copy->str : NULL, bytes,
+                  revision);
+      g_string_free (copy, TRUE);
+    }
+  return true;
+}
+
+/* Compare the digest of IN with the own one.  Return false if it has differed
+   too often.  Digests of different revisions are not comparable: this instance
+   may have read newer values than the source, or received them from another
+   one.  */
+static bool
+rly_matches (struct rly_stream *stream, const cs_relay_stream *in)
+{
+  if (!in->comparable || in->revision < stream->revision)
+    return true;
+  if (in->digest == stream->digest)
+    stream->mismatches = 0;
+  else
+    stream->mismatches++;
+  if (stream->mismatches < RLY_MISMATCHES_MAX)
+    return true;
+  stream->rly->callbacks.diverged (stream->rly->arg, stream->prefix);
+  return false;
+}
+
+/* Process the batch IN of a source.  */
+void
+rly_stream_import (struct rly_stream *stream, const cs_relay_stream *in)
+{
+  bool known = true;
+
+  for (u_int i = 0; i < in->changes.changes_len; i++)
+    {
+      const cs_relay_change *change = &in->changes.changes_val[i];
+
+      if (change->kind > RLY_REPLACE)
+        continue;
+      if (!stream->watched)
+        rly_keep_change (stream, change->key, (enum rly_kind)change->kind,
+                         change->revision, change->value.value_val,
+                         change->value.value_len);
+      else
+        known &= rly_apply (stream, change->key, (enum rly_kind)change->kind,
+                            change->revision, change->value.value_val,
+                            change->value.value_len);
+    }
+  /* The own watch of the store delivers what a batch lacks.  */
+  if (!stream->watched || stream->inner != NULL)
+    return;
+  if (!known || !rly_matches (stream, in))
+    stream->stale = true;
+  stream->revision = MAX (stream->revision, in->revision);
+}
+
+/* Apply the changes that were received while the owner read the keys.  */
+void
+rly_stream_replay (struct rly_stream *stream)
+{
+  GArray *kept = stream->changes;
+  bool known = true;
+
+  stream->changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
+  g_array_set_clear_func (stream->changes, rly_change_clear);
+  for (guint i = 0; i < kept->len; i++)
+    {
+      const struct rly_change *change
+          = &g_array_index (kept, struct rly_change, i);
+
+      known &= rly_apply (stream, change->key, change->kind, change->revision,
+                          change->value->str, change->value->len);
+    }
+  g_array_free (kept, TRUE);
+  stream->stale = !known;
+}
+
+/* Replace what is known of the keys by RESULT, which the owner has read.  */
+void
+rly_stream_load (struct rly_stream *stream, const struct kv_result *result)
+{
+  GString *value = g_string_new (NULL);
+
+  g_hash_table_remove_all (stream->items);
+  stream->digest = 0;
+  stream->revision = result->revision;
+  stream->mismatches = 0;
+  stream->stale = false;
+  for (size_t i = 0; i < result->pair_count; i++)
+    {
+      const struct kv_pair *pair = &result->pairs[i];
+      enum rly_kind kind;
+
+      g_string_truncate (value, 0);
+      kind = rly_condense (stream, pair->key, pair->value, pair->value_bytes,
+                           value);
+      (void)rly_update_item (
+          stream, pair->key,
+          kind == RLY_PUT
+              ? rly_hash (pair->key, value->str, value->len)
+              : rly_hash (pair->key, pair->value, pair->value_bytes),
+          pair->revision);
+    }
+  g_string_free (value, TRUE);
+}
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -19,9 +19,13 @@
 #define COWSLIP_BODY_MAX 65536
 #define COWSLIP_ENTRY_MAX 131072
 #define COWSLIP_ENTRIES_MAX 64
+#define COWSLIP_KEY_MAX 200
+#define COWSLIP_STREAMS_MAX 8
 
 typedef char *cs_name;
 
+typedef char *cs_key;
+
 struct cs_member {
 	cs_name instance;
 	cs_name zone;
@@ -268,10 +272,38 @@
 };
 typedef struct cs_residency_news cs_residency_news;
 
-struct cs_beacon {
-	u_quad_t config_version;
+struct cs_relay_change {
+	cs_key key;
+	u_int kind;
+	quad_t revision;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct cs_relay_change cs_relay_change;
+
+struct cs_relay_stream {
+	cs_key prefix;
+	quad_t revision;
+	u_quad_t digest;
+	bool_t comparable;
+	struct {
+		u_int changes_len;
+		cs_relay_change *changes_val;
+	} changes;
+};
+typedef struct cs_relay_stream cs_relay_stream;
+
+struct cs_relay {
+	u_int rank;
+	bool_t blind;
+	struct {
+		u_int streams_len;
+		cs_relay_stream *streams_val;
+	} streams;
 };
-typedef struct cs_beacon cs_beacon;
+typedef struct cs_relay cs_relay;
 
 #define COWSLIP_PROGRAM 0x20c05110
 #define COWSLIP_VERSION 1
@@ -310,9 +342,9 @@
 #define COWSLIP_RESIDENCY_NEWS 11
 extern  void * cowslip_residency_news_1(cs_residency_news *, CLIENT *);
 extern  void * cowslip_residency_news_1_svc(cs_residency_news *, struct svc_req *);
-#define COWSLIP_BEACON 12
-extern  void * cowslip_beacon_1(cs_beacon *, CLIENT *);
-extern  void * cowslip_beacon_1_svc(cs_beacon *, struct svc_req *);
+#define COWSLIP_RELAY 13
+extern  void * cowslip_relay_1(cs_relay *, CLIENT *);
+extern  void * cowslip_relay_1_svc(cs_relay *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -349,9 +381,9 @@
 #define COWSLIP_RESIDENCY_NEWS 11
 extern  void * cowslip_residency_news_1();
 extern  void * cowslip_residency_news_1_svc();
-#define COWSLIP_BEACON 12
-extern  void * cowslip_beacon_1();
-extern  void * cowslip_beacon_1_svc();
+#define COWSLIP_RELAY 13
+extern  void * cowslip_relay_1();
+extern  void * cowslip_relay_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -359,6 +391,7 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_cs_name (XDR *, cs_name*);
+extern  bool_t xdr_cs_key (XDR *, cs_key*);
 extern  bool_t xdr_cs_member (XDR *, cs_member*);
 extern  bool_t xdr_cs_load (XDR *, cs_load*);
 extern  bool_t xdr_cs_suspect (XDR *, cs_suspect*);
@@ -386,10 +419,13 @@
 extern  bool_t xdr_cs_residency_item (XDR *, cs_residency_item*);
 extern  bool_t xdr_cs_residency_report (XDR *, cs_residency_report*);
 extern  bool_t xdr_cs_residency_news (XDR *, cs_residency_news*);
-extern  bool_t xdr_cs_beacon (XDR *, cs_beacon*);
+extern  bool_t xdr_cs_relay_change (XDR *, cs_relay_change*);
+extern  bool_t xdr_cs_relay_stream (XDR *, cs_relay_stream*);
+extern  bool_t xdr_cs_relay (XDR *, cs_relay*);
 
 #else /* K&R C */
 extern bool_t xdr_cs_name ();
+extern bool_t xdr_cs_key ();
 extern bool_t xdr_cs_member ();
 extern bool_t xdr_cs_load ();
 extern bool_t xdr_cs_suspect ();
@@ -417,7 +453,9 @@
 extern bool_t xdr_cs_residency_item ();
 extern bool_t xdr_cs_residency_report ();
 extern bool_t xdr_cs_residency_news ();
-extern bool_t xdr_cs_beacon ();
+extern bool_t xdr_cs_relay_change ();
+extern bool_t xdr_cs_relay_stream ();
+extern bool_t xdr_cs_relay ();
 
 #endif /* K&R C */
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -6,8 +6,11 @@
 const COWSLIP_BODY_MAX = 65536;
 const COWSLIP_ENTRY_MAX = 131072;
 const COWSLIP_ENTRIES_MAX = 64;
+const COWSLIP_KEY_MAX = 200;
+const COWSLIP_STREAMS_MAX = 8;
 
 typedef string cs_name<COWSLIP_NAME_MAX>;
+typedef string cs_key<COWSLIP_KEY_MAX>;
 
 struct cs_member
 {
@@ -227,10 +230,31 @@
   cs_name adapter; /* empty: the model */
 };
 
-/* The leader lives, and what it has heard from the store.  */
-struct cs_beacon
+/* A change in the key-value store.  KIND as in enum rly_kind.  */
+struct cs_relay_change
 {
-  unsigned hyper config_version; /* 0: none */
+  cs_key key;
+  unsigned int kind;
+  hyper revision;
+  opaque value<COWSLIP_ENTRY_MAX>;
+};
+
+/* Changes of the keys with a prefix, and the sender's state after them.  */
+struct cs_relay_stream
+{
+  cs_key prefix;
+  hyper revision;          /* all earlier changes were relayed */
+  unsigned hyper digest;   /* of all keys and values; see rly_stream.c */
+  bool comparable;         /* DIGEST includes all changes up to REVISION */
+  cs_relay_change changes<COWSLIP_LIST_MAX>;
+};
+
+/* RANK is the sender's position among the instances that may relay.  */
+struct cs_relay
+{
+  unsigned int rank;
+  bool blind; /* the store no longer answers the sender */
+  cs_relay_stream streams<COWSLIP_STREAMS_MAX>;
 };
 
 program COWSLIP_PROGRAM
@@ -250,6 +274,7 @@
     /* One-way; the gateway's instances to the leader, and back.  */
     void COWSLIP_RESIDENCY_REPORT (cs_residency_report) = 10;
     void COWSLIP_RESIDENCY_NEWS (cs_residency_news) = 11;
-    void COWSLIP_BEACON (cs_beacon) = 12;
+    /* 12 was the beacon of the leader.  */
+    void COWSLIP_RELAY (cs_relay) = 13;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -15,6 +15,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_cs_key (XDR *xdrs, cs_key *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, COWSLIP_KEY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_cs_member (XDR *xdrs, cs_member *objp)
 {
@@ -513,11 +523,51 @@
 }
 
 bool_t
-xdr_cs_beacon (XDR *xdrs, cs_beacon *objp)
+xdr_cs_relay_change (XDR *xdrs, cs_relay_change *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_key (xdrs, &objp->key))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, COWSLIP_ENTRY_MAX))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_relay_stream (XDR *xdrs, cs_relay_stream *objp)
 {
 	register int32_t *buf;
 
-	 if (!xdr_u_quad_t (xdrs, &objp->config_version))
+	 if (!xdr_cs_key (xdrs, &objp->prefix))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->digest))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->comparable))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->changes.changes_val, (u_int *) &objp->changes.changes_len, COWSLIP_LIST_MAX,
+		sizeof (cs_relay_change), (xdrproc_t) xdr_cs_relay_change))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_relay (XDR *xdrs, cs_relay *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->rank))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->blind))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->streams.streams_val, (u_int *) &objp->streams.streams_len, COWSLIP_STREAMS_MAX,
+		sizeof (cs_relay_stream), (xdrproc_t) xdr_cs_relay_stream))
 		 return FALSE;
 	return TRUE;
 }
--- a/regress/gw_fixture.h
+++ b/regress/gw_fixture.h
@@ -26,6 +26,7 @@
 void gwf_set_script (uint32_t index, const struct wire_script *script);
 void gwf_reset_endpoints (void);
 char *gwf_request_text (const char *path);
+char *gwf_patient_request_text (const char *path, uint32_t deadline_ms);
 bool gwf_call_is_done (const struct wire_caller *caller, uint32_t responses);
 struct wire_caller *gwf_call (const char *bytes, uint32_t responses);
 void gwf_end_call (struct wire_caller *caller);
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -9,7 +9,7 @@
      start I | kill I | resign I   instance I, 1 to 4
      cut I | heal I                the connection of I to the store
      deaf I                        the watches of I deliver no events
-     expire I                      the store expires the lease of I early
+     expire I                      the store expires the leases of I early
      remove                        delete only the leader's record
      advance MS
      may                           print which instances may order engines
@@ -26,7 +26,8 @@
   struct ldr *ldr; /* NULL: not running */
   struct kv_store kv;
   uint64_t incarnation;
-  int64_t lease;
+  GArray *leases; /* int64_t: all that were granted */
+  GQueue grants;  /* struct grant, in the order of their replies */
   bool partitioned;
   bool watches_silent;
   kv_changed changed; /* callbacks of the election */
@@ -34,6 +35,12 @@
   void *arg;
 };
 
+struct grant
+{
+  kv_lease_done done;
+  void *arg;
+};
+
 static struct tm_service *tm;
 static struct fake_kv *store;
 static struct kv_store base_kv;
@@ -53,15 +60,37 @@
     base_kv.methods->txn (base_kv.context, txn, done, arg);
 }
 
+/* Pass a grant on and remember the lease.  */
+static void
+script_granted (void *arg, enum kv_outcome outcome, int64_t lease)
+{
+  struct instance *instance = arg;
+  struct grant *grant = g_queue_pop_head (&instance->grants);
+
+  if (outcome == KV_OK)
+    g_array_append_val (instance->leases, lease);
+  grant->done (grant->arg, outcome, lease);
+  g_free (grant);
+}
+
 static void
 script_grant (void *context, uint32_t ttl_s, kv_lease_done done, void *arg)
 {
   struct instance *instance = context;
 
+  struct grant *grant;
+
   if (instance->partitioned)
-    done (arg, KV_UNAVAILABLE, 0);
-  else
-    base_kv.methods->lease_grant (base_kv.context, ttl_s, done, arg);
+    {
+      done (arg, KV_UNAVAILABLE, 0);
+      return;
+    }
+  grant = g_new0 (struct grant, 1);
+  grant->done = done;
+  grant->arg = arg;
+  g_queue_push_tail (&instance->grants, grant);
+  base_kv.methods->lease_grant (base_kv.context, ttl_s, script_granted,
+                                instance);
 }
 
 static void
@@ -69,7 +98,6 @@
 {
   struct instance *instance = context;
 
-  instance->lease = lease;
   if (instance->partitioned)
     done (arg, KV_UNKNOWN, lease);
   else
@@ -245,7 +273,11 @@
   else if (strcmp (command, "deaf") == 0)
     instance->watches_silent = true;
   else if (strcmp (command, "expire") == 0)
-    fake_kv_expire (store, instance->lease);
+    {
+      for (guint i = 0; i < instance->leases->len; i++)
+        fake_kv_expire (store, g_array_index (instance->leases, int64_t, i));
+      g_array_set_size (instance->leases, 0);
+    }
   else
     instance->partitioned = strcmp (command, "cut") == 0;
 }
@@ -282,8 +314,12 @@
   store = fake_kv_new (tm, 2000);
   base_kv = fake_kv_store (store);
   for (size_t i = 0; i < INSTANCES; i++)
-    (void)snprintf (instances[i].name, sizeof instances[i].name, "i%zu",
-                    i + 1);
+    {
+      (void)snprintf (instances[i].name, sizeof instances[i].name, "i%zu",
+                      i + 1);
+      instances[i].leases = g_array_new (FALSE, FALSE, sizeof (int64_t));
+      g_queue_init (&instances[i].grants);
+    }
   while (fgets (line, sizeof line, stdin) != NULL)
     run_line (line);
   return EXIT_SUCCESS;
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -199,6 +199,41 @@
     CU_ASSERT_PTR_NULL (read_entry (invalid[i]));
 }
 
+/* An endpoint writes its entry every second; only what routing depends on may
+   count as a change.  */
+static void
+test_condense (void)
+{
+  static const struct
+  {
+    const char *a;
+    const char *b;
+    bool same;
+  } cases[] = {
+    { ENTRY ("ready", ",\"Seq\":4,\"ColdLeftMs\":0"),
+      ENTRY ("ready", ",\"Seq\":5,\"ColdLeftMs\":9"), true },
+    { ENTRY ("ready", ",\"Available\":{\"OnDisk\":[\"m\"]}"),
+      ENTRY ("ready", ",\"Available\":{\"OnDisk\":[]}"), true },
+    { ENTRY ("ready", ""), ENTRY ("draining", ""), false },
+    { ENTRY ("ready", ",\"born\":1"), ENTRY ("ready", ",\"born\":2"), false },
+    { ENTRY ("ready", ",\"Models\":[]"),
+      ENTRY ("ready", ",\"Models\":[{\"Name\":\"m\",\"Version\":1}]"), false },
+    { "no entry", "[]", false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *a = g_string_new (NULL);
+      GString *b = g_string_new (NULL);
+
+      pf_protocol ()->condense_entry (cases[i].a, strlen (cases[i].a), a);
+      pf_protocol ()->condense_entry (cases[i].b, strlen (cases[i].b), b);
+      CU_ASSERT_EQUAL (g_string_equal (a, b), cases[i].same);
+      g_string_free (a, TRUE);
+      g_string_free (b, TRUE);
+    }
+}
+
 static void
 test_report (void)
 {
@@ -252,6 +287,7 @@
           { "invalid configuration", test_invalid_config },
           { "unknown kind", test_unknown_kind },
           { "entry", test_entry },
+          { "condensed entry", test_condense },
           { "report", test_report },
           { "order", test_order },
           { NULL, NULL } };
