Do not give up a silent stream that cannot be resumed

The retry is now acquired first; without one the attempt goes on.

Ruled out: the changed time-out (the route's was 6 s) and the engine (its run ended by our close). The new test fails without the change: the second event never reaches the caller.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -509,6 +509,9 @@
   if ((double)(now_us - last_receive_us) < limit_ms * GW_US_PER_MS
       || gw_decide (request, FWD_TIMED_OUT) != FWD_RETRY)
     return;
+  /* The endpoint may only be slow: without a retry the attempt goes on.  */
+  if (!gw_acquire_retry (request))
+    return;
   request->end = FWD_TIMED_OUT;
   flt_record_failure (request->gw->fleet, request->endpoint, false);
   h1_call_cancel (request->call);
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -297,6 +297,21 @@
                                 .tried = request->tried };
 }
 
+/* Reserve a retry for REQUEST from the budget unless that has been done.  Return
+   false if the budget does not allow one.  */
+bool
+gw_acquire_retry (struct gw_request *request)
+{
+  struct gw *gw = request->gw;
+
+  request->retry_acquired
+      = request->retry_acquired
+        || rbg_acquire (gw->budgets, request->service_name);
+  if (!request->retry_acquired)
+    ctr_add (gw->counters, "retries_denied_total", 1);
+  return request->retry_acquired;
+}
+
 /* Send REQUEST to the best available endpoint, or queue it.  */
 void
 gw_request_dispatch (struct gw_request *request)
@@ -313,10 +328,8 @@
           gw_enqueue (request);
           return;
         }
-      if (request->arrivals > 0
-          && !rbg_acquire (gw->budgets, request->service_name))
+      if (request->arrivals > 0 && !gw_acquire_retry (request))
         {
-          ctr_add (gw->counters, "retries_denied_total", 1);
           if (request->runs > 0)
             gw_fail (request, RSN_RETRY_BUDGET);
           else
@@ -324,7 +337,10 @@
           return;
         }
       if (gw_send (request, endpoint))
-        return;
+        {
+          request->retry_acquired = false;
+          return;
+        }
       /* No socket could be opened, or the address is invalid.  */
       flt_record_failure (gw->fleet, endpoint, true);
     }
--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -3,6 +3,10 @@
 #include "gw_fixture.h"
 #include "unit.h"
 
+/* Longer than the time after which a stream may be resumed elsewhere.  */
+#define LONG_PAUSE_MS 1300
+#define PATIENT_MS    1950
+
 /* Tests how the gateway handles complete, truncated and malformed responses of
    endpoints, over loopback with a scripted caller and endpoints.  */
 
@@ -295,10 +299,10 @@
     true },
 };
 
+/* Run TEST_CASE with the request BYTES.  */
 static void
-run_case (const struct wire_case *test_case)
+run_case (const struct wire_case *test_case, const char *bytes)
 {
-  char *bytes = gwf_request_text (test_case->path);
   struct wire_caller *caller;
 
   gwf_reset_endpoints ();
@@ -323,7 +327,6 @@
                   || wire_caller_field (caller, "X-Cowslipcove-Response-Seal")
                          == NULL);
   gwf_end_call (caller);
-  g_free (bytes);
 }
 
 /* Guards against responses to the wrong request, truncated responses that look
@@ -333,14 +336,48 @@
 {
   gwf_start ();
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    run_case (&cases[i]);
+    {
+      char *bytes = gwf_request_text (cases[i].path);
+
+      run_case (&cases[i], bytes);
+      g_free (bytes);
+    }
+}
+
+/* Guards against ending a sound stream after a long pause between two events,
+   in order to resume it elsewhere, when the retry budget does not allow
+   that.  */
+static void
+test_pause_without_budget (void)
+{
+  static const struct rbg_limits none = { .window_ms = 10000, .instances = 1 };
+  static const struct wire_case slow
+      = { "slow stream without a retry budget",
+          "resume",
+          { GWF_EVENTS GWF_EVENT ("1") "|" GWF_EVENT ("2") "0\r\n\r\n",
+            WIRE_KEEP, 0 },
+          { GWF_EVENTS GWF_EVENT ("2") "0\r\n\r\n", WIRE_KEEP, 0 },
+          200,
+          "id: 1\ndata: x\n\nid: 2\ndata: x\n\n",
+          true,
+          false };
+  char *bytes;
+
+  gwf_start ();
+  bytes = gwf_patient_request_text ("resume", PATIENT_MS);
+  rbg_set_limits (gwf_gw.budgets, &none);
+  wire_endpoint_set_pause (gwf_endpoints[0], LONG_PAUSE_MS);
+  run_case (&slow, bytes);
+  g_free (bytes);
 }
 
 int
 main (void)
 {
   static const struct unit_test tests[]
-      = { { "responses", test_cases }, { NULL, NULL } };
+      = { { "responses", test_cases },
+          { "pause without a retry budget", test_pause_without_budget },
+          { NULL, NULL } };
 
   return unit_main ("gw_answers", tests);
 }
--- a/regress/wire.c
+++ b/regress/wire.c
@@ -12,6 +12,7 @@
   uv_tcp_t listener;
   uv_loop_t *loop;
   const char *id_name;
+  uint32_t pause_ms; /* for each "|" of a script */
   const struct wire_script *scripts;
   size_t script_count;
   uint32_t requests;
@@ -141,7 +142,8 @@
       if (*conn->next_part == NULL && conn->end_action == WIRE_RESET)
         wire_conn_close (conn, true);
       else
-        uv_timer_start (timer, wire_conn_send_next, WIRE_PAUSE_MS, 0);
+        uv_timer_start (timer, wire_conn_send_next, conn->endpoint->pause_ms,
+                        0);
     }
   else if (conn->end_action != WIRE_KEEP)
     wire_conn_close (conn, conn->end_action == WIRE_RESET);
@@ -268,6 +270,7 @@
 
   endpoint->loop = loop;
   endpoint->id_name = id_name;
+  endpoint->pause_ms = WIRE_PAUSE_MS;
   h1_head_init (&endpoint->head);
   uv_tcp_init (loop, &endpoint->listener);
   endpoint->listener.data = endpoint;
@@ -278,6 +281,13 @@
   return endpoint;
 }
 
+/* Set the length of a pause in a response to PAUSE_MS.  */
+void
+wire_endpoint_set_pause (struct wire_endpoint *endpoint, uint32_t pause_ms)
+{
+  endpoint->pause_ms = pause_ms;
+}
+
 /* Respond to the next COUNT requests with SCRIPTS, one for each, and to all
    further ones with the last script.  Reset the counters.  */
 void
--- a/regress/wire.h
+++ b/regress/wire.h
@@ -36,6 +36,8 @@
 void wire_endpoint_set_scripts (struct wire_endpoint *endpoint,
                                 const struct wire_script *scripts,
                                 size_t count);
+void wire_endpoint_set_pause (struct wire_endpoint *endpoint,
+                              uint32_t pause_ms);
 uint16_t wire_endpoint_port (const struct wire_endpoint *endpoint);
 uint32_t wire_endpoint_requests (const struct wire_endpoint *endpoint);
 uint32_t wire_endpoint_connections (const struct wire_endpoint *endpoint);
