Correct wrong notices about what engines hold

Cause: with relayed entries, an entry arrives only when it has changed, so a notice of the leader that was wrong stayed in force. A notice about another model also ended the mark of an unload in progress.

Notices not confirmed by an entry lapse after 3 s; repeated ones are based on reports only; if requests still wait after one, the engine's report is read again; only a notice about the same model ends an unload.

Ruled out: the relay losing entries (no divergence in the log). Tests: flt_test "wrong notice" and "news", res_copy_test "lost model" fail without the change.

--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -11,8 +11,11 @@
    requests in progress, which takes a few seconds.  */
 #define FLT_UNLOAD_TIMEOUT_MS 10000
 /* A notice of the leader overrides reports and entries for this long: reports
-   are about 100 ms old, and entries reach the watch within 400 ms.  */
+   are about 100 ms old, and entries arrive within 1 s.  */
 #define FLT_NOTICE_TTL_MS 1000
+/* A notice that no entry has confirmed after this long was wrong: an engine
+   writes its entry each 1.2 s, and it is relayed only if it has changed.  */
+#define FLT_UNCONFIRMED_TTL_MS 3000
 
 /* Requests for a model or adapter that an engine reported absent are not sent
    there for this long, unless a notice says that it was loaded.  The next
@@ -67,6 +70,7 @@
   struct flt_endpoint *endpoint = data;
 
   flt_weights_clear (&endpoint->reported);
+  flt_weights_clear (&endpoint->announced);
   g_array_free (endpoint->absent, TRUE);
   g_array_free (endpoint->received, TRUE);
 
@@ -120,31 +124,49 @@
   g_hash_table_remove (fleet->by_id, endpoint->entry.id);
 }
 
-static void flt_merge_notice (struct flt_fleet *fleet,
-                              struct flt_endpoint *endpoint,
+static void flt_merge_notice (struct flt_endpoint *endpoint,
                               const struct flt_notice *received);
 
-/* Swap the weights of ENDPOINT with WEIGHTS, then apply the notices that are
-   more recent than what WEIGHTS may show.  */
-static void
-flt_set_weights (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
-                 struct flt_weights *weights)
+/* Drop the notices about ENDPOINT that are older than TTL_MS.  Return whether
+   there were any.  */
+static bool
+flt_drop_notices (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+                  uint32_t ttl_ms)
 {
   uint64_t now_us = tm_now_us (fleet->tm);
-  struct flt_weights old = endpoint->entry.weights;
+  guint before = endpoint->received->len;
 
-  endpoint->entry.weights = *weights;
-  *weights = old;
-  for (guint i = endpoint->received->len; i-- > 0;)
+  for (guint i = before; i-- > 0;)
     if (now_us
             - g_array_index (endpoint->received, struct flt_notice, i)
                   .received_us
-        >= FLT_NOTICE_TTL_MS * FLT_US_PER_MS)
+        >= ttl_ms * FLT_US_PER_MS)
       g_array_remove_index (endpoint->received, i);
+  return endpoint->received->len < before;
+}
+
+/* Set the models that ENDPOINT holds to those announced, with the notices
+   applied.  */
+static void
+flt_merge_notices (struct flt_endpoint *endpoint)
+{
+  g_ptr_array_set_size (endpoint->entry.weights.models, 0);
+  flt_weights_copy_models (&endpoint->entry.weights, &endpoint->announced);
   for (guint i = 0; i < endpoint->received->len; i++)
     flt_merge_notice (
-        fleet, endpoint,
-        &g_array_index (endpoint->received, struct flt_notice, i));
+        endpoint, &g_array_index (endpoint->received, struct flt_notice, i));
+}
+
+/* Replace the announced models of ENDPOINT by those of WEIGHTS, which recent
+   notices override.  */
+static void
+flt_announce (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+              const struct flt_weights *weights)
+{
+  g_ptr_array_set_size (endpoint->announced.models, 0);
+  flt_weights_copy_models (&endpoint->announced, weights);
+  (void)flt_drop_notices (fleet, endpoint, FLT_NOTICE_TTL_MS);
+  flt_merge_notices (endpoint);
 }
 
 static struct flt_endpoint *
@@ -160,6 +182,8 @@
   endpoint->absent = g_array_new (FALSE, FALSE, sizeof (struct flt_absent));
   g_array_set_clear_func (endpoint->absent, flt_absent_clear);
   flt_weights_init (&endpoint->reported);
+  flt_weights_init (&endpoint->announced);
+  flt_weights_copy_models (&endpoint->announced, &endpoint->entry.weights);
   g_free (entry);
   g_hash_table_insert (fleet->by_id, endpoint->entry.id, endpoint);
   g_ptr_array_add (fleet->all, endpoint);
@@ -200,7 +224,7 @@
   if (current->started_ms != entry->started_ms
       || !g_str_equal (current->address, entry->address))
     flt_reset_endpoint (endpoint);
-  flt_set_weights (fleet, endpoint, &entry->weights);
+  flt_announce (fleet, endpoint, &entry->weights);
   current->leaving = entry->leaving;
   current->leaves_in_ms = entry->leaves_in_ms;
   current->slots = entry->slots;
@@ -282,7 +306,7 @@
 }
 
 /* Expire unlisted endpoints whose grace period has passed, and remove expired
-   ones without requests in flight.  */
+   ones without requests in flight.  Drop notices that were not confirmed.  */
 void
 flt_sweep (struct flt_fleet *fleet)
 {
@@ -296,6 +320,8 @@
         endpoint->expired = true;
       if (endpoint->expired && endpoint->in_flight == 0)
         flt_remove (fleet, endpoint);
+      else if (flt_drop_notices (fleet, endpoint, FLT_UNCONFIRMED_TTL_MS))
+        flt_merge_notices (endpoint);
     }
 }
 
@@ -305,17 +331,12 @@
 flt_set_report (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                 struct flt_weights *weights)
 {
-  struct flt_weights routed;
-
   if (endpoint->has_report && weights->orders < endpoint->reported.orders)
     {
       flt_weights_clear (weights);
       return;
     }
-  flt_weights_init (&routed);
-  flt_weights_copy (&routed, weights);
-  flt_set_weights (fleet, endpoint, &routed);
-  flt_weights_clear (&routed);
+  flt_announce (fleet, endpoint, weights);
   flt_weights_clear (&endpoint->reported);
   endpoint->reported = *weights;
   endpoint->has_report = true;
@@ -361,11 +382,17 @@
 }
 
 static void
-flt_merge_model (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
-                 enum flt_notice_kind kind, const char *model)
+flt_merge_model (struct flt_endpoint *endpoint,
+                 const struct flt_notice *received)
 {
-  g_free (endpoint->unloading);
-  endpoint->unloading = NULL;
+  enum flt_notice_kind kind = received->kind;
+  const char *model = received->model;
+
+  if (kind == FLT_UNLOADING || g_strcmp0 (endpoint->unloading, model) == 0)
+    {
+      g_free (endpoint->unloading);
+      endpoint->unloading = NULL;
+    }
   if (kind == FLT_LOADED)
     (void)flt_weights_add (&endpoint->entry.weights, model, 0);
   else if (kind == FLT_UNLOADED)
@@ -373,19 +400,19 @@
   else
     {
       endpoint->unloading = g_strdup (model);
-      endpoint->unloading_us = tm_now_us (fleet->tm);
+      endpoint->unloading_us = received->received_us;
     }
 }
 
 static void
-flt_merge_notice (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+flt_merge_notice (struct flt_endpoint *endpoint,
                   const struct flt_notice *received)
 {
   struct flt_model *held
       = flt_weights_find (&endpoint->entry.weights, received->model);
 
   if (received->adapter == NULL)
-    flt_merge_model (fleet, endpoint, received->kind, received->model);
+    flt_merge_model (endpoint, received);
   else if (held != NULL)
     flt_merge_adapter (held, received->kind, received->adapter);
 }
@@ -461,7 +488,7 @@
                                  .kind = kind,
                                  .received_us = tm_now_us (fleet->tm) };
 
-  flt_merge_notice (fleet, endpoint, &received);
+  flt_merge_notice (endpoint, &received);
   if (kind == FLT_LOADED)
     flt_drop_absent (endpoint, model, adapter);
   for (guint i = 0; i < endpoint->received->len; i++)
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -55,6 +55,9 @@
      follows entries and notices and may be stale or wrong.  */
   struct flt_weights reported;
   bool has_report;
+  /* Models of the last entry or report.  ENTRY.WEIGHTS is the same with the
+     notices that may be more recent.  */
+  struct flt_weights announced;
   GArray *received;    /* struct flt_notice, from the leader */
   GArray *absent;      /* struct flt_absent */
   bool expired;        /* removed once no request is in flight */
@@ -85,7 +88,8 @@
 
 void flt_weights_init (struct flt_weights *weights);
 void flt_weights_clear (struct flt_weights *weights);
-void flt_weights_copy (struct flt_weights *to, const struct flt_weights *from);
+void flt_weights_copy_models (struct flt_weights *to,
+                              const struct flt_weights *from);
 struct flt_model *flt_weights_add (struct flt_weights *weights,
                                    const char *name, uint64_t version);
 bool flt_weights_drop (struct flt_weights *weights, const char *model);
--- a/libcowslip/flt_weights.c
+++ b/libcowslip/flt_weights.c
@@ -131,10 +131,10 @@
     g_ptr_array_add (to, g_strdup (g_ptr_array_index (from, i)));
 }
 
-/* Copy the models and the lists of copies of FROM to TO, which must be
-   initialized and empty.  */
+/* Copy the models of FROM to TO, which must be initialized and hold none.  */
 void
-flt_weights_copy (struct flt_weights *to, const struct flt_weights *from)
+flt_weights_copy_models (struct flt_weights *to,
+                         const struct flt_weights *from)
 {
   for (guint i = 0; i < from->models->len; i++)
     {
@@ -144,6 +144,4 @@
           flt_weights_add (to, model->name, model->version)->adapters,
           model->adapters);
     }
-  flt_copy_strings (to->in_memory, from->in_memory);
-  flt_copy_strings (to->on_disk, from->on_disk);
 }
--- a/libcowslip/res_demand.c
+++ b/libcowslip/res_demand.c
@@ -11,6 +11,9 @@
 #define RES_US_PER_S          1e6
 /* Minimum interval between repeated notices about a model or adapter.  */
 #define RES_NOTIFY_INTERVAL_MS 300
+/* If requests still wait after a repeated notice, the engine's report is read
+   again, at most once in this time.  */
+#define RES_VERIFY_INTERVAL_MS 1000
 
 /* Return the item called NAME (MODEL or MODEL/ADAPTER), creating it if
    needed.  */
@@ -155,15 +158,33 @@
   g_list_free (items);
 }
 
+/* Read the report of ENDPOINT if the last notice about ITEM has not ended the
+   wait: the engine may no longer hold it.  */
+static void
+res_verify (struct res_table *table, const struct res_item *item,
+            struct flt_endpoint *endpoint)
+{
+  struct res_engine *engine = res_engine (table, endpoint);
+  uint64_t now_us = res_now (table);
+
+  if (now_us - item->notified_us >= 2 * RES_NOTIFY_INTERVAL_MS * RES_US_PER_MS
+      || engine->phase != RES_IDLE || engine->refreshing
+      || now_us - engine->verified_us < RES_VERIFY_INTERVAL_MS * RES_US_PER_MS)
+    return;
+  engine->verified_us = now_us;
+  res_refresh (table, engine);
+}
+
 /* Repeat the notice that ENDPOINT holds ITEM, for which requests wait.  */
 void
 res_notify_again (struct res_table *table, struct res_item *item,
-                  const struct flt_endpoint *endpoint)
+                  struct flt_endpoint *endpoint)
 {
   uint64_t now_us = res_now (table);
 
   if (now_us - item->notified_us < RES_NOTIFY_INTERVAL_MS * RES_US_PER_MS)
     return;
+  res_verify (table, item, endpoint);
   item->notified_us = now_us;
   table->callbacks.notice (table->arg, endpoint->entry.id, FLT_LOADED,
                            item->model, item->adapter);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -282,7 +282,8 @@
                              NULL);
 }
 
-static void
+/* Read the report of ENGINE.  */
+void
 res_refresh (struct res_table *table, struct res_engine *engine)
 {
   engine->refreshing = true;
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -38,6 +38,7 @@
   uint64_t expected_us; /* estimated completion of the order */
   uint64_t next_refresh_us;
   bool refreshing;
+  uint64_t verified_us;   /* last report read because requests still waited */
   char *assumed_unloaded; /* model whose unload is assumed complete by the
                              load that was ordered after it, or NULL */
   bool early_attempted;   /* a load was ordered early during this unload */
@@ -133,7 +134,7 @@
 double res_rate (const struct res_table *table, const char *name);
 struct res_item *res_item (struct res_table *table, const char *name);
 void res_notify_again (struct res_table *table, struct res_item *item,
-                       const struct flt_endpoint *endpoint);
+                       struct flt_endpoint *endpoint);
 
 /* res_replica.c */
 bool res_is_available (struct res_table *table,
@@ -164,6 +165,7 @@
                                struct flt_endpoint *endpoint);
 void res_engine_free (gpointer data);
 void res_clear_reservation (struct res_engine *engine);
+void res_refresh (struct res_table *table, struct res_engine *engine);
 struct flt_endpoint *res_endpoint (struct res_table *table,
                                    const struct res_engine *engine);
 uint32_t res_store_loads (struct res_table *table);
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -338,7 +338,9 @@
 }
 
 /* Repeat the notices about models that engines hold and for which requests
-   wait.  The instances concerned have missed the first notice.  */
+   wait.  The instances concerned have missed the first notice.  Only reports
+   count: entries include the notices, so a wrong notice would repeat itself.
+ */
 static void
 res_notify_waiting (struct res_table *table, const struct rte_service *service)
 {
@@ -347,9 +349,10 @@
   for (guint i = 0; i < all->len; i++)
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
-      const GPtrArray *models = endpoint->entry.weights.models;
+      const GPtrArray *models = endpoint->reported.models;
 
-      if (!res_is_available (table, service, endpoint))
+      if (!endpoint->has_report
+          || !res_is_available (table, service, endpoint))
         continue;
       for (guint j = 0; j < models->len; j++)
         {
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -132,6 +132,8 @@
   (void)announce ("e1", "z1", "m", 1);
   CU_ASSERT_STRING_EQUAL (choose ("m"), "none");
   flt_apply_notice (fleet, endpoint, FLT_LOADED, "n", NULL);
+  /* A notice about another model does not end the unload.  */
+  CU_ASSERT_STRING_EQUAL (choose ("m"), "none");
   (void)announce ("e1", "z1", "m", 1);
   CU_ASSERT_STRING_EQUAL (choose ("n"), "e1");
   advance_ms (1100);
@@ -143,6 +145,33 @@
   CU_ASSERT_STRING_EQUAL (choose ("n"), "none");
 }
 
+/* Guards against requests for a model or adapter that a notice of the leader
+   names, but that the engine does not hold: entries are relayed only when they
+   change, so no later one corrects the notice.  */
+static void
+test_wrong_notice (void)
+{
+  struct flt_endpoint *endpoint;
+
+  reset ();
+  endpoint = announce ("e1", "z1", "m", 1);
+  flt_apply_notice (fleet, endpoint, FLT_LOADED, "m", "a");
+  flt_apply_notice (fleet, endpoint, FLT_LOADED, "n", NULL);
+  CU_ASSERT_TRUE (flt_holds (fleet, endpoint, "m", "a"));
+  CU_ASSERT_TRUE (flt_holds (fleet, endpoint, "n", NULL));
+  advance_ms (2900);
+  CU_ASSERT_TRUE (flt_holds (fleet, endpoint, "m", "a"));
+  advance_ms (200);
+  CU_ASSERT_FALSE (flt_holds (fleet, endpoint, "m", "a"));
+  CU_ASSERT_FALSE (flt_holds (fleet, endpoint, "n", NULL));
+  CU_ASSERT_TRUE (flt_holds (fleet, endpoint, "m", NULL));
+  /* An unload that the engine did not carry out.  */
+  flt_apply_notice (fleet, endpoint, FLT_UNLOADED, "m", NULL);
+  CU_ASSERT_FALSE (flt_holds (fleet, endpoint, "m", NULL));
+  advance_ms (3100);
+  CU_ASSERT_TRUE (flt_holds (fleet, endpoint, "m", NULL));
+}
+
 /* Guards against a refusal by an engine that changes the leader's record of
    its memory, and against further requests to it right after the refusal.  */
 static void
@@ -196,13 +225,15 @@
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "removed", test_removed },
-                                            { "expired", test_expired },
-                                            { "list", test_list },
-                                            { "news", test_notices },
-                                            { "absent", test_absent },
-                                            { "choice", test_choice },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "removed", test_removed },
+          { "expired", test_expired },
+          { "list", test_list },
+          { "news", test_notices },
+          { "wrong notice", test_wrong_notice },
+          { "absent", test_absent },
+          { "choice", test_choice },
+          { NULL, NULL } };
 
   return unit_main ("flt", tests);
 }
--- a/regress/res_copy_test.c
+++ b/regress/res_copy_test.c
@@ -87,11 +87,38 @@
   rsm_free (sim);
 }
 
+/* Guards against a model that is never loaded because the leader believes that
+   an engine holds it, and repeats that to the instances.  Requests for it were
+   refused by the engine until their time was up.  */
+static void
+test_lost_model (void)
+{
+  struct rsm_engine *engine;
+  bool available = false;
+
+  build ();
+  engine = rsm_find_engine (sim, "e2");
+  CU_ASSERT_TRUE (rsm_is_available (sim, "m2", NULL));
+  (void)flt_weights_drop (&engine->resident, "m2");
+  for (uint32_t ms = 0; ms < AVAILABLE_MAX_MS && !available; ms += TICK_MS)
+    {
+      struct res_demand demand = { .name = "m2", .waiting = 1 };
+
+      res_demand_begin (sim->res, "i1");
+      res_demand_add (sim->res, "i1", &demand);
+      rsm_advance (sim, TICK_MS);
+      available = flt_weights_find (&engine->resident, "m2") != NULL;
+    }
+  CU_ASSERT_TRUE (available);
+  rsm_free (sim);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
       = { { "waits for disk copy", test_waits_for_disk_copy },
+          { "lost model", test_lost_model },
           { NULL, NULL } };
 
   return unit_main ("res_copy", tests);
--- a/regress/res_sim_engine.c
+++ b/regress/res_sim_engine.c
@@ -178,13 +178,22 @@
                                 : rsm_accept_adapter (sim, engine, order);
 }
 
+static void
+rsm_copy_names (GPtrArray *to, const GPtrArray *from)
+{
+  for (guint i = 0; i < from->len; i++)
+    g_ptr_array_add (to, g_strdup (g_ptr_array_index (from, i)));
+}
+
 /* Store the state of ENGINE in WEIGHTS, which must be initialized.  */
 void
 rsm_fill_report (struct rsm *sim, struct rsm_engine *engine,
                  struct flt_weights *weights)
 {
   rsm_complete_due (sim, engine);
-  flt_weights_copy (weights, &engine->resident);
+  flt_weights_copy_models (weights, &engine->resident);
+  rsm_copy_names (weights->in_memory, engine->resident.in_memory);
+  rsm_copy_names (weights->on_disk, engine->resident.on_disk);
   for (guint i = 0; i < engine->incoming->len; i++)
     {
       const struct rsm_incoming *incoming
