Reset connections of requests and orders that are given up

Canceled requests of callers likewise.

Both are reset now, which drops unsent bytes. A write that fails at once reports the connection closed instead of losing its bytes without a word.

--- a/libcowslip/h1_conn.c
+++ b/libcowslip/h1_conn.c
@@ -53,6 +53,20 @@
     uv_close ((uv_handle_t *)&conn->tcp, h1_conn_free);
 }
 
+/* Close CONN with a reset, without a callback.  Bytes that a cut link holds up
+   are dropped, whereas a normal close leaves them to be delivered when the
+   link heals.  */
+void
+h1_conn_reset (struct h1_conn *conn)
+{
+  conn->events = NULL;
+  tm_cancel (conn->tm, &conn->timer);
+  if (uv_is_closing ((uv_handle_t *)&conn->tcp))
+    return;
+  if (!conn->connected || uv_tcp_close_reset (&conn->tcp, h1_conn_free) != 0)
+    uv_close ((uv_handle_t *)&conn->tcp, h1_conn_free);
+}
+
 static void
 h1_conn_report_closed (struct h1_conn *conn, bool reset)
 {
@@ -250,6 +264,7 @@
     {
       conn->pending_bytes -= write->bytes;
       g_free (write);
+      tm_after (conn->tm, &conn->timer, 0, h1_conn_timed_out, conn);
     }
 }
 
--- a/libcowslip/h1_conn.h
+++ b/libcowslip/h1_conn.h
@@ -37,5 +37,6 @@
 void h1_conn_set_reading (struct h1_conn *conn, bool enabled);
 void h1_conn_shutdown (struct h1_conn *conn);
 void h1_conn_close (struct h1_conn *conn);
+void h1_conn_reset (struct h1_conn *conn);
 
 #endif
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -424,7 +424,7 @@
   return call;
 }
 
-/* Cancel CALL without a callback and close its connection, on which most
+/* Cancel CALL without a callback and reset its connection, on which most
    endpoints stop processing the request.  */
 void
 h1_call_cancel (struct h1_call *call)
@@ -432,7 +432,7 @@
   struct h1_channel *channel = call->channel;
 
   if (channel->conn != NULL)
-    h1_conn_close (channel->conn);
+    h1_conn_reset (channel->conn);
   channel->conn = NULL;
   /* The parser may be on the call stack, so the channel is freed from the
      loop.  */
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -278,13 +278,29 @@
   return http_head_cb;
 }
 
+/* Close the connection of CALL with a reset.  A normal close would leave a
+   request that a cut link holds up to be delivered when the link heals.  */
+static void
+http_reset (struct http_call *call)
+{
+  static const struct linger reset = { .l_onoff = 1, .l_linger = 0 };
+  h2o_socket_t *socket;
+
+  if (call->connection == NULL)
+    return;
+  socket = call->connection->sock;
+  if (socket != NULL)
+    (void)setsockopt (h2o_socket_get_fd (socket), SOL_SOCKET, SO_LINGER,
+                      &reset, sizeof reset);
+  h2o_http1client_cancel (call->connection);
+}
+
 static void
 http_timed_out (void *arg)
 {
   struct http_call *call = arg;
 
-  if (call->connection != NULL)
-    h2o_http1client_cancel (call->connection);
+  http_reset (call);
   http_finish (call, HTTP_TIMEOUT);
 }
 
@@ -294,8 +310,7 @@
 {
   struct http_call *call = arg;
 
-  if (call->connection != NULL)
-    h2o_http1client_cancel (call->connection);
+  http_reset (call);
   http_finish (call, HTTP_CONNECT_FAILED);
 }
 
@@ -354,8 +369,7 @@
   call->cancelled = true;
   if (call->in_callback)
     return;
-  if (call->connection != NULL)
-    h2o_http1client_cancel (call->connection);
+  http_reset (call);
   http_call_free (call);
 }
 
