Choose at random among endpoints whose load is not known

Cause: with 295 instances one sees a report of an endpoint about every 5 s, so nearly all loads are unknown.

In fleets of more than 16 instances the load is estimated from the service's mean and the own requests, and the score has a random part of half the slots.

--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -294,7 +294,8 @@
                                              : request->service->slots,
                                 .instances = gw_instance_count (gw),
                                 .prefix = request->prefix,
-                                .tried = request->tried };
+                                .tried = request->tried,
+                                .random = gw->random };
 }
 
 /* Reserve a retry for REQUEST from the budget unless that has been done.  Return
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -116,6 +116,7 @@
                      struct flt_weights *weights);
 void flt_set_load (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                    uint32_t running, uint32_t waiting, uint32_t pace_percent);
+double flt_mean_load (const struct flt_fleet *fleet, const char *service);
 void flt_apply_notice (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
                        enum flt_notice_kind kind, const char *model,
                        const char *adapter);
--- a/libcowslip/pck.c
+++ b/libcowslip/pck.c
@@ -20,16 +20,49 @@
 #define PCK_TRIED_PENALTY    50.0
 #define PCK_PERCENT          100.0
 #define PCK_SLOTS_DEFAULT    8
+/* With up to this many instances, an endpoint's load is estimated as that of
+   this instance times their number.  With more, an instance sees too few of an
+   endpoint's requests for that.  */
+#define PCK_SHARED_INSTANCES_MAX 16
+/* Otherwise the mean load of the service counts as if this many requests had
+   been seen.  */
+#define PCK_PRIOR_REQUESTS 4.0
+/* Random part of the score, in shares of the slots.  Hundreds of instances that
+   know no loads would otherwise all choose the same endpoint for a prefix, and
+   its zone's requests would not leave it.  */
+#define PCK_JITTER 0.5
 /* Load of a request without a response yet, in requests that are streaming.
    The engine stalls its streams while it reads the prompt, which takes about
    60 ms against 7 ms for a token of all streams.  */
 #define PCK_PROMPT_WEIGHT 6
 
+static bool
+pck_is_large (const struct pck_criteria *criteria)
+{
+  return criteria->instances > PCK_SHARED_INSTANCES_MAX;
+}
+
+/* Return the estimated number of requests at an endpoint that has not reported
+   its load recently, of which this instance has sent OWN.  In a large fleet
+   that is the mean of a gamma distribution around the mean load of the service
+   after OWN requests of this instance were seen.  */
+static double
+pck_estimate (const struct flt_fleet *fleet, double own,
+              const struct pck_criteria *criteria)
+{
+  double mean = MAX (flt_mean_load (fleet, criteria->service), 1);
+
+  if (!pck_is_large (criteria))
+    return own * criteria->instances;
+  return (PCK_PRIOR_REQUESTS + own)
+         / (PCK_PRIOR_REQUESTS / mean + 1.0 / criteria->instances);
+}
+
 /* Return the share of the slots of ENDPOINT that one more request would bring
    into use, scaled by its pace.  */
 static double
-pck_load (const struct flt_endpoint *endpoint, uint64_t now_us,
-          const struct pck_criteria *criteria)
+pck_load (const struct flt_fleet *fleet, const struct flt_endpoint *endpoint,
+          uint64_t now_us, const struct pck_criteria *criteria)
 {
   uint32_t slots
       = endpoint->entry.slots > 0 ? endpoint->entry.slots : criteria->slots;
@@ -41,7 +74,7 @@
     slots = PCK_SLOTS_DEFAULT;
   if (criteria->model != NULL)
     own += (double)endpoint->outstanding * PCK_PROMPT_WEIGHT;
-  used = own * criteria->instances;
+  used = pck_estimate (fleet, own, criteria);
   if (endpoint->load_reported_us != 0
       && now_us - endpoint->load_reported_us
              < PCK_LOAD_MAX_AGE_MS * PCK_US_PER_MS)
@@ -98,7 +131,9 @@
       if (!pck_may_serve (fleet, endpoint, criteria)
           || (tried && criteria->only_untried))
         continue;
-      score = pck_load (endpoint, now_us, criteria);
+      score = pck_load (fleet, endpoint, now_us, criteria);
+      if (criteria->random != NULL && pck_is_large (criteria))
+        score += PCK_JITTER * gsl_rng_uniform (criteria->random);
       if (!g_str_equal (endpoint->entry.zone, criteria->zone))
         score += PCK_ZONE_PENALTY;
       if (criteria->prefix != 0)
--- a/libcowslip/pck.h
+++ b/libcowslip/pck.h
@@ -1,6 +1,8 @@
 #ifndef COWSLIP_PCK_H
 #define COWSLIP_PCK_H
 
+#include <gsl/gsl_rng.h>
+
 #include "flt.h"
 
 /* Chooses the endpoint for a request from load, zone and prompt prefix.  */
@@ -18,6 +20,7 @@
   const GPtrArray *tried; /* ids (char *) of endpoints to use only as a last
                              resort; may be NULL */
   bool only_untried;
+  gsl_rng *random; /* NULL: the choice does not vary */
 };
 
 struct flt_endpoint *pck_choose (struct flt_fleet *fleet,
