Order replicas of a busy model several at a time

The rate they rest on follows a shift only after 8 s.

Pending loads count as replicas, up to 4 are ordered in a step, a rate over 2 s counts when it is higher, and while three quarters of the engines are idle the limit is 3 requests a second on each replica.

--- a/libcowslip/res_demand.c
+++ b/libcowslip/res_demand.c
@@ -6,6 +6,9 @@
 /* Time constant of the moving average of the request rate.  Demand moves to
    other models within 4 to 6 s; a swing of the total traffic takes 13 s.  */
 #define RES_RATE_TIME_CONSTANT_S 8.0
+/* The same for the rate that decides on further replicas of a busy model,
+   which are useful only until the demand moves on.  */
+#define RES_RECENT_TIME_CONSTANT_S 2.0
 /* Demand of an instance that has not reported for this long is dropped.  */
 #define RES_REPORT_TIMEOUT_MS 4500
 #define RES_US_PER_S          1e6
@@ -35,12 +38,24 @@
   return item;
 }
 
+/* Return RATE of ITEM, a moving average with TIME_CONSTANT_S, decayed to the
+   present time.  */
 static double
-res_decayed_rate (const struct res_table *table, const struct res_item *item)
+res_decayed_rate (const struct res_table *table, const struct res_item *item,
+                  double rate, double time_constant_s)
 {
   double age_s = (double)(res_now (table) - item->rate_us) / RES_US_PER_S;
 
-  return item->rate * exp (-age_s / RES_RATE_TIME_CONSTANT_S);
+  return rate == 0 ? 0 : rate * exp (-age_s / time_constant_s);
+}
+
+static void
+res_decay_rates (const struct res_table *table, struct res_item *item)
+{
+  item->step_rate
+      = res_decayed_rate (table, item, item->rate, RES_RATE_TIME_CONSTANT_S);
+  item->step_recent_rate = res_decayed_rate (table, item, item->recent_rate,
+                                             RES_RECENT_TIME_CONSTANT_S);
 }
 
 /* Return the requests per second for NAME, as of this step.  */
@@ -85,8 +100,10 @@
 
   report.waiting_since_us = now_us > oldest_us ? now_us - oldest_us : 1;
   g_array_append_val (existing->reports, report);
-  item->rate = res_decayed_rate (table, item)
-               + demand->arrivals / RES_RATE_TIME_CONSTANT_S;
+  res_decay_rates (table, item);
+  item->rate = item->step_rate + demand->arrivals / RES_RATE_TIME_CONSTANT_S;
+  item->recent_rate
+      = item->step_recent_rate + demand->arrivals / RES_RECENT_TIME_CONSTANT_S;
   item->rate_us = now_us;
   if (demand->arrivals > 0 || demand->active > 0 || demand->waiting > 0)
     item->used_us = now_us;
@@ -138,7 +155,7 @@
 
       item->active = 0;
       item->waiting = 0;
-      item->step_rate = res_decayed_rate (table, item);
+      res_decay_rates (table, item);
       if (item->adapter != NULL)
         (void)res_item (table, item->model);
     }
--- a/libcowslip/res_impl.h
+++ b/libcowslip/res_impl.h
@@ -79,7 +79,10 @@
   char *adapter; /* NULL: the model itself */
   double rate;   /* requests per second, exponential moving average */
   uint64_t rate_us;
-  double step_rate;     /* the same, decayed to the time of this step */
+  double recent_rate; /* the same over a shorter time */
+  /* Both, decayed to the time of this step.  */
+  double step_rate;
+  double step_recent_rate;
   uint64_t used_us;     /* last request */
   uint64_t notified_us; /* last repeated notice */
   /* Sums over the instances.  */
@@ -117,8 +120,8 @@
   uint32_t store_max;    /* limit of concurrent loads from the weight store */
   GPtrArray *available;  /* usable engines of the service, for this step */
   GHashTable *replicas;  /* model -> those of them that hold it (GPtrArray) */
-  GHashTable *pending;   /* set of models being loaded or with an engine
-                            reserved for them */
+  GHashTable *pending;   /* model -> number of engines that load it or are
+                            reserved for it */
   uint64_t generation;   /* incremented when replicas are counted */
   GPtrArray *no_engines; /* empty list, for models without a copy */
   GHashTable *copies;    /* model -> engines with a copy (GPtrArray) */
@@ -149,7 +152,8 @@
                                       const char *model);
 void res_replica_evicted (struct res_table *table,
                           struct flt_endpoint *endpoint, const char *model);
-bool res_is_pending (const struct res_table *table, const char *model);
+uint32_t res_pending (const struct res_table *table, const char *model);
+void res_add_pending (struct res_table *table, const char *model);
 void res_count_replicas (struct res_table *table,
                          const struct rte_service *service);
 GPtrArray *res_copy_holders (struct res_table *table, const char *model);
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -1,3 +1,4 @@
+#include <float.h>
 #include <string.h>
 
 #include "res_impl.h"
@@ -14,8 +15,17 @@
    seconds.  */
 #define RES_OVERLOAD_FACTOR 2.0
 /* While requests wait for other models, overloaded models get replicas if more
-   than this share of the engines is idle.  */
-#define RES_IDLE_SHARE_MIN 0.5
+   than the first of these shares of the engines is idle, and busy ones from
+   the second on.  */
+#define RES_IDLE_SHARE_MIN  0.5
+#define RES_IDLE_SHARE_HIGH 0.75
+/* The same while most engines are idle: a further replica then costs only the
+   eviction of a model with little demand.  */
+#define RES_BUSY_FACTOR 1.2
+/* Weight of the rate over the last seconds, which varies more.  */
+#define RES_RECENT_WEIGHT 0.8
+/* Replicas that are ordered in one step.  */
+#define RES_REPLICAS_PER_STEP 4
 /* Cost of a load, in ms, per request per second that the engine serves.  */
 #define RES_RATE_COST_MS 250.0
 /* Time by which requests in progress delay an unload.  */
@@ -59,11 +69,18 @@
   bool from_store;
 };
 
-/* Return the number of replicas that MODEL should have.  */
+/* Return the requests per second for the model of ITEM that its replicas must
+   serve.  */
+static double
+res_replica_demand (const struct res_item *item)
+{
+  return MAX (item->step_rate, RES_RECENT_WEIGHT * item->step_recent_rate);
+}
+
+/* Return the number of replicas that a model with RATE should have.  */
 static uint32_t
-res_target_replicas (const struct res_table *table, const char *model)
+res_target_replicas (double rate)
 {
-  double rate = res_rate (table, model);
   uint32_t by_rate = (uint32_t)(rate / RES_REPLICA_RATE + 1);
 
   return rate < RES_SECOND_REPLICA_RATE ? 1 : MAX (by_rate, 2);
@@ -253,7 +270,7 @@
   struct res_engine *engine = res_engine (table, choice->endpoint);
 
   res_set_reservation (table, engine, model->name, choice->from_store);
-  g_hash_table_add (table->pending, g_strdup (model->name));
+  res_add_pending (table, model->name);
   engine->usage_generation = 0;
   if (choice->victim != NULL)
     {
@@ -272,7 +289,7 @@
   struct res_engine *engine = res_engine (table, choice->endpoint);
 
   res_set_reservation (table, engine, model->name, choice->from_store);
-  g_hash_table_add (table->pending, g_strdup (model->name));
+  res_add_pending (table, model->name);
 }
 
 /* Continue with engines that are reserved for a model.  */
@@ -340,7 +357,7 @@
       if (item->adapter == NULL && item->waiting > 0
           && rte_model (service, item->model) != NULL
           && res_replicas (table, item->model) == 0
-          && !res_is_pending (table, item->model))
+          && res_pending (table, item->model) == 0)
         cold = g_list_prepend (cold, item);
     }
   return g_list_sort_with_data (cold, res_compare_urgency, table);
@@ -402,7 +419,7 @@
 
       if (res_copy_holders (table, model->name)->len > 0
           || res_replicas (table, model->name) > 0
-          || res_is_pending (table, model->name))
+          || res_pending (table, model->name) > 0)
         continue;
       choice = res_choose (table, service, model, res_prefetch_max (table));
       if (choice.endpoint != NULL && choice.immediate)
@@ -426,36 +443,62 @@
          > res_rate (table, victim) / MAX (others, 1);
 }
 
-/* Order one more replica of the model with the highest rate per replica among
-   those with fewer replicas than their rate needs and more than EACH_MIN
-   requests per second on each.  */
-static void
-res_load_replicas (struct res_table *table, const struct rte_service *service,
-                   double each_min)
+/* Return the item of SERVICE with the highest rate per replica among those
+   with fewer replicas, loaded or pending, than their rate needs and more than
+   EACH_MIN requests per second on each.  Return NULL if there is none.  */
+static const struct res_item *
+res_most_overloaded (const struct res_table *table,
+                     const struct rte_service *service, double each_min)
 {
-  const struct rte_model *overloaded = NULL;
+  const struct res_item *overloaded = NULL;
   double most = each_min;
-  struct res_choice choice;
+  GHashTableIter iter;
+  gpointer value;
 
-  for (guint i = 0; i < service->models->len; i++)
+  g_hash_table_iter_init (&iter, table->items);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct rte_model *model = g_ptr_array_index (service->models, i);
-      uint32_t replicas = res_replicas (table, model->name);
-      double each = res_rate (table, model->name) / MAX (replicas, 1);
+      const struct res_item *item = value;
+      double rate = res_replica_demand (item);
+      uint32_t replicas;
 
-      if (replicas < res_target_replicas (table, model->name) && each > most
-          && !res_is_pending (table, model->name))
+      if (item->adapter != NULL || rate <= most)
+        continue;
+      replicas = res_replicas (table, item->model)
+                 + res_pending (table, item->model);
+      if (replicas < res_target_replicas (rate)
+          && rate / MAX (replicas, 1) > most
+          && rte_model (service, item->model) != NULL)
         {
-          overloaded = model;
-          most = each;
+          overloaded = item;
+          most = rate / MAX (replicas, 1);
         }
     }
-  if (overloaded == NULL)
-    return;
-  choice = res_choose (table, service, overloaded, res_prefetch_max (table));
-  if (choice.endpoint != NULL && choice.immediate
-      && res_outweighs_victim (table, overloaded->name, choice.victim))
-    res_execute (table, overloaded, &choice, "asked for often");
+  return overloaded;
+}
+
+/* Order replicas of models with more than EACH_MIN requests per second on each
+   replica.  */
+static void
+res_load_replicas (struct res_table *table, const struct rte_service *service,
+                   double each_min)
+{
+  for (uint32_t i = 0; i < RES_REPLICAS_PER_STEP; i++)
+    {
+      const struct res_item *item
+          = res_most_overloaded (table, service, each_min);
+      const struct rte_model *model;
+      struct res_choice choice;
+
+      if (item == NULL)
+        return;
+      model = rte_model (service, item->model);
+      choice = res_choose (table, service, model, res_prefetch_max (table));
+      if (choice.endpoint == NULL || !choice.immediate
+          || !res_outweighs_victim (table, model->name, choice.victim))
+        return;
+      res_execute (table, model, &choice, "asked for often");
+    }
 }
 
 /* Return the share of engines that are idle and not reserved.  In a small
@@ -476,6 +519,21 @@
   return (double)idle / MAX (table->available->len, 1);
 }
 
+/* Return the requests per second on each replica above which a model gets a
+   further one.  COLD: requests wait for other models.  */
+static double
+res_replica_limit (struct res_table *table, bool cold)
+{
+  double idle = res_idle_share (table);
+
+  if (!cold)
+    return 0;
+  if (idle > RES_IDLE_SHARE_HIGH)
+    return RES_BUSY_FACTOR * RES_REPLICA_RATE;
+  return idle > RES_IDLE_SHARE_MIN ? RES_OVERLOAD_FACTOR * RES_REPLICA_RATE
+                                   : DBL_MAX;
+}
+
 /* Order the loads of models of SERVICE.  Models with waiting requests are
    loaded first, in the order of urgency, each on the engine where it is ready
    soonest; a busy engine is reserved for it.  Further replicas and prefetches
@@ -503,10 +561,7 @@
     }
   /* In a large fleet some model is always waiting for a load; overloaded
      models get replicas nevertheless.  */
-  if (cold == NULL || res_idle_share (table) > RES_IDLE_SHARE_MIN)
-    res_load_replicas (table, service,
-                       cold == NULL ? 0
-                                    : RES_OVERLOAD_FACTOR * RES_REPLICA_RATE);
+  res_load_replicas (table, service, res_replica_limit (table, cold != NULL));
   if (cold == NULL)
     res_prefetch (table, service);
   g_list_free (cold);
--- a/libcowslip/res_replica.c
+++ b/libcowslip/res_replica.c
@@ -40,18 +40,21 @@
     (void)g_ptr_array_remove_fast (holders, endpoint);
 }
 
-/* Return whether an engine is loading MODEL or is reserved for it.  */
-bool
-res_is_pending (const struct res_table *table, const char *model)
+/* Return the number of engines that load MODEL or are reserved for it.  */
+uint32_t
+res_pending (const struct res_table *table, const char *model)
 {
-  return g_hash_table_contains (table->pending, model);
+  return GPOINTER_TO_UINT (g_hash_table_lookup (table->pending, model));
 }
 
-static void
-res_add_name (GHashTable *names, const char *name)
+/* Note that one more engine loads MODEL, which may be NULL, or is reserved for
+   it.  */
+void
+res_add_pending (struct res_table *table, const char *model)
 {
-  if (name != NULL)
-    g_hash_table_add (names, g_strdup (name));
+  if (model != NULL)
+    g_hash_table_replace (table->pending, g_strdup (model),
+                          GUINT_TO_POINTER (res_pending (table, model) + 1));
 }
 
 /* Add ENDPOINT to the engines in HOLDERS, name -> GPtrArray, for NAME.  The
@@ -140,8 +143,10 @@
       struct res_engine *engine = res_engine (table, endpoint);
 
       engine->request_rate = res_engine_rate (table, endpoint);
-      res_add_name (table->pending, res_loading_model (engine));
-      res_add_name (table->pending, engine->reserved);
+      /* An engine stays reserved for a model while it loads it.  */
+      res_add_pending (table, engine->reserved != NULL
+                                  ? engine->reserved
+                                  : res_loading_model (engine));
     }
 }
 
