Relay what a source reads again after the store has forgotten its history

At the start no instance knew its rank before its own record came back, so all 295 watched the store after 1.1 s.

A read by a source is compared with what was known and the difference relayed; a stream being read counts as answered; ranks do not need the own record.

rly/forget shows no read by the follower (two before). rly/blind now models the time of the last answer: the other instance takes over 1.3 s after the cut.

--- a/cowslipcoved/gw_relay.c
+++ b/cowslipcoved/gw_relay.c
@@ -39,19 +39,20 @@
 gw_relay_members_changed (struct gw *gw)
 {
   const GPtrArray *members = ldr_members (gw->ldr);
-  const struct ldr_member *self
-      = ldr_find_member (gw->ldr, gw->settings->instance);
+  /* The own record may not have been written yet.  */
+  const struct ldr_member self = { .instance = gw->settings->instance,
+                                   .cpu_percent = gw->settings->cpu_percent };
   uint32_t rank = 0;
 
-  for (guint i = 0; self != NULL && i < members->len; i++)
+  for (guint i = 0; i < members->len; i++)
     {
       const struct ldr_member *member = g_ptr_array_index (members, i);
 
       if (gw_relay_in_group (gw, member)
-          && gw_relay_ranks_before (gw, member, self))
+          && gw_relay_ranks_before (gw, member, &self))
         rank++;
     }
-  rly_set_rank (gw->relay, self == NULL ? RLY_RANK_UNKNOWN : rank);
+  rly_set_rank (gw->relay, rank);
 }
 
 static void
--- a/libcowslip/rly.c
+++ b/libcowslip/rly.c
@@ -85,8 +85,8 @@
     rly->next_send_us += RLY_SEND_INTERVAL_MS * RLY_US_PER_MS;
 }
 
-/* Note whether the owners have read all streams.  At a start of the whole fleet
-   that takes seconds, and nothing can be relayed before.  */
+/* Note whether the owners have read all streams.  At a start of the whole
+   fleet that takes seconds, and nothing can be relayed before.  */
 static void
 rly_update_loaded (struct rly *rly)
 {
--- a/libcowslip/rly_impl.h
+++ b/libcowslip/rly_impl.h
@@ -27,13 +27,14 @@
 {
   struct rly *rly;
   char *prefix;
-  GHashTable *items; /* key -> struct rly_item */
-  uint64_t digest;   /* exclusive or of the hashes of all items */
-  int64_t revision;  /* all changes up to it were applied or received */
-  void *inner;       /* watch of the store; NULL: none */
-  /* Changes to be relayed while INNER is set; otherwise those received while
-     the owner reads the keys.  */
-  GArray *changes; /* struct rly_change */
+  GHashTable *items;    /* key -> struct rly_item */
+  uint64_t digest;      /* exclusive or of the hashes of all items */
+  int64_t revision;     /* all changes up to it were applied or received */
+  bool watching;        /* watches the store, unless its keys are being read */
+  void *inner;          /* watch of the store; NULL: none */
+  uint64_t answered_us; /* last answer of the store while WATCHING; 0: none */
+  GArray *changes;      /* struct rly_change: to be relayed if WATCHING */
+  GArray *received;     /* the same: received while the owner reads the keys */
   uint32_t mismatches;
   bool stale; /* the owner must read the keys again */
 
@@ -64,7 +65,7 @@
 void rly_stream_load (struct rly_stream *stream,
                       const struct kv_result *result);
 void rly_stream_watch_store (struct rly_stream *stream, bool watch);
-uint64_t rly_stream_answered_us (const struct rly_stream *stream);
+uint64_t rly_stream_answered_us (struct rly_stream *stream);
 bool rly_stream_export (struct rly_stream *stream, cs_relay_stream *out,
                         size_t *bytes_left);
 void rly_stream_sent (struct rly_stream *stream, const cs_relay_stream *out);
--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -9,6 +9,8 @@
 #define RLY_MISMATCHES_MAX 2
 /* Changes kept for the next batch, or during a read.  */
 #define RLY_CHANGES_MAX 2048
+/* Revision of an item that a read has not confirmed yet.  */
+#define RLY_UNREAD (-1)
 
 static void
 rly_change_clear (gpointer data)
@@ -19,6 +21,15 @@
   g_string_free (change->value, TRUE);
 }
 
+static GArray *
+rly_changes_new (void)
+{
+  GArray *changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
+
+  g_array_set_clear_func (changes, rly_change_clear);
+  return changes;
+}
+
 /* Return a stream of the keys that start with PREFIX.  */
 struct rly_stream *
 rly_stream_new (struct rly *rly, const char *prefix)
@@ -29,8 +40,8 @@
   stream->prefix = g_strdup (prefix);
   stream->items
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  stream->changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
-  g_array_set_clear_func (stream->changes, rly_change_clear);
+  stream->changes = rly_changes_new ();
+  stream->received = rly_changes_new ();
   return stream;
 }
 
@@ -42,6 +53,7 @@
 
   rly_stream_watch_store (stream, false);
   g_array_free (stream->changes, TRUE);
+  g_array_free (stream->received, TRUE);
   g_hash_table_destroy (stream->items);
   g_free (stream->prefix);
   g_free (stream);
@@ -89,26 +101,24 @@
   return news;
 }
 
-/* Keep a change for the next batch, or until the owner has read the keys.  A
+/* Add a change to CHANGES, instead of an earlier one of the same key.  A
    change that does not fit is missed, which the digest shows.  */
 static void
-rly_keep_change (struct rly_stream *stream, const char *key,
-                 enum rly_kind kind, int64_t revision, const char *value,
-                 size_t bytes)
+rly_keep_change (GArray *changes, const char *key, enum rly_kind kind,
+                 int64_t revision, const char *value, size_t bytes)
 {
   struct rly_change change = { g_strdup (key), kind, revision,
                                g_string_new_len (value, (gssize)bytes) };
 
-  for (guint i = 0; i < stream->changes->len; i++)
-    if (g_str_equal (g_array_index (stream->changes, struct rly_change, i).key,
-                     key))
+  for (guint i = 0; i < changes->len; i++)
+    if (g_str_equal (g_array_index (changes, struct rly_change, i).key, key))
       {
-        g_array_remove_index (stream->changes, i);
+        g_array_remove_index (changes, i);
         break;
       }
-  if (stream->changes->len >= RLY_CHANGES_MAX)
-    g_array_remove_index (stream->changes, 0);
-  g_array_append_val (stream->changes, change);
+  if (changes->len >= RLY_CHANGES_MAX)
+    g_array_remove_index (changes, 0);
+  g_array_append_val (changes, change);
 }
 
 /* Condense VALUE into OUT and return its kind.  */
@@ -155,8 +165,8 @@
     }
   if (rly_update_item (stream, change->key, hash, change->revision))
     {
-      rly_keep_change (stream, change->key, kind, change->revision, value->str,
-                       value->len);
+      rly_keep_change (stream->changes, change->key, kind, change->revision,
+                       value->str, value->len);
       if (kind == RLY_PUT)
         rly_report (stream, change->key, value->str, value->len,
                     change->revision);
@@ -174,6 +184,7 @@
 
   stream->inner = NULL;
   stream->stale = true;
+  stream->answered_us = tm_now_us (stream->rly->config.tm);
 }
 
 /* End the owner's watch if the keys must be read again.  */
@@ -193,32 +204,37 @@
 {
   const struct kv_store *kv = &stream->rly->config.kv;
 
-  if (watch && stream->inner == NULL && stream->watched && !stream->stale)
+  if (watch != stream->watching)
     {
       g_array_set_size (stream->changes, 0);
-      stream->inner = kv->methods->watch (kv->context, stream->prefix,
-                                          stream->revision + 1, rly_on_change,
-                                          rly_on_ended, stream);
+      stream->answered_us = 0;
     }
+  stream->watching = watch;
+  if (watch && stream->inner == NULL && stream->watched && !stream->stale)
+    stream->inner = kv->methods->watch (kv->context, stream->prefix,
+                                        stream->revision + 1, rly_on_change,
+                                        rly_on_ended, stream);
   else if (!watch && stream->inner != NULL)
     {
       kv->methods->unwatch (kv->context, stream->inner);
       stream->inner = NULL;
-      g_array_set_size (stream->changes, 0);
     }
 }
 
-/* Return when the store last answered the watch; 0: not yet.  */
+/* Return when the store last answered the watch or read of STREAM since it is
+   watched; 0: not yet.  */
 uint64_t
-rly_stream_answered_us (const struct rly_stream *stream)
+rly_stream_answered_us (struct rly_stream *stream)
 {
   const struct kv_store *kv = &stream->rly->config.kv;
 
-  if (stream->inner == NULL)
-    return 0;
-  if (kv->methods->watch_answered_us == NULL)
-    return tm_now_us (stream->rly->config.tm);
-  return kv->methods->watch_answered_us (kv->context, stream->inner);
+  if (stream->inner != NULL)
+    stream->answered_us
+        = kv->methods->watch_answered_us == NULL
+              ? tm_now_us (stream->rly->config.tm)
+              : MAX (stream->answered_us, kv->methods->watch_answered_us (
+                                              kv->context, stream->inner));
+  return stream->answered_us;
 }
 
 /* Fill OUT, whose strings belong to STREAM, with changes of at most BYTES_LEFT
@@ -316,9 +332,9 @@
       if (change->kind > RLY_REPLACE)
         continue;
       if (!stream->watched)
-        rly_keep_change (stream, change->key, (enum rly_kind)change->kind,
-                         change->revision, change->value.value_val,
-                         change->value.value_len);
+        rly_keep_change (stream->received, change->key,
+                         (enum rly_kind)change->kind, change->revision,
+                         change->value.value_val, change->value.value_len);
       else
         known &= rly_apply (stream, change->key, (enum rly_kind)change->kind,
                             change->revision, change->value.value_val,
@@ -336,11 +352,10 @@
 void
 rly_stream_replay (struct rly_stream *stream)
 {
-  GArray *kept = stream->changes;
+  GArray *kept = stream->received;
   bool known = true;
 
-  stream->changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
-  g_array_set_clear_func (stream->changes, rly_change_clear);
+  stream->received = rly_changes_new ();
   for (guint i = 0; i < kept->len; i++)
     {
       const struct rly_change *change
@@ -353,31 +368,62 @@
   stream->stale = !known;
 }
 
-/* Replace what is known of the keys by RESULT, which the owner has read.  */
+static gboolean
+rly_is_missing (gpointer key, gpointer value, gpointer data)
+{
+  struct rly_stream *stream = data;
+  const struct rly_item *item = value;
+
+  if (item->revision != RLY_UNREAD)
+    return FALSE;
+  if (item->hash != 0)
+    {
+      rly_keep_change (stream->changes, key, RLY_REMOVE, stream->revision, "",
+                       0);
+      stream->digest ^= item->hash;
+    }
+  return TRUE;
+}
+
+static void
+rly_load_pair (struct rly_stream *stream, const struct kv_pair *pair,
+               GString *value)
+{
+  enum rly_kind kind;
+  uint64_t hash;
+
+  g_string_truncate (value, 0);
+  kind = rly_condense (stream, pair->key, pair->value, pair->value_bytes,
+                       value);
+  hash = kind == RLY_PUT
+             ? rly_hash (pair->key, value->str, value->len)
+             : rly_hash (pair->key, pair->value, pair->value_bytes);
+  if (rly_update_item (stream, pair->key, hash, pair->revision))
+    rly_keep_change (stream->changes, pair->key, kind, pair->revision,
+                     value->str, value->len);
+}
+
+/* Replace what is known of the keys by RESULT, which the owner has read.  What
+   has changed since the last read or change is relayed by a source whose watch
+   has ended.  */
 void
 rly_stream_load (struct rly_stream *stream, const struct kv_result *result)
 {
   GString *value = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer item;
 
-  g_hash_table_remove_all (stream->items);
-  stream->digest = 0;
+  g_hash_table_iter_init (&iter, stream->items);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    ((struct rly_item *)item)->revision = RLY_UNREAD;
   stream->revision = result->revision;
   stream->mismatches = 0;
   stream->stale = false;
+  stream->answered_us = tm_now_us (stream->rly->config.tm);
   for (size_t i = 0; i < result->pair_count; i++)
-    {
-      const struct kv_pair *pair = &result->pairs[i];
-      enum rly_kind kind;
-
-      g_string_truncate (value, 0);
-      kind = rly_condense (stream, pair->key, pair->value, pair->value_bytes,
-                           value);
-      (void)rly_update_item (
-          stream, pair->key,
-          kind == RLY_PUT
-              ? rly_hash (pair->key, value->str, value->len)
-              : rly_hash (pair->key, pair->value, pair->value_bytes),
-          pair->revision);
-    }
+    rly_load_pair (stream, &result->pairs[i], value);
+  (void)g_hash_table_foreach_remove (stream->items, rly_is_missing, stream);
+  if (!stream->watching)
+    g_array_set_size (stream->changes, 0);
   g_string_free (value, TRUE);
 }
