Keep requests that arrive while an instance reads the configuration

For the first 5 s an instance keeps them for up to half of their time, at most 1,000; a stop refuses them.

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -91,6 +91,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_demand_free);
   gw->requests = g_hash_table_new (g_direct_hash, g_direct_equal);
   g_queue_init (&gw->waiting);
+  g_queue_init (&gw->held);
+  gw->started_us = tm_now_us (gw->tm);
   gw_relay_start (gw);
   gw_lead_start (gw);
   gw_peers_start (gw);
--- a/cowslipcoved/gw_config.c
+++ b/cowslipcoved/gw_config.c
@@ -32,6 +32,7 @@
   gw->config = config;
   h1_server_set_limits (gw->callers, &limits);
   res_configure (gw->res, config);
+  gw_release_held (gw);
   gw_dispatch_queued (gw);
 }
 
--- a/cowslipcoved/gw_drain.c
+++ b/cowslipcoved/gw_drain.c
@@ -57,5 +57,6 @@
             h1_server_connections (gw->callers));
   h1_server_drain (gw->callers);
   ldr_resign (gw->ldr);
+  gw_refuse_held (gw);
   gw_drain_poll (gw);
 }
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -129,6 +129,7 @@
   flt_list_end (gw->fleet, gw_fleet_grace_ms (gw));
   gw_fleet_retain_expired (gw);
   gw->fleet_loaded = true;
+  gw_release_held (gw);
   gw->fleet_watch = gw->kv.methods->watch (
       gw->kv.context, gw->protocol->keys.endpoint_prefix, result->revision + 1,
       gw_fleet_on_change, gw_fleet_watch_ended, gw);
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -65,6 +65,8 @@
   GHashTable *demand;   /* name -> struct gw_demand */
   GHashTable *requests; /* set of struct gw_request */
   GQueue waiting;       /* struct gw_request, longest wait first */
+  GQueue held;          /* struct gw_held, first arrival first */
+  uint64_t started_us;
 
   struct tm_timer fleet_retry;
   struct tm_timer config_retry;
@@ -159,6 +161,17 @@
                         const char *outcome);
 uint32_t gw_remaining_ms (const struct gw_request *request);
 
+void gw_accept (struct gw *gw, struct h1_exchange *exchange,
+                uint64_t arrived_us);
+void gw_reject (struct gw *gw, struct h1_exchange *exchange,
+                enum rsn_refusal reason);
+
+/* gw_held.c */
+bool gw_is_loaded (const struct gw *gw);
+bool gw_hold (struct gw *gw, struct h1_exchange *exchange);
+void gw_release_held (struct gw *gw);
+void gw_refuse_held (struct gw *gw);
+
 /* gw_answer.c */
 void gw_refuse (struct gw_request *request, enum rsn_refusal reason);
 void gw_fail (struct gw_request *request, enum rsn_refusal reason);
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -180,7 +180,7 @@
 
 static struct gw_request *
 gw_request_new (struct gw *gw, struct h1_exchange *exchange,
-                const struct rte_route *route)
+                const struct rte_route *route, uint64_t arrived_us)
 {
   struct gw_request *request = g_new0 (struct gw_request, 1);
   const char *id;
@@ -194,7 +194,7 @@
   if (request->service_name == NULL)
     request->service_name = g_strdup ("");
   request->service = rte_service (gw->config, request->service_name);
-  request->arrived_us = tm_now_us (gw->tm);
+  request->arrived_us = arrived_us;
   request->tried = g_ptr_array_new_with_free_func (g_free);
   evs_init (&request->events);
   id = gw_request_field (request, gw->protocol->fields.request_id);
@@ -206,7 +206,8 @@
   return request;
 }
 
-static void
+/* Answer EXCHANGE, which has no route, with REASON.  */
+void
 gw_reject (struct gw *gw, struct h1_exchange *exchange,
            enum rsn_refusal reason)
 {
@@ -242,28 +243,22 @@
   return !gw->draining || drn_accepts (&input);
 }
 
-/* Handle a caller's new request.  */
+/* Route the request in EXCHANGE, which arrived at ARRIVED_US.  */
 void
-gw_on_request (void *arg, struct h1_exchange *exchange)
+gw_accept (struct gw *gw, struct h1_exchange *exchange, uint64_t arrived_us)
 {
-  struct gw *gw = arg;
   const struct h1_head *head = h1_exchange_head (exchange);
   const char *host = h1_head_get (head, "Host");
   const struct rte_route *route;
   struct gw_request *request;
 
-  if (gw->config == NULL)
-    {
-      gw_reject (gw, exchange, RSN_NO_CONFIGURATION);
-      return;
-    }
   route = host == NULL ? NULL : rte_match (gw->config, host, head->target);
   if (route == NULL)
     {
       gw_reject (gw, exchange, RSN_NOT_FOUND);
       return;
     }
-  request = gw_request_new (gw, exchange, route);
+  request = gw_request_new (gw, exchange, route, arrived_us);
   rbg_count_request (gw->budgets, request->service_name);
   if (gw_remaining_ms (request) == 0)
     {
@@ -279,6 +274,18 @@
   gw_request_dispatch (request);
 }
 
+/* Handle a caller's new request.  */
+void
+gw_on_request (void *arg, struct h1_exchange *exchange)
+{
+  struct gw *gw = arg;
+
+  if (gw_is_loaded (gw))
+    gw_accept (gw, exchange, tm_now_us (gw->tm));
+  else if (!gw_hold (gw, exchange))
+    gw_reject (gw, exchange, RSN_NO_CONFIGURATION);
+}
+
 /* Return the query that selects an endpoint for REQUEST.  */
 struct pck_criteria
 gw_endpoint_query (const struct gw_request *request)
@@ -298,8 +305,8 @@
                                 .random = gw->random };
 }
 
-/* Reserve a retry for REQUEST from the budget unless that has been done.  Return
-   false if the budget does not allow one.  */
+/* Reserve a retry for REQUEST from the budget unless that has been done.
+   Return false if the budget does not allow one.  */
 bool
 gw_acquire_retry (struct gw_request *request)
 {
--- a/cowslipcoved/gw_status.c
+++ b/cowslipcoved/gw_status.c
@@ -4,7 +4,7 @@
 static bool
 gw_is_ready (const struct gw *gw)
 {
-  return !gw->draining && gw->config != NULL && gw->fleet_loaded;
+  return !gw->draining && gw_is_loaded (gw);
 }
 
 /* Answer a readiness check of the load balancer.  */
--- a/libcowslip/wtq.c
+++ b/libcowslip/wtq.c
@@ -9,6 +9,14 @@
    needed for the response.  */
 #define WTQ_COLD_SHARE 0.5
 
+/* Time in which an instance reads the configuration and the entries of the
+   endpoints, also if hundreds do so at once.  */
+#define WTQ_START_MS 5000
+/* Share of a request's time limit that it may wait for that.  */
+#define WTQ_START_SHARE 0.5
+/* Requests that may wait at once.  */
+#define WTQ_START_HELD_MAX 1000
+
 /* Callers abort a stream after the longest of these without an event: a fixed
    time, a multiple of the latency objective and one of the maximum gap.  */
 #define WTQ_EVENT_TIMEOUT_MS      2000
@@ -42,3 +50,16 @@
     limit_ms = MIN (limit_ms, wtq_stream_wait_ms (input));
   return input->waited_ms < limit_ms ? WTQ_WAIT : WTQ_REFUSE;
 }
+
+/* Return how long a request with REMAINING_MS until its deadline may wait, in
+   milliseconds, at an instance that started AGE_MS ago, has not read the
+   configuration yet and keeps HELD other requests.  0: refuse it.  */
+uint32_t
+wtq_start_wait_ms (uint64_t remaining_ms, uint64_t age_ms, uint32_t held)
+{
+  uint64_t limit_ms = (uint64_t)((double)remaining_ms * WTQ_START_SHARE);
+
+  if (age_ms >= WTQ_START_MS || held >= WTQ_START_HELD_MAX)
+    return 0;
+  return (uint32_t)MIN (limit_ms, WTQ_START_MS - age_ms);
+}
--- a/libcowslip/wtq.h
+++ b/libcowslip/wtq.h
@@ -25,5 +25,7 @@
 };
 
 enum wtq_action wtq_decide (const struct wtq_input *input);
+uint32_t wtq_start_wait_ms (uint64_t remaining_ms, uint64_t age_ms,
+                            uint32_t held);
 
 #endif
--- a/regress/gw_script.c
+++ b/regress/gw_script.c
@@ -12,6 +12,7 @@
 /* Runs the decision functions of the gateway from commands, one a line:
      fwd END [may] [ran] [begun] [resume] runs=N of=N sends=N left=MS [other]
      wtq [cold] [known] [stream] target=MS gap=MS total=MS waited=MS
+     begin left=MS age=MS held=N    at an instance that is starting
      drn [stream] left=MS grace=MS
      limits RATIO EXTRA WINDOW-MS INSTANCES | request N | repeat N
      advance MS
@@ -87,6 +88,14 @@
   printf ("%s\n", wtq_decide (&input) == WTQ_WAIT ? "hold" : "refuse");
 }
 
+static void
+run_start (void)
+{
+  printf ("%u ms\n",
+          wtq_start_wait_ms (get_number ("left"), get_number ("age"),
+                             get_number ("held")));
+}
+
 static void
 run_drn (void)
 {
@@ -200,6 +209,8 @@
     run_fwd ();
   else if (strcmp (command, "wtq") == 0)
     run_wtq ();
+  else if (strcmp (command, "begin") == 0)
+    run_start ();
   else if (strcmp (command, "drn") == 0)
     run_drn ();
   else if (strcmp (command, "route") == 0)
