--- a/libcowslip/pck.c
+++ b/libcowslip/pck.c
@@ -27,9 +27,9 @@
 /* Otherwise the mean load of the service counts as if this many requests had
    been seen.  */
 #define PCK_PRIOR_REQUESTS 4.0
-/* Random part of the score, in shares of the slots.  Hundreds of instances that
-   know no loads would otherwise all choose the same endpoint for a prefix, and
-   its zone's requests would not leave it.  */
+/* Random part of the score, in shares of the slots.  Hundreds of instances
+   that know no loads would otherwise all choose the same endpoint for a
+   prefix, and its zone's requests would not leave it.  */
 #define PCK_JITTER 0.5
 /* Load of a request without a response yet, in requests that are streaming.
    The engine stalls its streams while it reads the prompt, which takes about
--- a/libcowslip/res.c
+++ b/libcowslip/res.c
@@ -49,7 +49,7 @@
   table->copies = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                          res_holders_free);
   table->pending
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   table->instances = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                             res_instance_free);
   return table;
--- a/libcowslip/res_replica.c
+++ b/libcowslip/res_replica.c
@@ -44,7 +44,9 @@
 uint32_t
 res_pending (const struct res_table *table, const char *model)
 {
-  return GPOINTER_TO_UINT (g_hash_table_lookup (table->pending, model));
+  const uint32_t *count = g_hash_table_lookup (table->pending, model);
+
+  return count == NULL ? 0 : *count;
 }
 
 /* Note that one more engine loads MODEL, which may be NULL, or is reserved for
@@ -52,9 +54,17 @@
 void
 res_add_pending (struct res_table *table, const char *model)
 {
-  if (model != NULL)
-    g_hash_table_replace (table->pending, g_strdup (model),
-                          GUINT_TO_POINTER (res_pending (table, model) + 1));
+  uint32_t *count;
+
+  if (model == NULL)
+    return;
+  count = g_hash_table_lookup (table->pending, model);
+  if (count == NULL)
+    {
+      count = g_new0 (uint32_t, 1);
+      g_hash_table_insert (table->pending, g_strdup (model), count);
+    }
+  (*count)++;
 }
 
 /* Add ENDPOINT to the engines in HOLDERS, name -> GPtrArray, for NAME.  The
