Register before reading the members

An instance registers as soon as it has its lease and reads the members 0.3 s later (1 s if it cannot register).

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -2,6 +2,11 @@
 
 #define LDR_TICK_MS       100
 #define LDR_READ_RETRY_MS 300
+/* The first read follows the own registration by this time, so that instances
+   that start together, within 0.3 s, know each other.  */
+#define LDR_SETTLE_MS 300
+/* The first read is not delayed longer than this if the registration fails. */
+#define LDR_FIRST_READ_MAX_MS 1000
 
 static void ldr_read (struct ldr *ldr);
 
@@ -232,7 +237,8 @@
 
   tm_after (ldr->config.tm, &ldr->tick, LDR_TICK_MS * LDR_US_PER_MS, ldr_tick,
             ldr);
-  if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_at_us)
+  if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_at_us
+      && now_us >= ldr->first_read_us)
     ldr_read (ldr);
   ldr_lease_maintain_member (ldr);
   ldr_lease_maintain_leader (ldr);
@@ -240,6 +246,16 @@
   ldr_write_due (ldr);
 }
 
+/* Note that the member record was written.  */
+void
+ldr_registered (struct ldr *ldr)
+{
+  ldr->registered = true;
+  ldr->first_read_us
+      = MIN (ldr->first_read_us,
+             tm_now_us (ldr->config.tm) + LDR_SETTLE_MS * LDR_US_PER_MS);
+}
+
 /* Return the prefix of all keys of the election.  */
 const char *
 ldr_key_prefix (void)
@@ -259,6 +275,7 @@
   ldr->callbacks = *callbacks;
   ldr->arg = arg;
   ldr->started_us = tm_now_us (config->tm);
+  ldr->first_read_us = ldr->started_us + LDR_FIRST_READ_MAX_MS * LDR_US_PER_MS;
   ldr_table_clear (ldr);
   tm_after (config->tm, &ldr->tick, 0, ldr_tick, ldr);
   return ldr;
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -44,6 +44,7 @@
   /* Cached copy of the store's contents.  */
   bool synced;
   bool reading;
+  uint64_t first_read_us; /* no read before */
   void *watch;
   GPtrArray *members; /* struct ldr_member, sorted by name */
   struct ldr_record leader;
@@ -97,6 +98,7 @@
 
 /* ldr.c */
 void ldr_update_role (struct ldr *ldr);
+void ldr_registered (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
 uint32_t ldr_order_delay_ms (const struct ldr *ldr);
 char *ldr_past_leaders (const struct ldr *ldr, const char *first);
--- a/libcowslip/ldr_lease.c
+++ b/libcowslip/ldr_lease.c
@@ -64,9 +64,11 @@
 {
   struct ldr *ldr = arg;
 
-  if (ldr_call_ended (ldr)
-      && ldr_granted (ldr, &ldr->member_lease, LDR_RENEW_MS, outcome, id))
-    ldr->registered = false;
+  if (!ldr_call_ended (ldr)
+      || !ldr_granted (ldr, &ldr->member_lease, LDR_RENEW_MS, outcome, id))
+    return;
+  ldr->registered = false;
+  ldr_write_due (ldr);
 }
 
 static void
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -66,7 +66,7 @@
     return;
   ldr_write_ended (ldr, result->outcome != KV_OK);
   if (result->outcome == KV_OK)
-    ldr->registered = true;
+    ldr_registered (ldr);
   else if (result->outcome == KV_CONFLICT)
     ldr->member_lease.id = 0; /* expired */
 }
@@ -195,8 +195,14 @@
 {
   uint64_t now_us = tm_now_us (ldr->config.tm);
 
-  if (ldr->writing || !ldr->synced || now_us < ldr->retry_at_us)
+  if (ldr->writing || now_us < ldr->retry_at_us)
     return;
+  if (!ldr->synced)
+    {
+      if (ldr->member_lease.id != 0 && !ldr->resigned && !ldr->registered)
+        ldr_write_member (ldr);
+      return;
+    }
   if (!ldr->has_peer_key)
     {
       ldr_write_peer_key (ldr);
