End a response to another request that never ends

Of twelve cases against the real HTTP code one could happen: the body of a response to an earlier request, without a length, was skipped until the deadline of the request behind it, at any rate the endpoint sent. Status line, field name and value, fields, interim responses, responses to others, chunk size and extension, trailers, bytes after a response and bytes that are no response end within 1 MB already.

256 KB of skipped bodies fail the attempt now. endless_test: that case failed before (1,048,896 bytes, not ended).

--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -16,6 +16,9 @@
 #define H1_KEEP_ALIVE_DEFAULT_MS 3000
 /* Limit on responses to earlier requests that are skipped per request.  */
 #define H1_SKIPPED_MAX 4
+/* Limit on their bodies together.  A late response is as large as a
+   generation, some 10 KB; a faulty endpoint sends without end.  */
+#define H1_SKIPPED_MAX_BYTES (256U << 10)
 
 struct h1_pool
 {
@@ -37,6 +40,7 @@
   uint64_t idle_since_us;
   uint32_t keep_alive_ms;
   uint32_t skipped;
+  size_t skipped_bytes;
   bool skipping; /* the current response belongs to an earlier request */
   bool reusable;
   bool head_received; /* the head of the current response was delivered */
@@ -213,7 +217,9 @@
 {
   struct h1_channel *channel = arg;
 
-  if (!channel->skipping && channel->call != NULL)
+  if (channel->skipping)
+    channel->skipped_bytes += bytes;
+  else if (channel->call != NULL)
     channel->call->events.body (channel->call->arg, data, bytes);
 }
 
@@ -269,7 +275,11 @@
       enum h1_parse_result result
           = h1_parser_feed (&channel->parser, data, bytes, &used);
 
-      if (channel->call == NULL || result == H1_PARSE_INCOMPLETE)
+      if (channel->call == NULL)
+        return;
+      if (channel->skipped_bytes > H1_SKIPPED_MAX_BYTES)
+        result = H1_PARSE_MALFORMED;
+      if (result == H1_PARSE_INCOMPLETE)
         return;
       if (result == H1_PARSE_MALFORMED)
         {
@@ -320,6 +330,7 @@
   channel->head_received = false;
   channel->skipping = false;
   channel->skipped = 0;
+  channel->skipped_bytes = 0;
   h1_conn_write (channel->conn, call->text->str, call->text->len);
 }
 
