Back off from a store in trouble

Grants, reads and writes of the election back off from 0.3 s up to 2.4 s, the other reads up to 1.6 s; machines count as connected 3 s after an outage at the earliest. A conflict does not lengthen the delay. Expected outputs of the election do not change.

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -11,6 +11,11 @@
 
 #define GW_SIGNAL_COUNT 3
 
+/* Longest delay until a failed read of the configuration or of the entries is
+   repeated.  The machine counts as connected to the store 3 s after an outage
+   at the earliest.  */
+#define GW_READ_RETRY_MAX_MS 1600
+
 static struct gw gw_instance;
 static uv_signal_t gw_signals[GW_SIGNAL_COUNT];
 
@@ -112,6 +117,15 @@
   return gw->callers != NULL && gw_status_start (gw, error);
 }
 
+/* Return the delay until a read that has failed is repeated, in
+   microseconds.  */
+uint64_t
+gw_read_retry_us (struct gw *gw, struct kv_backoff *backoff)
+{
+  return MIN (kv_backoff_next_us (backoff, gw->random),
+              GW_READ_RETRY_MAX_MS * GW_US_PER_MS);
+}
+
 /* Start GW, whose settings, loop, clock, protocol and store are set.  Return
    false and set ERROR if a listening address cannot be bound.  */
 bool
--- a/cowslipcoved/gw_config.c
+++ b/cowslipcoved/gw_config.c
@@ -1,7 +1,6 @@
 #include "gw_impl.h"
 #include "lg.h"
 
-#define GW_CONFIG_RETRY_MS 200
 /* Fraction of the sockets that is available to callers; endpoints, peers and
    the store use the rest.  */
 #define GW_CALLER_SOCKET_SHARE 0.5
@@ -87,10 +86,12 @@
 
   if (result->outcome != KV_OK)
     {
-      tm_after (gw->tm, &gw->config_retry, GW_CONFIG_RETRY_MS * GW_US_PER_MS,
-                gw_config_read, gw);
+      tm_after (gw->tm, &gw->config_retry,
+                gw_read_retry_us (gw, &gw->config_backoff), gw_config_read,
+                gw);
       return;
     }
+  kv_backoff_reset (&gw->config_backoff);
   if (result->pair_count > 0)
     gw_config_apply (gw, result->pairs[0].value, result->pairs[0].value_bytes,
                      result->pairs[0].revision);
--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -3,7 +3,6 @@
 #include "gw_impl.h"
 #include "lg.h"
 
-#define GW_FLEET_RETRY_MS 200
 /* Entries that expired during an outage of the store are written again within
    about 2 s after its end.  */
 #define GW_FLEET_REANNOUNCE_MS 2000
@@ -117,10 +116,11 @@
 
   if (result->outcome != KV_OK)
     {
-      tm_after (gw->tm, &gw->fleet_retry, GW_FLEET_RETRY_MS * GW_US_PER_MS,
-                gw_fleet_read, gw);
+      tm_after (gw->tm, &gw->fleet_retry,
+                gw_read_retry_us (gw, &gw->fleet_backoff), gw_fleet_read, gw);
       return;
     }
+  kv_backoff_reset (&gw->fleet_backoff);
   flt_list_begin (gw->fleet);
   for (size_t i = 0; i < result->pair_count; i++)
     gw_fleet_update_entry (gw, result->pairs[i].key, result->pairs[i].value,
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -15,6 +15,7 @@
 #include "hst.h"
 #include "http_client.h"
 #include "kv.h"
+#include "kv_backoff.h"
 #include "ldr.h"
 #include "pck.h"
 #include "prt.h"
@@ -70,6 +71,8 @@
 
   struct tm_timer fleet_retry;
   struct tm_timer config_retry;
+  struct kv_backoff fleet_backoff;
+  struct kv_backoff config_backoff;
   struct tm_timer demand_timer;
   struct tm_timer lead_timer;
   uint64_t last_decision_us; /* when decisions were last due */
@@ -146,6 +149,8 @@
 /* gw.c */
 bool gw_start (struct gw *gw, GError **error);
 
+uint64_t gw_read_retry_us (struct gw *gw, struct kv_backoff *backoff);
+
 /* gw_config.c */
 void gw_config_start (struct gw *gw);
 
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -1,7 +1,11 @@
 #include "ldr_impl.h"
 
-#define LDR_TICK_MS       100
-#define LDR_READ_RETRY_MS 300
+#define LDR_TICK_MS 100
+/* Delay after a failed call, doubled with each further failure up to the
+   second one: hundreds of instances call a store in trouble, and each call has
+   a cost.  */
+#define LDR_RETRY_MIN_MS 300
+#define LDR_RETRY_MAX_MS 2400
 /* The first read follows the own registration by this time, so that instances
    that start together, within 0.3 s, know each other.  */
 #define LDR_SETTLE_MS 300
@@ -169,10 +173,10 @@
   ldr->reading = false;
   if (result->outcome != KV_OK)
     {
-      ldr->retry_at_us
-          = tm_now_us (ldr->config.tm) + LDR_READ_RETRY_MS * LDR_US_PER_MS;
+      ldr_back_off (ldr);
       return;
     }
+  ldr->failures = 0;
   ldr_table_clear (ldr);
   for (size_t i = 0; i < result->pair_count; i++)
     ldr_table_apply (ldr, result->pairs[i].key, result->pairs[i].value,
@@ -246,6 +250,17 @@
   ldr_write_due (ldr);
 }
 
+/* Delay the next grant, read or write after a failed one.  */
+void
+ldr_back_off (struct ldr *ldr)
+{
+  uint64_t delay_ms = MIN (
+      (uint64_t)LDR_RETRY_MIN_MS << MIN (ldr->failures, 8), LDR_RETRY_MAX_MS);
+
+  ldr->failures++;
+  ldr->retry_at_us = tm_now_us (ldr->config.tm) + delay_ms * LDR_US_PER_MS;
+}
+
 /* Note that the member record was written.  */
 void
 ldr_registered (struct ldr *ldr)
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -62,6 +62,7 @@
   uint64_t check_sent_us; /* when that read was sent */
   uint64_t next_check_us;
   uint64_t retry_at_us;        /* no grant, read or write earlier */
+  uint32_t failures;           /* of these since the last success */
   uint64_t confirmed_until_us; /* sending orders is safe until then */
   uint64_t renew_failed_us;    /* last unanswered renewal; 0: none */
 
@@ -98,6 +99,7 @@
 
 /* ldr.c */
 void ldr_update_role (struct ldr *ldr);
+void ldr_back_off (struct ldr *ldr);
 void ldr_registered (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
 uint32_t ldr_order_delay_ms (const struct ldr *ldr);
--- a/libcowslip/ldr_lease.c
+++ b/libcowslip/ldr_lease.c
@@ -2,8 +2,6 @@
 
 /* The leases of an instance.  */
 
-#define LDR_GRANT_RETRY_MS 300
-
 static void
 ldr_grant (struct ldr *ldr, struct ldr_lease *lease, uint32_t ttl_s,
            kv_lease_done done)
@@ -35,10 +33,10 @@
   lease->granting = false;
   if (outcome != KV_OK)
     {
-      ldr->retry_at_us
-          = tm_now_us (ldr->config.tm) + LDR_GRANT_RETRY_MS * LDR_US_PER_MS;
+      ldr_back_off (ldr);
       return false;
     }
+  ldr->failures = 0;
   lease->id = id;
   lease->next_renew_us = lease->sent_us + interval_ms * LDR_US_PER_MS;
   return true;
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -2,19 +2,21 @@
 
 #include "ldr_impl.h"
 
-#define LDR_WRITE_RETRY_MS 300
 /* A candidate delays its campaign by this time per member that ranks before
    it, so that usually only one instance tries to write the leader record.  */
 #define LDR_RANK_DELAY_MS 60
 #define LDR_RANK_MAX      25
 
+/* Handle the end of a write.  After a conflict it is repeated without a longer
+   and longer delay, because the store has answered.  */
 static void
-ldr_write_ended (struct ldr *ldr, bool failed)
+ldr_write_ended (struct ldr *ldr, enum kv_outcome outcome)
 {
   ldr->writing = false;
-  if (failed)
-    ldr->retry_at_us
-        = tm_now_us (ldr->config.tm) + LDR_WRITE_RETRY_MS * LDR_US_PER_MS;
+  if (outcome == KV_OK || outcome == KV_CONFLICT)
+    ldr->failures = 0;
+  if (outcome != KV_OK)
+    ldr_back_off (ldr);
 }
 
 static void
@@ -39,7 +41,7 @@
 
   if (!ldr_call_ended (ldr))
     return;
-  ldr_write_ended (ldr, result->outcome != KV_OK);
+  ldr_write_ended (ldr, result->outcome);
   /* If another instance wrote the key first, the watch delivers that one.  */
 }
 
@@ -64,7 +66,7 @@
 
   if (!ldr_call_ended (ldr))
     return;
-  ldr_write_ended (ldr, result->outcome != KV_OK);
+  ldr_write_ended (ldr, result->outcome);
   if (result->outcome == KV_OK)
     ldr_registered (ldr);
   else if (result->outcome == KV_CONFLICT)
@@ -95,7 +97,7 @@
 
   if (!ldr_call_ended (ldr))
     return;
-  ldr_write_ended (ldr, result->outcome != KV_OK);
+  ldr_write_ended (ldr, result->outcome);
   if (result->outcome == KV_CONFLICT)
     ldr->leader_lease.id = 0; /* another instance was elected */
   if (result->outcome != KV_OK)
@@ -163,7 +165,7 @@
   struct ldr *ldr = arg;
 
   if (ldr_call_ended (ldr))
-    ldr_write_ended (ldr, result->outcome != KV_OK);
+    ldr_write_ended (ldr, result->outcome);
 }
 
 /* Store the number of members if it exceeds the recorded peak.  */
@@ -231,7 +233,7 @@
   (void)result;
   if (!ldr_call_ended (ldr))
     return;
-  ldr_write_ended (ldr, false);
+  ldr_write_ended (ldr, KV_OK);
   if (ldr->member_lease.id != 0)
     ldr->config.kv.methods->lease_revoke (ldr->config.kv.context,
                                           ldr->member_lease.id);
