Do not bring back a key that a read has shown to be gone

From the operators' list: after a restart a server that had left was in use again. It could happen here: a batch of a source that was lost or paused, delivered after a follower had restarted and read the keys, was applied because the follower knew nothing of the removed key, and as the new source it passed the key on to all.

A change of an unknown key that is not newer than the last read is dropped.

Also a test that dripping responses end at the deadline (they did already).

--- a/libcowslip/rly_impl.h
+++ b/libcowslip/rly_impl.h
@@ -27,9 +27,10 @@
 {
   struct rly *rly;
   char *prefix;
-  GHashTable *items;    /* key -> struct rly_item */
-  uint64_t digest;      /* exclusive or of the hashes of all items */
-  int64_t revision;     /* all changes up to it were applied or received */
+  GHashTable *items;     /* key -> struct rly_item */
+  uint64_t digest;       /* exclusive or of the hashes of all items */
+  int64_t revision;      /* all changes up to it were applied or received */
+  int64_t read_revision; /* of the owner's last read */
   bool watching;        /* watches the store, unless its keys are being read */
   void *inner;          /* watch of the store; NULL: none */
   uint64_t answered_us; /* last answer of the store while WATCHING; 0: none */
--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -286,6 +286,9 @@
   const struct rly_item *item = g_hash_table_lookup (stream->items, key);
   uint64_t hash = kind == RLY_PUT ? rly_hash (key, value, bytes) : 0;
 
+  /* The read has shown that the key was removed later.  */
+  if (item == NULL && revision <= stream->read_revision)
+    return true;
   if (kind == RLY_REPLACE)
     return item != NULL && revision <= item->revision;
   if (rly_update_item (stream, key, hash, revision))
@@ -417,6 +420,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &item))
     ((struct rly_item *)item)->revision = RLY_UNREAD;
   stream->revision = result->revision;
+  stream->read_revision = result->revision;
   stream->mismatches = 0;
   stream->stale = false;
   stream->answered_us = tm_now_us (stream->rly->config.tm);
--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -6,6 +6,9 @@
 /* Longer than the time after which a stream may be resumed elsewhere.  */
 #define LONG_PAUSE_MS 1300
 #define PATIENT_MS    1950
+/* A byte each 30 ms lasts for 1.8 s; the caller waits for 0.9 s.  */
+#define DRIP_PAUSE_MS 30
+#define DRIP_END_MS   1100
 
 /* Tests how the gateway handles complete, truncated and malformed responses of
    endpoints, over loopback with a scripted caller and endpoints.  */
@@ -371,12 +374,49 @@
   g_free (bytes);
 }
 
+/* Guards against a response that never ends because its endpoint sends a byte
+   now and then: in the head, in a chunk size, in an event and in a body.  */
+static void
+test_dripping (void)
+{
+#define DRIP "x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|x|"
+  static const struct wire_script scripts[]
+      = { { "HTTP/1.1 200 OK\r\nA: " DRIP DRIP, WIRE_KEEP, false },
+          { GWF_EVENTS "0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|"
+                       "0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|0|",
+            WIRE_KEEP, false },
+          { GWF_EVENTS "ff\r\nid: 1\ndata: " DRIP DRIP, WIRE_KEEP, false },
+          { GWF_OK_HEAD "Content-Length: 999\r\n\r\n" DRIP DRIP, WIRE_KEEP,
+            false } };
+
+  gwf_start ();
+  wire_endpoint_set_pause (gwf_endpoints[0], DRIP_PAUSE_MS);
+  for (size_t i = 0; i < G_N_ELEMENTS (scripts); i++)
+    {
+      char *bytes = gwf_request_text ("flow");
+      uint64_t start_us = tm_now_us (gwf_gw.tm);
+      struct wire_caller *caller;
+
+      gwf_reset_endpoints ();
+      gwf_set_script (0, &scripts[i]);
+      gwf_set_script (1, NULL);
+      caller = gwf_call (bytes, 1);
+      CU_ASSERT_TRUE (tm_now_us (gwf_gw.tm) - start_us
+                      < DRIP_END_MS * GW_US_PER_MS);
+      CU_ASSERT_FALSE (wire_caller_responses (caller) == 1
+                       && wire_caller_status (caller) == 200);
+      gwf_end_call (caller);
+      g_free (bytes);
+    }
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
       = { { "responses", test_cases },
           { "pause without a retry budget", test_pause_without_budget },
+          { "dripping responses", test_dripping },
           { NULL, NULL } };
 
   return unit_main ("gw_answers", tests);
--- a/regress/rly_script.c
+++ b/regress/rly_script.c
@@ -10,6 +10,7 @@
      stop I              it sends and receives nothing and its timers stop
      cut I | heal I      the connection of I to the store
      deaf I | hear I     batches to I are lost
+     hold I | release I  batches of I are delivered only by release
      rank I RANK
      put KEY VALUE | remove KEY
      forget              the store ends all watches
@@ -20,9 +21,10 @@
    Owners watch the prefixes a/ and b/.  A value is condensed to the part
    before a colon; one that begins with ! is not relayed.  */
 
-#define INSTANCES 4
-#define OWNERS    2
-#define US_PER_MS 1000ULL
+#define INSTANCES       4
+#define OWNERS          2
+#define US_PER_MS       1000ULL
+#define BATCH_MAX_BYTES 65536
 
 static const char *const prefixes[] = { "a/", "b/", NULL };
 
@@ -53,6 +55,8 @@
   bool running;
   bool cut;
   bool deaf;
+  bool holding;
+  GPtrArray *held; /* GByteArray: encoded batches */
   struct rly *rly;
   struct kv_store kv;
   struct owner owners[OWNERS];
@@ -187,13 +191,51 @@
         .watch_answered_us = script_answered_us };
 
 static void
-on_send (void *arg, cs_relay *batch)
+deliver (const struct instance *from, const cs_relay *batch)
 {
   for (size_t i = 0; i < INSTANCES; i++)
-    if (&instances[i] != arg && instances[i].running && !instances[i].deaf)
+    if (&instances[i] != from && instances[i].running && !instances[i].deaf)
       rly_receive (instances[i].rly, batch);
 }
 
+static void
+on_send (void *arg, cs_relay *batch)
+{
+  struct instance *from = arg;
+  char *bytes = g_malloc (BATCH_MAX_BYTES);
+  XDR xdr;
+
+  if (!from->holding)
+    {
+      deliver (from, batch);
+      g_free (bytes);
+      return;
+    }
+  xdrmem_create (&xdr, bytes, BATCH_MAX_BYTES, XDR_ENCODE);
+  if (!xdr_cs_relay (&xdr, batch))
+    abort ();
+  g_ptr_array_add (from->held, bytes);
+}
+
+static void
+release (struct instance *from)
+{
+  from->holding = false;
+  for (guint i = 0; i < from->held->len; i++)
+    {
+      cs_relay batch = { 0 };
+      XDR xdr;
+
+      xdrmem_create (&xdr, g_ptr_array_index (from->held, i), BATCH_MAX_BYTES,
+                     XDR_DECODE);
+      if (!xdr_cs_relay (&xdr, &batch))
+        abort ();
+      deliver (from, &batch);
+      xdr_free ((xdrproc_t)xdr_cs_relay, &batch);
+    }
+  g_ptr_array_set_size (from->held, 0);
+}
+
 static bool
 on_condense (void *arg, const char *key, const char *value, size_t bytes,
              GString *out)
@@ -246,6 +288,7 @@
   instance->cut = false;
   instance->deaf = false;
   instance->watches = g_ptr_array_new_with_free_func (g_free);
+  instance->held = g_ptr_array_new_with_free_func (g_free);
   instance->rly = rly_new (&config, &callbacks, instance);
   rly_set_rank (instance->rly, rank);
   for (size_t i = 0; i < OWNERS; i++)
@@ -305,6 +348,10 @@
     instance->cut = command[0] == 'c';
   else if (strcmp (command, "show") == 0)
     show (instance);
+  else if (strcmp (command, "hold") == 0)
+    instance->holding = true;
+  else if (strcmp (command, "release") == 0)
+    release (instance);
   else
     instance->deaf = command[0] == 'd';
 }
