--- a/regress/abandon_test.c
+++ b/regress/abandon_test.c
@@ -4,6 +4,7 @@
 
 #include "h1_pool.h"
 #include "http_client.h"
+#include "raw.h"
 #include "tm_uv.h"
 #include "unit.h"
 
@@ -15,20 +16,10 @@
 static struct tm_uv clock_driver;
 static uv_tcp_t listener;
 static uv_tcp_t accepted;
-static char address[32];
+static char address[RAW_ADDRESS_BYTES];
 static size_t received_bytes;
 static int end_status; /* 0: the connection is open */
 
-static void
-on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
-{
-  static char bytes[4096];
-
-  (void)handle;
-  (void)size;
-  *buffer = uv_buf_init (bytes, sizeof bytes);
-}
-
 static void
 on_read (uv_stream_t *stream, ssize_t bytes, const uv_buf_t *buffer)
 {
@@ -48,27 +39,19 @@
   (void)status;
   uv_tcp_init (loop, &accepted);
   uv_accept (stream, (uv_stream_t *)&accepted);
-  uv_read_start ((uv_stream_t *)&accepted, on_alloc, on_read);
+  uv_read_start ((uv_stream_t *)&accepted, raw_alloc, on_read);
 }
 
 static void
 start (void)
 {
-  struct sockaddr_in local;
-  int size = sizeof local;
-
   received_bytes = 0;
   end_status = 0;
   if (loop != NULL)
     return;
   loop = uv_default_loop ();
   tm_uv_start (&clock_driver, loop);
-  uv_tcp_init (loop, &listener);
-  uv_ip4_addr ("127.0.0.1", 0, &local);
-  uv_tcp_bind (&listener, (const struct sockaddr *)&local, 0);
-  uv_listen ((uv_stream_t *)&listener, 8, on_connection);
-  uv_tcp_getsockname (&listener, (struct sockaddr *)&local, &size);
-  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (local.sin_port));
+  raw_listen (loop, &listener, on_connection, address);
 }
 
 static void
@@ -107,21 +90,6 @@
   run_until_closed ();
 }
 
-static void
-on_head (void *arg, const struct h1_head *head)
-{
-  (void)arg;
-  (void)head;
-}
-
-static void
-on_body (void *arg, const char *data, size_t bytes)
-{
-  (void)arg;
-  (void)data;
-  (void)bytes;
-}
-
 static void
 on_done (void *arg, enum h1_outcome outcome)
 {
@@ -134,7 +102,8 @@
 static void
 test_canceled_request (void)
 {
-  static const struct h1_call_events events = { on_head, on_body, on_done };
+  static const struct h1_call_events events
+      = { raw_ignore_head, raw_ignore_body, on_done };
   struct h1_pool *pool;
   struct h1_head head;
   struct h1_request request
--- a/regress/endless_test.c
+++ b/regress/endless_test.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "h1_pool.h"
+#include "raw.h"
 #include "tm_uv.h"
 #include "unit.h"
 
@@ -59,7 +60,7 @@
 static uv_tcp_t listener;
 static struct sender *sender;
 static const struct endless *current;
-static char address[32];
+static char address[RAW_ADDRESS_BYTES];
 static char block[4096];
 static enum h1_outcome outcome;
 static bool done;
@@ -110,16 +111,6 @@
     end_sender (to);
 }
 
-static void
-on_alloc (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
-{
-  static char bytes[4096];
-
-  (void)handle;
-  (void)size;
-  *buffer = uv_buf_init (bytes, sizeof bytes);
-}
-
 static void
 on_read (uv_stream_t *stream, ssize_t bytes, const uv_buf_t *buffer)
 {
@@ -147,38 +138,15 @@
   uv_tcp_init (loop, &sender->tcp);
   sender->tcp.data = sender;
   uv_accept (stream, (uv_stream_t *)&sender->tcp);
-  uv_read_start ((uv_stream_t *)&sender->tcp, on_alloc, on_read);
+  uv_read_start ((uv_stream_t *)&sender->tcp, raw_alloc, on_read);
 }
 
 static void
 start (void)
 {
-  struct sockaddr_in local;
-  int size = sizeof local;
-
   loop = uv_default_loop ();
   tm_uv_start (&clock_driver, loop);
-  uv_tcp_init (loop, &listener);
-  uv_ip4_addr ("127.0.0.1", 0, &local);
-  uv_tcp_bind (&listener, (const struct sockaddr *)&local, 0);
-  uv_listen ((uv_stream_t *)&listener, 8, on_connection);
-  uv_tcp_getsockname (&listener, (struct sockaddr *)&local, &size);
-  g_snprintf (address, sizeof address, "127.0.0.1:%u", ntohs (local.sin_port));
-}
-
-static void
-on_head (void *arg, const struct h1_head *head)
-{
-  (void)arg;
-  (void)head;
-}
-
-static void
-on_body (void *arg, const char *data, size_t bytes)
-{
-  (void)arg;
-  (void)data;
-  (void)bytes;
+  raw_listen (loop, &listener, on_connection, address);
 }
 
 static void
@@ -194,7 +162,8 @@
 static void
 run_case (struct h1_pool *pool, const struct endless *endless)
 {
-  static const struct h1_call_events events = { on_head, on_body, on_done };
+  static const struct h1_call_events events
+      = { raw_ignore_head, raw_ignore_body, on_done };
   struct h1_head head;
   struct h1_request request = { .peer = "e",
                                 .address = address,
--- a/regress/res_large_test.c
+++ b/regress/res_large_test.c
@@ -6,14 +6,9 @@
 
 /* The cost of a step of the leader in large fleets.  */
 
-#define COPIES     20
-#define LOADED     3
-#define SLOTS      8
-#define WEIGHTS_MB 230000
-#define MODEL_MB   72700
-#define STEPS      100
-#define STEP_MS    50
-#define ROUNDS     3
+#define STEPS   100
+#define STEP_MS 50
+#define ROUNDS  3
 /* The approximate slowdown by the sanitizers.  */
 #ifdef __SANITIZE_ADDRESS__
 #define SANITIZER_SLOWDOWN 8
@@ -23,57 +18,24 @@
 
 struct fleet
 {
-  uint32_t engines;
-  uint32_t models;
+  struct rsm_sizes sizes;
   uint32_t requested; /* models for which requests wait */
   uint64_t step_max_us;
 };
 
 /* The processor time budget of the control is 2.5% of a core, and 5% for the
    leader of hundreds of engines; a step runs every 50 ms.  */
-static const struct fleet tens = { 60, 320, 40, 1250 };
-static const struct fleet hundreds = { 256, 1375, 80, 2500 };
+static const struct fleet tens = { { 60, 320, 320 }, 40, 1250 };
+static const struct fleet hundreds = { { 256, 1375, 1375 }, 80, 2500 };
 
 static struct rsm *sim;
 
-static const char *
-model_name (uint32_t model)
-{
-  static char name[16];
-
-  g_snprintf (name, sizeof name, "m%u", model);
-  return name;
-}
-
-static void
-build (const struct fleet *fleet)
-{
-  sim = rsm_new (1, WEIGHTS_MB, SLOTS);
-  for (uint32_t i = 0; i < fleet->models; i++)
-    rsm_add_model (sim, model_name (i), MODEL_MB, 0);
-  for (uint32_t i = 0; i < fleet->engines; i++)
-    {
-      char name[16];
-      struct rsm_engine *engine;
-
-      g_snprintf (name, sizeof name, "e%u", i);
-      engine = rsm_add_engine (sim, name, "z1");
-      for (uint32_t j = 0; j < LOADED; j++)
-        rsm_set_loaded (engine, model_name (i * LOADED + j));
-      for (uint32_t j = 0; j < COPIES; j++)
-        rsm_add_disk_copy (engine,
-                           model_name ((i * COPIES + j) % fleet->models));
-      rsm_announce (sim, engine);
-    }
-  rsm_advance (sim, 1000);
-}
-
 static void
 demand (uint32_t first, uint32_t count, uint32_t arrivals, uint32_t waiting)
 {
   for (uint32_t i = first; i < first + count; i++)
     {
-      struct res_demand model_demand = { .name = model_name (i),
+      struct res_demand model_demand = { .name = rsm_model_name (i),
                                          .arrivals = arrivals,
                                          .waiting = waiting };
 
@@ -87,14 +49,15 @@
 {
   clock_t total = 0;
 
-  build (fleet);
+  sim = rsm_new_large (&fleet->sizes);
   for (uint32_t i = 0; i < STEPS; i++)
     {
       clock_t start;
 
       res_demand_begin (sim->res, "i1");
-      demand (0, fleet->engines * LOADED, 1, 0);
-      demand (fleet->engines * LOADED + i, fleet->requested, 1, 1);
+      demand (0, fleet->sizes.engines * RSM_LARGE_LOADED, 1, 0);
+      demand (fleet->sizes.engines * RSM_LARGE_LOADED + i, fleet->requested, 1,
+              1);
       start = clock ();
       res_step (sim->res);
       total += clock () - start;
--- a/regress/res_sim.h
+++ b/regress/res_sim.h
@@ -67,6 +67,19 @@
   uint32_t unloads;
 };
 
+/* Sizes of a large fleet.  The first COPIED models have copies on disks.  */
+struct rsm_sizes
+{
+  uint32_t engines;
+  uint32_t models;
+  uint32_t copied;
+};
+
+/* Models that each engine of a large fleet holds.  */
+#define RSM_LARGE_LOADED 3
+
+struct rsm *rsm_new_large (const struct rsm_sizes *sizes);
+const char *rsm_model_name (uint32_t model);
 struct rsm *rsm_new (uint64_t seed, uint32_t weights_mb,
                      uint32_t adapter_slots);
 void rsm_free (struct rsm *sim);
--- a/regress/res_surge_test.c
+++ b/regress/res_surge_test.c
@@ -10,11 +10,6 @@
 
 #define ENGINES    60
 #define MODELS     320
-#define COPIES     20
-#define LOADED     3
-#define SLOTS      8
-#define WEIGHTS_MB 230000
-#define MODEL_MB   72700
 #define REPORT_MS  500
 #define BUSY_MODEL 0
 /* Models from this one on have no copy outside the weight store, and requests
@@ -27,43 +22,13 @@
 #define BUSY_REPLICAS_MIN 4
 #define REPLICATED_MAX_MS 4000
 
+static const struct rsm_sizes sizes = { ENGINES, MODELS, COLD_FIRST };
 static struct rsm *sim;
 
-static const char *
-model_name (uint32_t model)
-{
-  static char name[16];
-
-  g_snprintf (name, sizeof name, "m%u", model);
-  return name;
-}
-
-static void
-build (void)
-{
-  sim = rsm_new (1, WEIGHTS_MB, SLOTS);
-  for (uint32_t i = 0; i < MODELS; i++)
-    rsm_add_model (sim, model_name (i), MODEL_MB, 0);
-  for (uint32_t i = 0; i < ENGINES; i++)
-    {
-      char name[16];
-      struct rsm_engine *engine;
-
-      g_snprintf (name, sizeof name, "e%u", i);
-      engine = rsm_add_engine (sim, name, "z1");
-      for (uint32_t j = 0; j < LOADED; j++)
-        rsm_set_loaded (engine, model_name (i * LOADED + j));
-      for (uint32_t j = 0; j < COPIES; j++)
-        rsm_add_disk_copy (engine, model_name ((i * COPIES + j) % COLD_FIRST));
-      rsm_announce (sim, engine);
-    }
-  rsm_advance (sim, 1000);
-}
-
 static void
 add_demand (uint32_t model, uint32_t arrivals, uint32_t waiting)
 {
-  struct res_demand demand = { .name = model_name (model),
+  struct res_demand demand = { .name = rsm_model_name (model),
                                .arrivals = arrivals,
                                .waiting = waiting };
 
@@ -79,7 +44,7 @@
     {
       const struct rsm_engine *engine = g_ptr_array_index (sim->engines, i);
 
-      if (flt_weights_find (&engine->resident, model_name (model)) != NULL)
+      if (flt_weights_find (&engine->resident, rsm_model_name (model)) != NULL)
         count++;
     }
   return count;
@@ -88,7 +53,7 @@
 static void
 test_surge (void)
 {
-  build ();
+  sim = rsm_new_large (&sizes);
   for (uint32_t ms = 0; ms < REPLICATED_MAX_MS; ms += REPORT_MS)
     {
       res_demand_begin (sim->res, "i1");
