Send a read of relayed keys again after a second

The log: the store refuses the machine until 23.5 s; its read of the configuration at 24.4 s goes out on a connection that returns nothing more, and only the timeout of a read, 4 s, ends it; version 51 is in force at 28.52 s. Before the relay the watch of each instance would have noticed within 1.5 s.

A read of keys that were read before is sent again after 1 s, at most twice; the first complete result counts. First reads are not: at a start of the whole fleet they take up to 4 s.

--- a/libcowslip/rly_store.c
+++ b/libcowslip/rly_store.c
@@ -1,22 +1,61 @@
 #include "rly_impl.h"
 
+/* A read of a stream that was read before is sent again if it has no response
+   after this long.  The connection may be dead, which would delay a change
+   that must be in force within 2 s by the timeout of a read.  First reads are
+   not repeated: when the whole fleet starts, they take seconds.  */
+#define RLY_READ_AGAIN_MS 1000
+#define RLY_READS_MAX     3
+
 /* A read of the keys of a stream.  */
 struct rly_read
 {
   struct rly_stream *stream;
+  enum kv_op_kind kind;
+  struct tm_timer timer;
+  uint32_t sent;
+  uint32_t outstanding;
+  bool reported; /* DONE was called */
   kv_done done;
   void *arg;
 };
 
+/* Report the first result that is complete, or the last one.  */
 static void
 rly_read_done (void *arg, const struct kv_result *result)
 {
   struct rly_read *read = arg;
+  struct rly_stream *stream = read->stream;
+
+  read->outstanding--;
+  if (!read->reported && (result->outcome == KV_OK || read->outstanding == 0))
+    {
+      read->reported = true;
+      tm_cancel (stream->rly->config.tm, &read->timer);
+      if (result->outcome == KV_OK)
+        rly_stream_load (stream, result);
+      read->done (read->arg, result);
+    }
+  if (read->outstanding == 0)
+    g_free (read);
+}
 
-  if (result->outcome == KV_OK)
-    rly_stream_load (read->stream, result);
-  read->done (read->arg, result);
-  g_free (read);
+static void
+rly_read_send (void *arg)
+{
+  struct rly_read *read = arg;
+  const struct rly_stream *stream = read->stream;
+  const struct rly *rly = stream->rly;
+
+  read->sent++;
+  read->outstanding++;
+  if (stream->read_revision > 0 && read->sent < RLY_READS_MAX)
+    tm_after (rly->config.tm, &read->timer, RLY_READ_AGAIN_MS * RLY_US_PER_MS,
+              rly_read_send, read);
+  if (read->kind == KV_GET)
+    kv_get (&rly->config.kv, stream->prefix, rly_read_done, read);
+  else
+    kv_get_prefix (&rly->config.kv, stream->prefix, rly_read_done, read);
 }
 
 /* Return the stream that TXN reads, or NULL.  */
@@ -44,9 +83,10 @@
     }
   read = g_new0 (struct rly_read, 1);
   read->stream = stream;
+  read->kind = txn->then_ops[0].kind;
   read->done = done;
   read->arg = arg;
-  kv_txn (&rly->config.kv, txn, rly_read_done, read);
+  rly_read_send (read);
 }
 
 static void
--- a/regress/rly_script.c
+++ b/regress/rly_script.c
@@ -14,6 +14,7 @@
      rank I RANK
      put KEY VALUE | remove KEY
      forget              the store ends all watches
+     lose N              the next N calls to the store get no response
      advance MS
      roles               print the roles
      show I              print what the owner at I knows
@@ -400,6 +401,8 @@
     remove_key (word);
   else if (strcmp (command, "forget") == 0)
     forget ();
+  else if (strcmp (command, "lose") == 0)
+    fake_kv_inject_faults (store, FAKE_KV_REQUEST_LOST, (uint32_t)atoi (word));
   else if (strcmp (command, "roles") == 0)
     print_roles ();
   else if (strcmp (command, "calls") == 0)
