--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -138,6 +138,7 @@
     request->endpoint->in_flight--;
   request->endpoint = NULL;
   request->call = NULL;
+  request->response_status = 0;
   if (request->response_buffered)
     h1_head_clear (&request->response);
   request->response_buffered = false;
@@ -297,6 +298,7 @@
   const struct prt_fields *fields = &request->gw->protocol->fields;
   bool success = head->status >= 200 && head->status < 300;
 
+  request->response_status = head->status;
   gw_update_load (request, head);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
@@ -431,9 +433,11 @@
   if (fwd_may_have_run (request->end))
     request->runs++;
   lg_write (LG_NO_RESPONSE,
-            "id=%s endpoint=%s end=%d step=%d sends=%u runs=%u left_ms=%u",
-            request->id, request->endpoint->entry.id, request->end, action,
-            request->sends, request->runs, gw_remaining_ms (request));
+            "id=%s endpoint=%s end=%d status=%u step=%d sends=%u runs=%u "
+            "left_ms=%u",
+            request->id, request->endpoint->entry.id, request->end,
+            request->response_status, action, request->sends, request->runs,
+            gw_remaining_ms (request));
   gw_release_endpoint (request);
   evs_reset (&request->events);
   switch (action)
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -130,8 +130,9 @@
   /* The current attempt.  */
   struct h1_call *call;
   struct flt_endpoint *endpoint;
-  struct h1_head response; /* buffered until bytes of the body arrive */
-  bool outstanding;        /* counted among ENDPOINT's outstanding requests */
+  struct h1_head response;  /* buffered until bytes of the body arrive */
+  bool outstanding;         /* counted among ENDPOINT's outstanding requests */
+  uint16_t response_status; /* 0: no head received */
   bool response_buffered;
   bool response_discarded; /* END is set; the body is ignored */
   bool event_stream;
