Repeat a read of relayed keys until it is answered

Reads are sent again each second until one is answered. rly/unanswered, last part: known 3 s after the change; before, the third loss delayed it by 4 s and the owner's pause.

--- a/libcowslip/rly_store.c
+++ b/libcowslip/rly_store.c
@@ -1,11 +1,11 @@
 #include "rly_impl.h"
 
-/* A read of a stream that was read before is sent again if it has no response
-   after this long.  The connection may be dead, which would delay a change
-   that must be in force within 2 s by the timeout of a read.  First reads are
-   not repeated: when the whole fleet starts, they take seconds.  */
+/* A read of a stream that was read before is sent again at this interval until
+   one has a response.  The connection may be dead or the store cut off, which
+   would delay a change that must be in force within 2 s by the timeout of a
+   read.  First reads are not repeated: when the whole fleet starts, they take
+   seconds.  */
 #define RLY_READ_AGAIN_MS 1000
-#define RLY_READS_MAX     3
 
 /* A read of the keys of a stream.  */
 struct rly_read
@@ -13,7 +13,6 @@
   struct rly_stream *stream;
   enum kv_op_kind kind;
   struct tm_timer timer;
-  uint32_t sent;
   uint32_t outstanding;
   bool reported; /* DONE was called */
   kv_done done;
@@ -47,9 +46,8 @@
   const struct rly_stream *stream = read->stream;
   const struct rly *rly = stream->rly;
 
-  read->sent++;
   read->outstanding++;
-  if (stream->read_revision > 0 && read->sent < RLY_READS_MAX)
+  if (stream->read_revision > 0)
     tm_after (rly->config.tm, &read->timer, RLY_READ_AGAIN_MS * RLY_US_PER_MS,
               rly_read_send, read);
   if (read->kind == KV_GET)
