Read a large configuration at intervals, and repeat every re-read

Keys are read at most once in a third of the time by which a configuration must be in force (new setting config_apply_ms, from the platform's bound); whether a stream was read does not depend on its revision.

rly/storm: 3 reads a follower for 5 changes (5 before), the last value in time.

--- a/cowslipcoved/gw_relay.c
+++ b/cowslipcoved/gw_relay.c
@@ -10,6 +10,10 @@
    seconds on a link of 20 Mbit/s.  */
 #define GW_RELAY_VALUE_MAX_BYTES (32U << 10)
 
+/* Part of the time by which a configuration must be in force after which it
+   may be read again.  The watch and the relay need up to half of it.  */
+#define GW_RELAY_READ_SHARE 3
+
 static bool
 gw_relay_in_group (const struct gw *gw, const struct ldr_member *member)
 {
@@ -130,7 +134,11 @@
       = { gw->protocol->keys.config, gw->protocol->keys.endpoint_prefix,
           ldr_key_prefix (), NULL };
   struct rly_config config
-      = { .kv = gw->store, .tm = gw->tm, .prefixes = prefixes };
+      = { .kv = gw->store,
+          .tm = gw->tm,
+          .prefixes = prefixes,
+          .read_interval_ms
+          = gw->settings->config_apply_ms / GW_RELAY_READ_SHARE };
 
   gw->relay = rly_new (&config, &callbacks, gw);
   gw->kv = rly_store (gw->relay);
--- a/libcowslip/gws.c
+++ b/libcowslip/gws.c
@@ -38,6 +38,8 @@
   settings->orders_apart_ms
       = gws_count (reader, "orders_apart_ms", GWS_TIME_MAX_MS);
   settings->drain_ms = gws_count (reader, "drain_ms", GWS_TIME_MAX_MS);
+  settings->config_apply_ms
+      = gws_count (reader, "config_apply_ms", GWS_TIME_MAX_MS);
   settings->retry_ratio = jsn_fraction (reader, "retry_ratio", 0, 1);
   settings->retry_extra = gws_count (reader, "retry_extra", UINT16_MAX);
   settings->retry_window_ms = gws_seconds_ms (reader, "retry_window_s");
--- a/libcowslip/gws.h
+++ b/libcowslip/gws.h
@@ -20,6 +20,7 @@
   uint32_t orders_apart_ms; /* minimum time between orders of two leaders to
                                one engine */
   uint32_t drain_ms;        /* how long a draining endpoint keeps serving */
+  uint32_t config_apply_ms; /* by when a configuration must be in force */
   double retry_ratio;       /* retries per request */
   uint32_t retry_extra;     /* further retries, shared by all instances */
   uint32_t retry_window_ms;
--- a/libcowslip/rly.h
+++ b/libcowslip/rly.h
@@ -40,6 +40,10 @@
   struct kv_store kv;
   struct tm_service *tm;
   const char *const *prefixes; /* watches that are relayed; ends with NULL */
+  /* Minimum time between two reads of the keys of a prefix.  When a large
+     value changes several times a second, hundreds of followers would read
+     more than the store can send.  */
+  uint32_t read_interval_ms;
 };
 
 struct rly_callbacks
--- a/libcowslip/rly_impl.h
+++ b/libcowslip/rly_impl.h
@@ -31,6 +31,7 @@
   uint64_t digest;       /* exclusive or of the hashes of all items */
   int64_t revision;      /* all changes up to it were applied or received */
   int64_t read_revision; /* of the owner's last read */
+  uint64_t read_us;      /* when it ended; 0: not read yet */
   bool watching;        /* watches the store, unless its keys are being read */
   void *inner;          /* watch of the store; NULL: none */
   uint64_t answered_us; /* last answer of the store while WATCHING; 0: none */
--- a/libcowslip/rly_store.c
+++ b/libcowslip/rly_store.c
@@ -47,7 +47,7 @@
   const struct rly *rly = stream->rly;
 
   read->outstanding++;
-  if (stream->read_revision > 0)
+  if (stream->read_us > 0)
     tm_after (rly->config.tm, &read->timer, RLY_READ_AGAIN_MS * RLY_US_PER_MS,
               rly_read_send, read);
   if (read->kind == KV_GET)
--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -187,11 +187,16 @@
   stream->answered_us = tm_now_us (stream->rly->config.tm);
 }
 
-/* End the owner's watch if the keys must be read again.  */
+/* End the owner's watch if the keys must be read again and the interval
+   between reads has passed.  */
 void
 rly_stream_end_stale (struct rly_stream *stream)
 {
-  if (!stream->stale || !stream->watched)
+  const struct rly *rly = stream->rly;
+  uint64_t interval_us = rly->config.read_interval_ms * RLY_US_PER_MS;
+
+  if (!stream->stale || !stream->watched
+      || tm_now_us (rly->config.tm) - stream->read_us < interval_us)
     return;
   stream->stale = false;
   stream->watched = false;
@@ -421,6 +426,7 @@
     ((struct rly_item *)item)->revision = RLY_UNREAD;
   stream->revision = result->revision;
   stream->read_revision = result->revision;
+  stream->read_us = tm_now_us (stream->rly->config.tm);
   stream->mismatches = 0;
   stream->stale = false;
   stream->answered_us = tm_now_us (stream->rly->config.tm);
--- a/regress/rly_script.c
+++ b/regress/rly_script.c
@@ -14,6 +14,7 @@
      rank I RANK
      put KEY VALUE | remove KEY
      forget              the store ends all watches
+     interval MS         between reads of instances that start later
      lose N              the next N calls to the store get no response
      advance MS
      roles               print the roles
@@ -69,6 +70,7 @@
 static struct kv_store base;
 static struct instance instances[INSTANCES];
 static uint32_t reads;
+static uint32_t read_interval_ms;
 static uint32_t watches_opened;
 
 static void owner_read (struct owner *owner);
@@ -282,8 +284,10 @@
 {
   static const struct rly_callbacks callbacks
       = { on_send, on_condense, on_role, on_diverged };
-  struct rly_config config
-      = { .kv = { &methods, instance }, .tm = tm, .prefixes = prefixes };
+  struct rly_config config = { .kv = { &methods, instance },
+                               .tm = tm,
+                               .prefixes = prefixes,
+                               .read_interval_ms = read_interval_ms };
 
   instance->running = true;
   instance->cut = false;
@@ -401,6 +405,8 @@
     remove_key (word);
   else if (strcmp (command, "forget") == 0)
     forget ();
+  else if (strcmp (command, "interval") == 0)
+    read_interval_ms = (uint32_t)atoi (word);
   else if (strcmp (command, "lose") == 0)
     fake_kv_inject_faults (store, FAKE_KV_REQUEST_LOST, (uint32_t)atoi (word));
   else if (strcmp (command, "roles") == 0)
