--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -122,8 +122,10 @@
 uint64_t
 gw_read_retry_us (struct gw *gw, struct kv_backoff *backoff)
 {
-  return MIN (kv_backoff_next_us (backoff, gw->random),
-              GW_READ_RETRY_MAX_MS * GW_US_PER_MS);
+  /* MIN evaluates its arguments twice.  */
+  uint64_t delay_us = kv_backoff_next_us (backoff, gw->random);
+
+  return MIN (delay_us, GW_READ_RETRY_MAX_MS * GW_US_PER_MS);
 }
 
 /* Start GW, whose settings, loop, clock, protocol and store are set.  Return
--- a/regress/gw_held_test.c
+++ b/regress/gw_held_test.c
@@ -8,6 +8,10 @@
    and 522 of 979 requests of the first 2 s were refused.  */
 
 #define HOLD_MS 100
+#define RETRIES 1000
+/* A machine must have the configuration in force 5 s after an outage at the
+   earliest, on the smallest site, and the read itself may be lost once.  */
+#define RETRY_MAX_MS 2000
 
 static struct rte_config *config;
 
@@ -114,6 +118,18 @@
   g_free (bytes);
 }
 
+/* Guards against a pause of up to 10 s before a failed read is repeated.  */
+static void
+test_read_retry (void)
+{
+  struct kv_backoff backoff = { 0 };
+
+  gwf_start ();
+  for (uint32_t i = 0; i < RETRIES; i++)
+    CU_ASSERT_TRUE (gw_read_retry_us (&gwf_gw, &backoff)
+                    <= RETRY_MAX_MS * GW_US_PER_MS);
+}
+
 int
 main (void)
 {
@@ -121,6 +137,7 @@
       = { { "answered when loaded", test_answered },
           { "refused in time", test_refused },
           { "refused at a stop", test_stop },
+          { "retry of a read", test_read_retry },
           { NULL, NULL } };
 
   return unit_main ("gw_held", tests);
