--- a/cowslipcoved/gw_held.c
+++ b/cowslipcoved/gw_held.c
@@ -95,7 +95,7 @@
       uint64_t arrived_us = held->arrived_us;
 
       gw_held_remove (held);
-      gw_accept (gw, exchange, arrived_us);
+      gw_route_request (gw, exchange, arrived_us);
     }
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -167,8 +167,8 @@
                         const char *outcome);
 uint32_t gw_remaining_ms (const struct gw_request *request);
 
-void gw_accept (struct gw *gw, struct h1_exchange *exchange,
-                uint64_t arrived_us);
+void gw_route_request (struct gw *gw, struct h1_exchange *exchange,
+                       uint64_t arrived_us);
 void gw_reject (struct gw *gw, struct h1_exchange *exchange,
                 enum rsn_refusal reason);
 
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -245,7 +245,8 @@
 
 /* Route the request in EXCHANGE, which arrived at ARRIVED_US.  */
 void
-gw_accept (struct gw *gw, struct h1_exchange *exchange, uint64_t arrived_us)
+gw_route_request (struct gw *gw, struct h1_exchange *exchange,
+                  uint64_t arrived_us)
 {
   const struct h1_head *head = h1_exchange_head (exchange);
   const char *host = h1_head_get (head, "Host");
@@ -281,7 +282,7 @@
   struct gw *gw = arg;
 
   if (gw_is_loaded (gw))
-    gw_accept (gw, exchange, tm_now_us (gw->tm));
+    gw_route_request (gw, exchange, tm_now_us (gw->tm));
   else if (!gw_hold (gw, exchange))
     gw_reject (gw, exchange, RSN_NO_CONFIGURATION);
 }
