--- a/regress/rly_script.c
+++ b/regress/rly_script.c
@@ -145,10 +145,11 @@
 watch_ended (void *arg)
 {
   struct watch *watch = arg;
+  kv_watch_ended ended = watch->ended;
+  void *owner = watch->arg;
 
-  watch->base = NULL;
   g_ptr_array_remove (watch->instance->watches, watch);
-  watch->ended (watch->arg);
+  ended (owner);
 }
 
 static void *
