Log the framing and the end of each attempt's response

E530 and E531 now have the framing, the outcome of the connection and the bytes of an event that was not complete.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -299,6 +299,7 @@
   bool success = head->status >= 200 && head->status < 300;
 
   request->response_status = head->status;
+  request->framing = h1_head_framing (head);
   gw_update_load (request, head);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
@@ -393,6 +394,7 @@
   struct gw *gw = request->gw;
 
   request->call = NULL;
+  request->attempt_end = h1_outcome_text (end);
   if (end == H1_OUTCOME_COMPLETE && !request->response_discarded)
     {
       gw_response_complete (request);
@@ -434,10 +436,11 @@
     request->runs++;
   lg_write (LG_NO_RESPONSE,
             "id=%s endpoint=%s end=%d status=%u step=%d sends=%u runs=%u "
-            "left_ms=%u",
+            "left_ms=%u framing=%s attempt_end=%s partial_event_bytes=%zu",
             request->id, request->endpoint->entry.id, request->end,
             request->response_status, action, request->sends, request->runs,
-            gw_remaining_ms (request));
+            gw_remaining_ms (request), request->framing, request->attempt_end,
+            request->events.partial->len);
   gw_release_endpoint (request);
   evs_reset (&request->events);
   switch (action)
@@ -480,6 +483,8 @@
     return false;
   gw_dequeue (request);
   request->state = GW_SENT;
+  request->framing = "-";
+  request->attempt_end = "-";
   request->state_us = tm_now_us (gw->tm);
   request->endpoint = endpoint;
   endpoint->in_flight++;
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -133,6 +133,8 @@
   struct h1_head response;  /* buffered until bytes of the body arrive */
   bool outstanding;         /* counted among ENDPOINT's outstanding requests */
   uint16_t response_status; /* 0: no head received */
+  const char *framing;      /* what ends the body; "-": no head received */
+  const char *attempt_end;  /* outcome of the call; "-": canceled */
   bool response_buffered;
   bool response_discarded; /* END is set; the body is ignored */
   bool event_stream;
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -74,7 +74,8 @@
             "endpoint=%s sends=%u runs=%u took_ms=%" G_GUINT64_FORMAT
             " waited_ms=%" G_GUINT64_FORMAT " first_ms=%" G_GUINT64_FORMAT
             " pause_ms=%" G_GUINT64_FORMAT
-            " left_ms=%u config=%" G_GUINT64_FORMAT,
+            " left_ms=%u config=%" G_GUINT64_FORMAT
+            " framing=%s attempt_end=%s partial_event_bytes=%zu",
             request->id, request->route->name, request->service_name,
             request->model == NULL ? "" : request->model,
             request->adapter == NULL ? "" : request->adapter, outcome, status,
@@ -85,7 +86,8 @@
             request->sends, request->runs, took_us / GW_US_PER_MS,
             waited_us / GW_US_PER_MS, request->first_byte_us / GW_US_PER_MS,
             request->max_gap_us / GW_US_PER_MS, gw_remaining_ms (request),
-            request->config->version);
+            request->config->version, request->framing, request->attempt_end,
+            request->events.partial->len);
   hst_observe (gw->latencies, request->route->name, took_us);
   gw_request_free (request);
 }
@@ -197,6 +199,8 @@
   request->arrived_us = arrived_us;
   request->tried = g_ptr_array_new_with_free_func (g_free);
   evs_init (&request->events);
+  request->framing = "-";
+  request->attempt_end = "-";
   id = gw_request_field (request, gw->protocol->fields.request_id);
   request->id = g_strdup (id == NULL ? "-" : id);
   g_hash_table_add (gw->requests, request);
--- a/libcowslip/h1_head.c
+++ b/libcowslip/h1_head.c
@@ -101,3 +101,12 @@
 
   return text[0] == '<' ? "Unknown" : text;
 }
+
+/* Return what ends the body of the response HEAD, for log lines.  */
+const char *
+h1_head_framing (const struct h1_head *head)
+{
+  if (head->chunked)
+    return "chunked";
+  return head->has_length ? "length" : "close";
+}
--- a/libcowslip/h1_head.h
+++ b/libcowslip/h1_head.h
@@ -31,6 +31,7 @@
 void h1_head_add (struct h1_head *head, const char *name, const char *value);
 const char *h1_head_get (const struct h1_head *head, const char *name);
 void h1_head_print (const struct h1_head *head, GString *text);
+const char *h1_head_framing (const struct h1_head *head);
 const char *h1_status_text (uint16_t status);
 
 #endif
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -469,3 +469,23 @@
 {
   return call->sent;
 }
+
+/* Return the name of OUTCOME for log lines.  */
+const char *
+h1_outcome_text (enum h1_outcome outcome)
+{
+  switch (outcome)
+    {
+    case H1_OUTCOME_COMPLETE:
+      return "complete";
+    case H1_OUTCOME_CONNECT_FAILED:
+      return "connect_failed";
+    case H1_OUTCOME_NO_RESPONSE:
+      return "no_response";
+    case H1_OUTCOME_INCOMPLETE:
+      return "incomplete";
+    case H1_OUTCOME_MALFORMED:
+      return "malformed";
+    }
+  return "unknown";
+}
--- a/libcowslip/h1_pool.h
+++ b/libcowslip/h1_pool.h
@@ -60,5 +60,6 @@
 void h1_call_cancel (struct h1_call *call);
 void h1_call_set_reading (struct h1_call *call, bool enabled);
 bool h1_call_sent (const struct h1_call *call);
+const char *h1_outcome_text (enum h1_outcome outcome);
 
 #endif
