--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -1,5 +1,3 @@
-#include <string.h>
-
 #include "gw_fixture.h"
 #include "unit.h"
 
@@ -13,20 +11,7 @@
 /* Tests how the gateway handles complete, truncated and malformed responses of
    endpoints, over loopback with a scripted caller and endpoints.  */
 
-/* Scripts of the two endpoints, and the expected response to the caller.  */
-struct wire_case
-{
-  const char *name;
-  const char *path;
-  struct wire_script first;
-  struct wire_script second;
-  uint16_t status;
-  const char *body; /* the part that arrives */
-  bool complete;
-  bool uses_second; /* the second endpoint gets a request */
-};
-
-static const struct wire_case cases[] = {
+static const struct gwf_case cases[] = {
   { "length",
     "once",
     { GWF_OK_HEAD "Content-Length: 3\r\n\r\nabc", WIRE_KEEP, 0 },
@@ -302,49 +287,12 @@
     true },
 };
 
-/* Run TEST_CASE with the request BYTES.  */
-static void
-run_case (const struct wire_case *test_case, const char *bytes)
-{
-  struct wire_caller *caller;
-
-  gwf_reset_endpoints ();
-  gwf_set_script (0, &test_case->first);
-  gwf_set_script (1, &test_case->second);
-  caller = gwf_call (bytes, 1);
-  if (wire_caller_status (caller) != test_case->status
-      || strcmp (wire_caller_body (caller), test_case->body) != 0
-      || (wire_caller_responses (caller) == 1) != test_case->complete
-      || (wire_endpoint_requests (gwf_endpoints[1]) > 0)
-             != test_case->uses_second)
-    {
-      printf (
-          "\n%s: status %u, body \"%s\", complete %u, requests to second %u\n",
-          test_case->name, wire_caller_status (caller),
-          wire_caller_body (caller), wire_caller_responses (caller),
-          wire_endpoint_requests (gwf_endpoints[1]));
-      CU_FAIL ("case");
-    }
-  /* An error response of the gateway itself has no seal of an endpoint.  */
-  CU_ASSERT_TRUE (test_case->status != 502
-                  || wire_caller_field (caller, "X-Cowslipcove-Response-Seal")
-                         == NULL);
-  gwf_end_call (caller);
-}
-
 /* Guards against responses to the wrong request, truncated responses that look
    complete, duplicate runs, and "not run" for a request that may have run.  */
 static void
 test_cases (void)
 {
-  gwf_start ();
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      char *bytes = gwf_request_text (cases[i].path);
-
-      run_case (&cases[i], bytes);
-      g_free (bytes);
-    }
+  gwf_run_cases (cases, G_N_ELEMENTS (cases));
 }
 
 /* Guards against ending a sound stream after a long pause between two events,
@@ -354,7 +302,7 @@
 test_pause_without_budget (void)
 {
   static const struct rbg_limits none = { .window_ms = 10000, .instances = 1 };
-  static const struct wire_case slow
+  static const struct gwf_case slow
       = { "slow stream without a retry budget",
           "resume",
           { GWF_EVENTS GWF_EVENT ("1") "|" GWF_EVENT ("2") "0\r\n\r\n",
@@ -370,7 +318,7 @@
   bytes = gwf_patient_request_text ("resume", PATIENT_MS);
   rbg_set_limits (gwf_gw.budgets, &none);
   wire_endpoint_set_pause (gwf_endpoints[0], LONG_PAUSE_MS);
-  run_case (&slow, bytes);
+  gwf_run_case (&slow, bytes);
   g_free (bytes);
 }
 
--- a/regress/gw_fixture.c
+++ b/regress/gw_fixture.c
@@ -170,3 +170,48 @@
     uv_run (gwf_gw.loop, UV_RUN_ONCE);
   uv_run (gwf_gw.loop, UV_RUN_NOWAIT);
 }
+
+/* Run TEST_CASE with the request BYTES, and fail if the caller or the second
+   endpoint receives something else than the case states.  */
+void
+gwf_run_case (const struct gwf_case *test_case, const char *bytes)
+{
+  struct wire_caller *caller;
+
+  gwf_reset_endpoints ();
+  gwf_set_script (0, &test_case->first);
+  gwf_set_script (1, &test_case->second);
+  caller = gwf_call (bytes, 1);
+  if (wire_caller_status (caller) != test_case->status
+      || strcmp (wire_caller_body (caller), test_case->body) != 0
+      || (wire_caller_responses (caller) == 1) != test_case->complete
+      || (wire_endpoint_requests (gwf_endpoints[1]) > 0)
+             != test_case->uses_second)
+    {
+      printf (
+          "\n%s: status %u, body \"%s\", complete %u, requests to second %u\n",
+          test_case->name, wire_caller_status (caller),
+          wire_caller_body (caller), wire_caller_responses (caller),
+          wire_endpoint_requests (gwf_endpoints[1]));
+      CU_FAIL ("case");
+    }
+  /* An error response of the gateway itself has no seal of an endpoint.  */
+  CU_ASSERT_TRUE (test_case->status != 502
+                  || wire_caller_field (caller, "X-Cowslipcove-Response-Seal")
+                         == NULL);
+  gwf_end_call (caller);
+}
+
+/* Run COUNT test CASES, each with a new request.  */
+void
+gwf_run_cases (const struct gwf_case *cases, size_t count)
+{
+  gwf_start ();
+  for (size_t i = 0; i < count; i++)
+    {
+      char *bytes = gwf_request_text (cases[i].path);
+
+      gwf_run_case (&cases[i], bytes);
+      g_free (bytes);
+    }
+}
--- a/regress/gw_fixture.h
+++ b/regress/gw_fixture.h
@@ -19,6 +19,19 @@
   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define GWF_EVENT(n) "f\r\nid: " n "\ndata: x\n\n\r\n"
 
+/* Scripts of the two endpoints, and the expected response to the caller.  */
+struct gwf_case
+{
+  const char *name;
+  const char *path;
+  struct wire_script first;
+  struct wire_script second;
+  uint16_t status;
+  const char *body; /* the part that arrives */
+  bool complete;
+  bool uses_second; /* the second endpoint gets a request */
+};
+
 extern struct gw gwf_gw;
 extern struct wire_endpoint *gwf_endpoints[GWF_ENDPOINTS];
 
@@ -30,5 +43,7 @@
 bool gwf_call_is_done (const struct wire_caller *caller, uint32_t responses);
 struct wire_caller *gwf_call (const char *bytes, uint32_t responses);
 void gwf_end_call (struct wire_caller *caller);
+void gwf_run_case (const struct gwf_case *test_case, const char *bytes);
+void gwf_run_cases (const struct gwf_case *cases, size_t count);
 
 #endif
--- /dev/null
+++ b/regress/truncated_stream_test.c
@@ -0,0 +1,182 @@
+#include "gw_fixture.h"
+#include "unit.h"
+
+/* Tests that a stream which an endpoint breaks off within an event does not
+   reach its caller as complete, whatever ends the response.  */
+
+#define UNFRAMED                                                              \
+  GWF_OK_HEAD                                                                 \
+  "Content-Type: text/event-stream\r\n\r\n"
+#define LENGTH(n)                                                             \
+  GWF_OK_HEAD                                                                 \
+  "Content-Type: text/event-stream\r\nContent-Length: " n "\r\n\r\n"
+#define EVENT(n) "id: " n "\ndata: x\n\n"
+#define PART(n)  "id: " n "\nda"
+
+static const struct gwf_case truncated[] = {
+  { "no length, closed within an event",
+    "flow",
+    { UNFRAMED EVENT ("1") PART ("2"), WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+  { "no length, closed after the last field of an event",
+    "flow",
+    { UNFRAMED EVENT ("1") "id: 2\ndata: x\n", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+  { "no length, closed within an event of CRLF lines",
+    "flow",
+    { UNFRAMED "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: x\r\n", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    "id: 1\r\ndata: x\r\n\r\n",
+    false,
+    false },
+  { "no length, closed within an event, resumed",
+    "resume",
+    { UNFRAMED EVENT ("1") "|" PART ("2"), WIRE_CLOSE, 0 },
+    { UNFRAMED EVENT ("2") EVENT ("3"), WIRE_CLOSE, 0 },
+    200,
+    EVENT ("1") EVENT ("2") EVENT ("3"),
+    true,
+    true },
+  { "no length, closed within an event twice",
+    "resume",
+    { UNFRAMED EVENT ("1") PART ("2"), WIRE_CLOSE, 0 },
+    { UNFRAMED EVENT ("2") PART ("3"), WIRE_CLOSE, 0 },
+    200,
+    EVENT ("1") EVENT ("2"),
+    false,
+    true },
+  { "no length, closed within the first event",
+    "flow",
+    { UNFRAMED PART ("1"), WIRE_CLOSE, 0 },
+    { 0 },
+    502,
+    "",
+    true,
+    false },
+  { "no length, closed within the first event, sent again",
+    "resume",
+    { UNFRAMED PART ("1"), WIRE_CLOSE, 0 },
+    { GWF_EVENTS GWF_EVENT ("1") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    EVENT ("1"),
+    true,
+    true },
+  { "no length, closed within a blank line of CRLF",
+    "flow",
+    { UNFRAMED "id: 1\r\ndata: x\r\n\r", WIRE_CLOSE, 0 },
+    { 0 },
+    502,
+    "",
+    true,
+    false },
+  { "no length, closed before the first event",
+    "flow",
+    { UNFRAMED, WIRE_CLOSE, 0 },
+    { 0 },
+    502,
+    "",
+    true,
+    false },
+  { "last chunk within an event",
+    "flow",
+    { GWF_EVENTS GWF_EVENT ("1") "8\r\nid: 2\nda\r\n0\r\n\r\n", WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+  { "last chunk within an event, resumed",
+    "resume",
+    { GWF_EVENTS GWF_EVENT ("1") "8\r\nid: 2\nda\r\n0\r\n\r\n", WIRE_KEEP, 0 },
+    { GWF_EVENTS GWF_EVENT ("2") "0\r\n\r\n", WIRE_KEEP, 0 },
+    200,
+    EVENT ("1") EVENT ("2"),
+    true,
+    true },
+  { "length that ends within an event",
+    "flow",
+    { LENGTH ("23") EVENT ("1") PART ("2"), WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+};
+
+static const struct gwf_case complete[] = {
+  { "no length, closed after an event",
+    "flow",
+    { UNFRAMED EVENT ("1") "|" EVENT ("2"), WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    EVENT ("1") EVENT ("2"),
+    true,
+    false },
+  { "no length, reset after an event",
+    "flow",
+    { UNFRAMED EVENT ("1") "|", WIRE_RESET, 0 },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+  { "length that ends after an event",
+    "flow",
+    { LENGTH ("30") EVENT ("1") EVENT ("2"), WIRE_KEEP, 0 },
+    { 0 },
+    200,
+    EVENT ("1") EVENT ("2"),
+    true,
+    false },
+  { "comment after the last event",
+    "flow",
+    { UNFRAMED EVENT ("1") ": end\n", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    EVENT ("1") ": end\n",
+    true,
+    false },
+  { "lines that end with CR",
+    "flow",
+    { UNFRAMED "id: 1\rdata: x\r\r|id: 2\rdata: x\r\r", WIRE_CLOSE, 0 },
+    { 0 },
+    200,
+    "id: 1\rdata: x\r\rid: 2\rdata: x\r\r",
+    true,
+    false },
+};
+
+/* Guards against passing on a stream that was broken off within an event as a
+   complete one, or its partial event at all.  */
+static void
+test_truncated (void)
+{
+  gwf_run_cases (truncated, G_N_ELEMENTS (truncated));
+}
+
+/* Guards against taking a complete stream for a broken one.  */
+static void
+test_complete (void)
+{
+  gwf_run_cases (complete, G_N_ELEMENTS (complete));
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "truncated streams", test_truncated },
+          { "complete streams", test_complete },
+          { NULL, NULL } };
+
+  return unit_main ("truncated_stream", tests);
+}
