Treat a stream that ends within an event as broken off

Cause: the gateway took the end of the response's framing for the end of the stream. When the engine closed the connection of a response without a length, or ended the framing itself, the bytes of the unfinished event were passed on and the caller's response was ended with the last chunk.

Why it works: the event parser tells whether the last event is complete; a stream that ends within one is a failed attempt, which is resumed elsewhere or ends the caller's connection within the response. Without a length or chunks a stream without any event is a failed attempt too. Events whose lines end with CR are recognized, since they would count as broken otherwise. Counter streams_truncated_total.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -275,6 +275,9 @@
                           && g_ascii_strncasecmp (type, "text/event-stream",
                                                   strlen ("text/event-stream"))
                                  == 0;
+  request->unframed
+      = !head->has_length && !head->chunked
+        && !g_str_equal (h1_exchange_head (request->exchange)->method, "HEAD");
   h1_head_init (&request->response);
   request->response.status = head->status;
   request->response.has_length = head->has_length && !request->event_stream;
@@ -341,6 +344,17 @@
     gw_forward_body (request, data, bytes);
 }
 
+/* Return whether the endpoint broke off the event stream that it has ended.
+   Without a length or chunks the end of a stream without any event cannot be
+   told from a failure before the first one.  */
+static bool
+gw_stream_is_truncated (const struct gw_request *request)
+{
+  return request->event_stream
+         && (evs_is_within_event (&request->events)
+             || (request->unframed && request->events.event_count == 0));
+}
+
 static void
 gw_response_complete (struct gw_request *request)
 {
@@ -395,6 +409,12 @@
 
   request->call = NULL;
   request->attempt_end = h1_outcome_text (end);
+  if (end == H1_OUTCOME_COMPLETE && !request->response_discarded
+      && gw_stream_is_truncated (request))
+    {
+      ctr_add (gw->counters, "streams_truncated_total", 1);
+      end = H1_OUTCOME_INCOMPLETE;
+    }
   if (end == H1_OUTCOME_COMPLETE && !request->response_discarded)
     {
       gw_response_complete (request);
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -138,6 +138,7 @@
   bool response_buffered;
   bool response_discarded; /* END is set; the body is ignored */
   bool event_stream;
+  bool unframed; /* the body ends with the connection */
 
   GPtrArray *tried; /* char *: ids of endpoints */
   uint32_t sends;
--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -19,31 +19,76 @@
   parser->partial = NULL;
 }
 
-/* Discard a partial event: the stream is resumed at another endpoint, which
-   begins with a complete event.  */
+/* Prepare for the response of another endpoint, which begins with a complete
+   event.  The id of the last event is kept.  */
 void
 evs_reset (struct evs_parser *parser)
 {
   g_string_truncate (parser->partial, 0);
+  parser->event_count = 0;
 }
 
 /* Return the length of the first complete event in TEXT, its blank line
-   included, or 0 if there is none.  */
+   included, or 0 if there is none.  Lines end with LF, CR LF or CR.  */
 static size_t
 evs_event_bytes (const char *text, size_t bytes)
 {
-  for (size_t i = 0; i + 1 < bytes; i++)
+  bool at_line_start = false;
+  bool after_cr = false;
+
+  for (size_t i = 0; i < bytes; i++)
     {
-      if (text[i] != '\n')
-        continue;
-      if (text[i + 1] == '\n')
-        return i + 2;
-      if (i + 2 < bytes && text[i + 1] == '\r' && text[i + 2] == '\n')
-        return i + 3;
+      bool cr = text[i] == '\r';
+
+      if (!cr && text[i] != '\n')
+        {
+          at_line_start = false;
+          after_cr = false;
+          continue;
+        }
+      /* An LF may follow, unless lines end with CR alone.  */
+      if (cr && i + 1 == bytes && !after_cr)
+        return 0;
+      if (cr && i + 1 < bytes && text[i + 1] == '\n')
+        {
+          cr = false;
+          i++;
+        }
+      if (at_line_start)
+        return i + 1;
+      at_line_start = true;
+      after_cr = cr;
     }
   return 0;
 }
 
+/* Return the end of the line at TEXT, or END if the line is not complete.  */
+static const char *
+evs_line_end (const char *text, const char *end)
+{
+  while (text < end && *text != '\n' && *text != '\r')
+    text++;
+  return text;
+}
+
+/* Return whether a line of TEXT is neither blank nor a comment.  */
+static bool
+evs_has_field (const char *text, size_t bytes)
+{
+  const char *line = text;
+  const char *end = text + bytes;
+
+  while (line < end)
+    {
+      const char *line_end = evs_line_end (line, end);
+
+      if (line_end > line && *line != ':')
+        return true;
+      line = line_end == end ? end : line_end + 1;
+    }
+  return false;
+}
+
 /* Store the id of the event at TEXT in ID.  Return false if it has no numeric
    id.  */
 static bool
@@ -55,7 +100,7 @@
 
   while (line < end)
     {
-      const char *next = memchr (line, '\n', (size_t)(end - line));
+      const char *line_end = evs_line_end (line, end);
 
       if ((size_t)(end - line) > sizeof name
           && strncmp (line, name, sizeof name - 1) == 0)
@@ -65,7 +110,7 @@
           *id = strtoull (line + sizeof name - 1, &end_of_id, 10);
           return end_of_id != line + sizeof name - 1;
         }
-      line = next == NULL ? end : next + 1;
+      line = line_end == end ? end : line_end + 1;
     }
   return false;
 }
@@ -88,6 +133,8 @@
       const char *event = parser->partial->str + begin;
       uint64_t id;
 
+      if (evs_has_field (event, length))
+        parser->event_count++;
       if (!evs_event_id (event, length, &id))
         handler (arg, event, length);
       else if (!parser->has_last_id || id > parser->last_id)
@@ -100,3 +147,16 @@
     }
   g_string_erase (parser->partial, 0, (gssize)begin);
 }
+
+/* Return whether the last event received is not complete: its blank line is
+   missing.  Blank lines and comments between events do not count.  */
+bool
+evs_is_within_event (const struct evs_parser *parser)
+{
+  const char *text = parser->partial->str;
+  size_t bytes = parser->partial->len;
+
+  return bytes > 0
+         && (evs_has_field (text, bytes)
+             || (text[bytes - 1] != '\n' && text[bytes - 1] != '\r'));
+}
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -15,6 +15,7 @@
   GString *partial; /* incomplete last event */
   bool has_last_id; /* LAST_ID is valid */
   uint64_t last_id;
+  uint64_t event_count; /* complete events of the current endpoint */
 };
 
 /* Called for each complete event, its blank line included.  */
@@ -25,5 +26,6 @@
 void evs_reset (struct evs_parser *parser);
 void evs_feed (struct evs_parser *parser, const char *data, size_t bytes,
                evs_handler handler, void *arg);
+bool evs_is_within_event (const struct evs_parser *parser);
 
 #endif
