--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -329,6 +329,18 @@
     gw_buffer_head (request, head);
 }
 
+/* End the current attempt of REQUEST, which has failed with RESULT, while its
+   response goes on.  */
+static void
+gw_abandon_attempt (struct gw_request *request, enum fwd_result result)
+{
+  request->end = result;
+  flt_record_failure (request->gw->fleet, request->endpoint, false);
+  h1_call_cancel (request->call);
+  request->call = NULL;
+  gw_attempt_failed (request);
+}
+
 static void
 gw_on_body (void *arg, const char *data, size_t bytes)
 {
@@ -338,10 +350,14 @@
   gw_set_outstanding (request, false);
   if (request->response_discarded)
     return;
-  if (request->event_stream)
-    evs_feed (&request->events, data, bytes, gw_forward_body, request);
-  else
-    gw_forward_body (request, data, bytes);
+  if (!request->event_stream)
+    {
+      gw_forward_body (request, data, bytes);
+      return;
+    }
+  evs_feed (&request->events, data, bytes, gw_forward_body, request);
+  if (request->events.too_long)
+    gw_abandon_attempt (request, FWD_NO_VALID_RESPONSE);
 }
 
 /* Return whether the endpoint broke off the event stream that it has ended.
@@ -541,9 +557,5 @@
   /* The endpoint may only be slow: without a retry the attempt goes on.  */
   if (!gw_acquire_retry (request))
     return;
-  request->end = FWD_TIMED_OUT;
-  flt_record_failure (request->gw->fleet, request->endpoint, false);
-  h1_call_cancel (request->call);
-  request->call = NULL;
-  gw_attempt_failed (request);
+  gw_abandon_attempt (request, FWD_TIMED_OUT);
 }
--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -3,6 +3,10 @@
 
 #include "evs.h"
 
+/* Events are some hundred bytes long; a faulty endpoint sends one without
+   end.  */
+#define EVS_EVENT_MAX_BYTES (256U << 10)
+
 /* Initialize PARSER.  */
 void
 evs_init (struct evs_parser *parser)
@@ -25,6 +29,7 @@
 evs_reset (struct evs_parser *parser)
 {
   g_string_truncate (parser->partial, 0);
+  parser->too_long = false;
   parser->event_count = 0;
 }
 
@@ -117,7 +122,8 @@
 
 /* Append DATA to the stream and call HANDLER for each event that is complete.
    Events are dropped if their id is not above the last one passed on, because
-   a resumed stream may repeat events.  */
+   a resumed stream may repeat events.  An event that exceeds 256 KiB is
+   dropped with all that follows, and TOO_LONG is set.  */
 void
 evs_feed (struct evs_parser *parser, const char *data, size_t bytes,
           evs_handler handler, void *arg)
@@ -125,6 +131,8 @@
   size_t begin = 0;
   size_t length;
 
+  if (parser->too_long)
+    return;
   g_string_append_len (parser->partial, data, (gssize)bytes);
   while ((length = evs_event_bytes (parser->partial->str + begin,
                                     parser->partial->len - begin))
@@ -146,6 +154,9 @@
       begin += length;
     }
   g_string_erase (parser->partial, 0, (gssize)begin);
+  parser->too_long = parser->partial->len > EVS_EVENT_MAX_BYTES;
+  if (parser->too_long)
+    g_string_truncate (parser->partial, 0);
 }
 
 /* Return whether the last event received is not complete: its blank line is
@@ -156,7 +167,8 @@
   const char *text = parser->partial->str;
   size_t bytes = parser->partial->len;
 
-  return bytes > 0
-         && (evs_has_field (text, bytes)
-             || (text[bytes - 1] != '\n' && text[bytes - 1] != '\r'));
+  if (bytes == 0)
+    return parser->too_long;
+  return evs_has_field (text, bytes)
+         || (text[bytes - 1] != '\n' && text[bytes - 1] != '\r');
 }
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -13,6 +13,7 @@
 struct evs_parser
 {
   GString *partial; /* incomplete last event */
+  bool too_long;    /* PARTIAL exceeded the limit and was dropped */
   bool has_last_id; /* LAST_ID is valid */
   uint64_t last_id;
   uint64_t event_count; /* complete events of the current endpoint */
--- a/regress/truncated_stream_test.c
+++ b/regress/truncated_stream_test.c
@@ -10,8 +10,10 @@
 #define LENGTH(n)                                                             \
   GWF_OK_HEAD                                                                 \
   "Content-Type: text/event-stream\r\nContent-Length: " n "\r\n\r\n"
-#define EVENT(n) "id: " n "\ndata: x\n\n"
-#define PART(n)  "id: " n "\nda"
+#define ENDLESS_BYTES    (4U << 20)
+#define CLOSE_TIMEOUT_US 500000
+#define EVENT(n)         "id: " n "\ndata: x\n\n"
+#define PART(n)          "id: " n "\nda"
 
 static const struct gwf_case truncated[] = {
   { "no length, closed within an event",
@@ -170,12 +172,42 @@
   gwf_run_cases (complete, G_N_ELEMENTS (complete));
 }
 
+/* Guards against buffering an event without end until the deadline.  */
+static void
+test_endless_event (void)
+{
+  char *event = g_strnfill (ENDLESS_BYTES, 'x');
+  char *response
+      = g_strdup_printf (GWF_EVENTS "%x\r\n%s", 2 * ENDLESS_BYTES, event);
+  const struct gwf_case endless = { "event without end",
+                                    "flow",
+                                    { response, WIRE_KEEP, 0 },
+                                    { 0 },
+                                    502,
+                                    "",
+                                    true,
+                                    false };
+  uint64_t start_us;
+
+  gwf_run_cases (&endless, 1);
+  start_us = tm_now_us (gwf_gw.tm);
+  while (wire_endpoint_disconnects (gwf_endpoints[0])
+             < wire_endpoint_connections (gwf_endpoints[0])
+         && tm_now_us (gwf_gw.tm) - start_us < CLOSE_TIMEOUT_US)
+    uv_run (gwf_gw.loop, UV_RUN_NOWAIT);
+  CU_ASSERT_EQUAL (wire_endpoint_disconnects (gwf_endpoints[0]),
+                   wire_endpoint_connections (gwf_endpoints[0]));
+  g_free (response);
+  g_free (event);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
       = { { "truncated streams", test_truncated },
           { "complete streams", test_complete },
+          { "event without end", test_endless_event },
           { NULL, NULL } };
 
   return unit_main ("truncated_stream", tests);
