Do not store or pass on a truncated event stream of a plain service

An event stream that ended within an event was stored under its key and given to each repetition. regress/clm/truncated: "complete 200" and "answer" before, now the claim is completed as unknown, the caller gets outcome_unknown (answer_cut where the call may be repeated), and a response that is passed on is cut.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -271,10 +271,7 @@
   const char *type = h1_head_get (head, "Content-Type");
   char **hop_by_hop = gw_connection_fields (head);
 
-  request->event_stream = type != NULL
-                          && g_ascii_strncasecmp (type, "text/event-stream",
-                                                  strlen ("text/event-stream"))
-                                 == 0;
+  request->event_stream = evs_is_stream_type (type);
   request->unframed
       = !head->has_length && !head->chunked
         && !g_str_equal (h1_exchange_head (request->exchange)->method, "HEAD");
--- a/cowslipcoved/requests_attempt.c
+++ b/cowslipcoved/requests_attempt.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "evs.h"
 #include "lg.h"
 #include "requests_impl.h"
 
@@ -82,8 +83,8 @@
   attempt->status = status;
   g_strlcpy (attempt->content_type, content_type,
              sizeof attempt->content_type);
-  attempt->stream = status == CD_STATUS_OK
-                    && g_str_has_prefix (content_type, "text/event-stream");
+  attempt->stream
+      = status == CD_STATUS_OK && evs_is_stream_type (content_type);
   if (attempt->request == NULL || attempt->stream || status >= CD_STATUS_ERROR)
     return;
   dsp_response_head (attempt->request->request, attempt->id);
--- a/libcowslip/clm_call.c
+++ b/libcowslip/clm_call.c
@@ -12,6 +12,7 @@
   if (config->claim != NULL)
     call->claim = clm_copy (config->claim);
   call->body = g_string_new (NULL);
+  evs_init (&call->events);
   return call;
 }
 
@@ -25,6 +26,7 @@
   clm_free (call->claim);
   g_free (call->content_type);
   g_string_free (call->body, TRUE);
+  evs_clear (&call->events);
   g_free (call);
 }
 
--- a/libcowslip/clm_call_attempt.c
+++ b/libcowslip/clm_call_attempt.c
@@ -10,6 +10,16 @@
   call->status = status;
   g_free (call->content_type);
   call->content_type = g_strndup (content_type, COWSLIP_NAME_MAX);
+  call->event_stream = evs_is_stream_type (content_type);
+  evs_reset (&call->events);
+}
+
+static void
+clm_ignore_event (void *arg, const char *data, size_t bytes)
+{
+  (void)arg;
+  (void)data;
+  (void)bytes;
 }
 
 /* Handle response data.  The body is buffered up to COWSLIP_BODY_MAX and
@@ -19,6 +29,8 @@
 {
   const struct clm_call_config *config = &call->config;
 
+  if (call->event_stream)
+    evs_feed (&call->events, data, bytes, clm_ignore_event, NULL);
   if (!call->too_large)
     g_string_append_len (call->body, data, (gssize)bytes);
   else if (call->streaming)
@@ -80,6 +92,11 @@
 {
   struct clm_response response;
 
+  if (call->event_stream && evs_is_within_event (&call->events))
+    {
+      clm_call_interrupted (call, false);
+      return;
+    }
   if (call->config.is_repeatable && !call->responded
       && clm_is_server_error (call->status)
       && clm_may_retry (call, RTY_SERVER_ERROR) == CLM_RETRY)
--- a/libcowslip/clm_call_impl.h
+++ b/libcowslip/clm_call_impl.h
@@ -4,6 +4,7 @@
 /* State and functions shared by the clm_call*.c files only.  */
 
 #include "clm_call.h"
+#include "evs.h"
 
 enum clm_state
 {
@@ -26,6 +27,8 @@
   bool too_large;
   uint32_t status;
   char *content_type;
+  bool event_stream;
+  struct evs_parser events; /* of the response, if it is an event stream */
   GString *body;
 };
 
--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -7,6 +7,17 @@
    end.  */
 #define EVS_EVENT_MAX_BYTES (256U << 10)
 
+/* Return whether CONTENT_TYPE, which may be NULL, is that of a stream of
+   server-sent events.  */
+bool
+evs_is_stream_type (const char *content_type)
+{
+  static const char type[] = "text/event-stream";
+
+  return content_type != NULL
+         && g_ascii_strncasecmp (content_type, type, sizeof type - 1) == 0;
+}
+
 /* Initialize PARSER.  */
 void
 evs_init (struct evs_parser *parser)
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -22,6 +22,7 @@
 /* Called for each complete event, its blank line included.  */
 typedef void (*evs_handler) (void *arg, const char *data, size_t bytes);
 
+bool evs_is_stream_type (const char *content_type);
 void evs_init (struct evs_parser *parser);
 void evs_clear (struct evs_parser *parser);
 void evs_reset (struct evs_parser *parser);
--- a/regress/clm_script.c
+++ b/regress/clm_script.c
@@ -11,6 +11,8 @@
    claimed OUTCOME [OWNER|STATUS BODY]   reply to the claim
    claimed_other OUTCOME                 same, with another request digest
    head STATUS, body TEXT, fill BYTES    parts of the endpoint's response
+   head_events STATUS, events TEXT       the same of an event stream; \\n in
+                                         TEXT is a newline
    end whole|not_sent|cut|timeout        the attempt ends
    gone                                  the caller disconnects
    after MS                              advance the time
@@ -222,6 +224,15 @@
 {
   if (strcmp (command, "head") == 0)
     clm_call_head (script->call, (uint32_t)atoi (rest), "text/plain");
+  else if (strcmp (command, "head_events") == 0)
+    clm_call_head (script->call, (uint32_t)atoi (rest), "text/event-stream");
+  else if (strcmp (command, "events") == 0)
+    {
+      char *text = g_strcompress (rest);
+
+      clm_call_body (script->call, text, strlen (text));
+      g_free (text);
+    }
   else if (strcmp (command, "body") == 0)
     clm_call_body (script->call, rest, strlen (rest));
   else
