Accept responses that end with an orderly close in the HTTP client

The client of the product's own front took each such response for a broken one: a sound stream with [DONE] counted as a lost connection, which blames its request for a crash, and the answer of a service as an unknown outcome. h2o reports a reset like an orderly close, so the state of the connection tells them apart.

--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -1,6 +1,7 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 
+#include <netinet/tcp.h>
 #include <string.h>
 
 #include "adr.h"
@@ -42,6 +43,7 @@
   bool is_head;
   bool sent;
   bool chunked;
+  bool unframed; /* the response ends with the connection */
   bool in_callback;
   bool cancelled;
 };
@@ -159,6 +161,21 @@
   http_call_free (call);
 }
 
+/* Return whether the peer has closed the connection of SOCKET in the orderly
+   way.  h2o reports a reset as the end of the stream too, so the state of the
+   connection decides.  */
+static bool
+http_closed_orderly (h2o_socket_t *socket)
+{
+  struct tcp_info info = { 0 };
+  socklen_t bytes = sizeof info;
+
+  return getsockopt (h2o_socket_get_fd (socket), IPPROTO_TCP, TCP_INFO, &info,
+                     &bytes)
+             == 0
+         && info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 static int
 http_body_cb (h2o_http1client_t *connection, const char *error)
 {
@@ -167,7 +184,9 @@
   /* h2o reports a connection that closes between two chunks as the end of the
      response.  In that case nothing was read, whereas the final chunk has
      bytes.  */
-  bool truncated = call->chunked && connection->sock->bytes_read == 0;
+  bool truncated = (call->chunked && connection->sock->bytes_read == 0)
+                   || (call->unframed && error != NULL
+                       && !http_closed_orderly (connection->sock));
 
   if (error != NULL && error != h2o_http1client_error_is_eos)
     {
@@ -203,7 +222,7 @@
   return false;
 }
 
-/* Return whether the end of the response can be told from truncation.  */
+/* Return whether the response has a length, chunks or no body.  */
 static bool
 http_is_framed (const struct http_call *call, const h2o_header_t *headers,
                 size_t count, int status)
@@ -236,10 +255,8 @@
   if (header_bytes > 0)
     call->client->received_bytes += (uint64_t)header_bytes;
   call->chunked = http_has_header (headers, count, "transfer-encoding");
-  /* A response that is delimited by the close of the connection cannot be
-     told from a truncated one, so it counts as incomplete.  */
-  if ((error != NULL && !ended)
-      || !http_is_framed (call, headers, count, status))
+  call->unframed = !http_is_framed (call, headers, count, status);
+  if (error != NULL && !ended)
     {
       http_finish (call, HTTP_INCOMPLETE);
       return NULL;
