--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -297,6 +297,8 @@
   struct gw_request *request = arg;
   const struct prt_fields *fields = &request->gw->protocol->fields;
   bool success = head->status >= 200 && head->status < 300;
+  bool is_stream
+      = success && evs_is_stream_type (h1_head_get (head, "Content-Type"));
 
   request->response_status = head->status;
   request->framing = h1_head_framing (head);
@@ -308,11 +310,11 @@
       if (head->status == 421)
         gw_handle_misdirected (request, head);
     }
-  else if (success ? h1_head_get (head, fields->seal) == NULL
-                   : request->response_started)
+  else if ((success && h1_head_get (head, fields->seal) == NULL)
+           || (request->response_started && !is_stream))
     {
-      /* A success without a seal was not sent by the endpoint; an error cannot
-         continue a stream.  */
+      /* A success without a seal was not sent by the endpoint; only a stream
+         can continue a stream.  */
       request->end = FWD_NO_VALID_RESPONSE;
       request->response_discarded = true;
     }
