Probe an endpoint that loses a request and log the request's prompt parts

When a connection is lost before the first bytes of the answer, the instance connects to the endpoint once: a dead process refuses.

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -95,6 +95,8 @@
   gw->demand
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_demand_free);
   gw->requests = g_hash_table_new (g_direct_hash, g_direct_equal);
+  gw->losses
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, gw_loss_free);
   g_queue_init (&gw->waiting);
   g_queue_init (&gw->held);
   gw->started_us = tm_now_us (gw->tm);
--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -436,7 +436,12 @@
       return;
     }
   if (!request->response_discarded)
-    request->end = gw_attempt_result (end);
+    {
+      request->end = gw_attempt_result (end);
+      if ((end == H1_OUTCOME_NO_RESPONSE || end == H1_OUTCOME_INCOMPLETE)
+          && !request->response_started)
+        gw_request_lost (request);
+    }
   if (end == H1_OUTCOME_COMPLETE)
     flt_record_success (request->endpoint);
   else
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -65,6 +65,7 @@
   struct res_table *res;
   GHashTable *demand;   /* name -> struct gw_demand */
   GHashTable *requests; /* set of struct gw_request */
+  GHashTable *losses;   /* endpoint id -> struct gw_loss, being probed */
   GQueue waiting;       /* struct gw_request, longest wait first */
   GQueue held;          /* struct gw_held, first arrival first */
   uint64_t started_us;
@@ -225,6 +226,10 @@
 void gw_lead_schedule (struct gw *gw);
 void gw_residency_changed (struct gw *gw, const cs_residency_news *news);
 
+/* gw_crash.c */
+void gw_request_lost (struct gw_request *request);
+void gw_loss_free (gpointer data);
+
 /* gw_status.c */
 bool gw_status_start (struct gw *gw, GError **error);
 
