--- /dev/null
+++ b/regress/deadly_part_test.c
@@ -0,0 +1,176 @@
+#include <string.h>
+
+#include "gw_fixture.h"
+#include "unit.h"
+
+/* Tests that requests which crash the endpoints that run them, because of one
+   part of their prompt or as a whole, stop reaching endpoints, and that sound
+   requests that share all other parts do not.  */
+
+/* Crashes that are closer to each other have a common cause.  */
+#define CRASH_PAUSE_MS 60
+#define FLOW           "/flow/x"
+#define RESUME         "/resume/x"
+#define AGAIN          "/again/x"
+
+static uint32_t next_id;
+
+/* An endpoint crashes when it begins to answer; one that only resets the
+   connection lives on.  */
+static const struct wire_script crash = { GWF_EVENTS, WIRE_CRASH, false };
+static const struct wire_script crash_early = { "", WIRE_CRASH, false };
+static const struct wire_script reset = { GWF_EVENTS, WIRE_RESET, false };
+static const struct wire_script sound
+    = { GWF_EVENTS GWF_EVENT ("1") "0\r\n\r\n", WIRE_KEEP, false };
+
+static void
+wait_ms (uint32_t wait_ms)
+{
+  uint64_t start_us = tm_now_us (gwf_gw.tm);
+
+  while (tm_now_us (gwf_gw.tm) - start_us < wait_ms * GW_US_PER_MS)
+    uv_run (gwf_gw.loop, UV_RUN_NOWAIT);
+}
+
+/* Send a request for TARGET with the prompt PARTS and BODY to endpoints that
+   respond with SCRIPT, and store the number of requests that reached them in
+   ARRIVALS.  Return the status that the caller got.  The endpoints that
+   crashed are back afterwards.  */
+static uint16_t
+call (const char *target, const char *parts, const char *body,
+      const struct wire_script *script, uint32_t *arrivals)
+{
+  char *bytes = g_strdup_printf (
+      "POST %s HTTP/1.1\r\nHost: h\r\n" GWF_ID_NAME ": d%u\r\n"
+      "X-Cowslipcove-Prompt-Prefix: %s\r\n"
+      "X-Cowslipcove-Deadline-Remaining: 900\r\nContent-Length: %zu\r\n\r\n"
+      "%s",
+      target, ++next_id, parts, strlen (body), body);
+  struct wire_caller *caller;
+  uint16_t status;
+
+  gwf_reset_endpoints ();
+  for (uint32_t i = 0; i < GWF_ENDPOINTS; i++)
+    gwf_set_script (i, script);
+  caller = gwf_call (bytes, 1);
+  status = wire_caller_status (caller);
+  gwf_end_call (caller);
+  wait_ms (CRASH_PAUSE_MS);
+  *arrivals = 0;
+  for (uint32_t i = 0; i < GWF_ENDPOINTS; i++)
+    {
+      *arrivals += wire_endpoint_requests (gwf_endpoints[i]);
+      wire_endpoint_restart (gwf_endpoints[i]);
+    }
+  g_free (bytes);
+  return status;
+}
+
+/* Send COUNT requests for TARGET whose prompts share PARTS but for the last
+   one, and return how many requests reached endpoints that respond with
+   SCRIPT.  */
+static uint32_t
+call_with_parts (const char *target, const char *parts,
+                 const struct wire_script *script, uint32_t count)
+{
+  uint32_t total = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *all = g_strdup_printf ("%s,e%u:9", parts, next_id);
+      char *body = g_strdup_printf ("body %u", next_id);
+      uint32_t arrivals = 0;
+
+      (void)call (target, all, body, script, &arrivals);
+      total += arrivals;
+      g_free (all);
+      g_free (body);
+    }
+  return total;
+}
+
+/* Guards against requests with one part that crash endpoint after endpoint,
+   no two of them alike.  */
+static void
+test_part (void)
+{
+  uint32_t arrivals = 0;
+
+  gwf_start ();
+  CU_ASSERT_TRUE (call_with_parts (FLOW, "a1:5,dead1:3", &crash, 6) <= 4);
+  CU_ASSERT_EQUAL (call (FLOW, "a1:5,dead1:3,f1:2", "x", &crash, &arrivals),
+                   503);
+  CU_ASSERT_EQUAL (arrivals, 0);
+  CU_ASSERT_EQUAL (call (FLOW, "a1:5,b1:3,f1:2", "x", &sound, &arrivals), 200);
+}
+
+/* The same where a request may run twice, and where the endpoint is gone
+   before it answers.  */
+static void
+test_part_resumable (void)
+{
+  uint32_t arrivals = 0;
+
+  gwf_start ();
+  CU_ASSERT_TRUE (
+      call_with_parts (RESUME, "a2:5,b2:1,dead2:3", &crash_early, 6) <= 5);
+  CU_ASSERT_EQUAL (
+      call (RESUME, "a2:5,b2:1,dead2:3,f:2", "x", &crash, &arrivals), 503);
+  CU_ASSERT_EQUAL (call (RESUME, "a2:5,b2:1,f:2", "x", &sound, &arrivals),
+                   200);
+}
+
+/* Guards against one request that comes again and crashes endpoint after
+   endpoint, also at a plain service.  */
+static void
+test_repeated (void)
+{
+  uint32_t arrivals = 0;
+  uint32_t total = 0;
+
+  gwf_start ();
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      (void)call (AGAIN, "-", "crash", &crash_early, &arrivals);
+      total += arrivals;
+    }
+  CU_ASSERT_TRUE (total <= 4);
+  CU_ASSERT_EQUAL (call (AGAIN, "-", "crash", &crash_early, &arrivals), 503);
+  CU_ASSERT_EQUAL (call (AGAIN, "-", "other", &sound, &arrivals), 200);
+}
+
+/* Guards against blaming a part for connections that were reset by an endpoint
+   that lives on.  */
+static void
+test_reset (void)
+{
+  gwf_start ();
+  CU_ASSERT_EQUAL (call_with_parts (FLOW, "a3:5,b3:3", &reset, 6), 6);
+}
+
+/* Guards against blaming a part with which requests are answered: the crashes
+   have another cause.  */
+static void
+test_sound_part (void)
+{
+  gwf_start ();
+  for (uint32_t i = 0; i < 4; i++)
+    {
+      CU_ASSERT_EQUAL (call_with_parts (FLOW, "a4:5,b4:3", &crash, 1), 1);
+      CU_ASSERT_EQUAL (call_with_parts (FLOW, "a4:5,b4:3", &sound, 1), 1);
+    }
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "part of a prompt", test_part },
+          { "part of a prompt, resumable", test_part_resumable },
+          { "repeated request", test_repeated },
+          { "connections that were reset", test_reset },
+          { "sound part", test_sound_part },
+          { NULL, NULL } };
+
+  return unit_main ("deadly_part", tests);
+}
--- a/regress/wire.c
+++ b/regress/wire.c
@@ -11,6 +11,8 @@
 {
   uv_tcp_t listener;
   uv_loop_t *loop;
+  uint16_t port;
+  GHashTable *open; /* set of struct wire_conn */
   const char *id_name;
   uint32_t pause_ms; /* for each "|" of a script */
   const struct wire_script *scripts;
@@ -106,11 +108,39 @@
     return;
   conn->closed = true;
   conn->endpoint->closed++;
+  g_hash_table_remove (conn->endpoint->open, conn);
   uv_timer_stop (&conn->timer);
   if (!reset || uv_tcp_close_reset (&conn->tcp, wire_conn_tcp_closed) != 0)
     uv_close ((uv_handle_t *)&conn->tcp, wire_conn_tcp_closed);
 }
 
+static void
+wire_on_listener_closed (uv_handle_t *handle)
+{
+  handle->data = NULL;
+}
+
+/* Reset all connections of ENDPOINT and stop listening.  */
+static void
+wire_endpoint_crash (struct wire_endpoint *endpoint)
+{
+  GList *open = g_hash_table_get_keys (endpoint->open);
+
+  for (GList *item = open; item != NULL; item = item->next)
+    wire_conn_close (item->data, true);
+  g_list_free (open);
+  uv_close ((uv_handle_t *)&endpoint->listener, wire_on_listener_closed);
+}
+
+static void
+wire_conn_end (struct wire_conn *conn)
+{
+  if (conn->end_action == WIRE_CRASH)
+    wire_endpoint_crash (conn->endpoint);
+  else
+    wire_conn_close (conn, conn->end_action == WIRE_RESET);
+}
+
 static char *
 wire_expand_id (const struct wire_conn *conn, const char *bytes)
 {
@@ -139,14 +169,16 @@
       wire_send (&conn->tcp, conn->endpoint, text, strlen (text));
       g_free (text);
       /* The reset must follow the last bytes without a pause.  */
-      if (*conn->next_part == NULL && conn->end_action == WIRE_RESET)
-        wire_conn_close (conn, true);
+      if (*conn->next_part == NULL
+          && (conn->end_action == WIRE_RESET
+              || conn->end_action == WIRE_CRASH))
+        wire_conn_end (conn);
       else
         uv_timer_start (timer, wire_conn_send_next, conn->endpoint->pause_ms,
                         0);
     }
   else if (conn->end_action != WIRE_KEEP)
-    wire_conn_close (conn, conn->end_action == WIRE_RESET);
+    wire_conn_end (conn);
 }
 
 static const struct wire_script *
@@ -258,6 +290,24 @@
                   &wire_conn_events, conn);
   uv_accept (listener, (uv_stream_t *)&conn->tcp);
   uv_read_start ((uv_stream_t *)&conn->tcp, wire_alloc, wire_conn_on_read);
+  g_hash_table_add (endpoint->open, conn);
+}
+
+/* Listen on PORT of 127.0.0.1; 0: on a free one.  */
+static void
+wire_endpoint_listen (struct wire_endpoint *endpoint, uint16_t port)
+{
+  struct sockaddr_in address;
+  int bytes = sizeof address;
+
+  uv_tcp_init (endpoint->loop, &endpoint->listener);
+  endpoint->listener.data = endpoint;
+  uv_ip4_addr ("127.0.0.1", port, &address);
+  uv_tcp_bind (&endpoint->listener, (const struct sockaddr *)&address, 0);
+  uv_listen ((uv_stream_t *)&endpoint->listener, 64, wire_on_connection);
+  uv_tcp_getsockname (&endpoint->listener, (struct sockaddr *)&address,
+                      &bytes);
+  endpoint->port = ntohs (address.sin_port);
 }
 
 /* Return an endpoint that listens on a free port of 127.0.0.1.  Requests carry
@@ -266,18 +316,13 @@
 wire_endpoint_new (uv_loop_t *loop, const char *id_name)
 {
   struct wire_endpoint *endpoint = g_new0 (struct wire_endpoint, 1);
-  struct sockaddr_in local_address;
 
   endpoint->loop = loop;
   endpoint->id_name = id_name;
   endpoint->pause_ms = WIRE_PAUSE_MS;
+  endpoint->open = g_hash_table_new (g_direct_hash, g_direct_equal);
   h1_head_init (&endpoint->head);
-  uv_tcp_init (loop, &endpoint->listener);
-  endpoint->listener.data = endpoint;
-  uv_ip4_addr ("127.0.0.1", 0, &local_address);
-  uv_tcp_bind (&endpoint->listener, (const struct sockaddr *)&local_address,
-               0);
-  uv_listen ((uv_stream_t *)&endpoint->listener, 64, wire_on_connection);
+  wire_endpoint_listen (endpoint, 0);
   return endpoint;
 }
 
@@ -301,15 +346,24 @@
   endpoint->closed = 0;
 }
 
+/* Let ENDPOINT, which has crashed, listen on its port again.  */
+void
+wire_endpoint_restart (struct wire_endpoint *endpoint)
+{
+  if (!uv_is_closing ((uv_handle_t *)&endpoint->listener))
+    return;
+  /* The callback of the close must run before the handle is used again.  */
+  while (uv_loop_alive (endpoint->loop)
+         && uv_handle_get_data ((uv_handle_t *)&endpoint->listener) != NULL)
+    uv_run (endpoint->loop, UV_RUN_NOWAIT);
+  wire_endpoint_listen (endpoint, endpoint->port);
+}
+
 /* Return the port of ENDPOINT.  */
 uint16_t
 wire_endpoint_port (const struct wire_endpoint *endpoint)
 {
-  struct sockaddr_in local;
-  int bytes = sizeof local;
-
-  uv_tcp_getsockname (&endpoint->listener, (struct sockaddr *)&local, &bytes);
-  return ntohs (local.sin_port);
+  return endpoint->port;
 }
 
 /* Return the number of requests received since the scripts were set.  */
--- a/regress/wire.h
+++ b/regress/wire.h
@@ -18,7 +18,8 @@
 {
   WIRE_KEEP,
   WIRE_CLOSE,
-  WIRE_RESET
+  WIRE_RESET,
+  WIRE_CRASH /* reset all connections and stop listening */
 };
 
 /* The response to one request.  In BYTES, each "{id}" is replaced by the value
@@ -38,6 +39,7 @@
                                 size_t count);
 void wire_endpoint_set_pause (struct wire_endpoint *endpoint,
                               uint32_t pause_ms);
+void wire_endpoint_restart (struct wire_endpoint *endpoint);
 uint16_t wire_endpoint_port (const struct wire_endpoint *endpoint);
 uint32_t wire_endpoint_requests (const struct wire_endpoint *endpoint);
 uint32_t wire_endpoint_connections (const struct wire_endpoint *endpoint);
