Tell other instances which requests crash endpoints

Change: an instance tells its group and the leader of each crash and of each trait that it clears, in a one-way message; the leader tells all instances when it blocks a trait, so that larger fleets, whose groups are availability zones, learn it too. Only members are listened to. "another instance" of deadly_part_test fails without the messages.

--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -110,12 +110,22 @@
 {
   struct gw *gw = request->gw;
   const GArray *traits;
+  GArray *cleared;
 
   if (blm_is_empty (gw->blame))
     return;
+  cleared = g_array_new (FALSE, FALSE, sizeof (cs_sound));
   traits = gw_request_traits (request);
   for (guint i = 0; i < traits->len; i++)
-    (void)blm_clear (gw->blame, g_array_index (traits, uint64_t, i), 0);
+    {
+      cs_sound sound = { .trait = g_array_index (traits, uint64_t, i) };
+
+      if (blm_clear (gw->blame, sound.trait, 0))
+        g_array_append_val (cleared, sound);
+    }
+  if (cleared->len > 0)
+    gw_blame_tell_group (gw, NULL, cleared);
+  g_array_unref (cleared);
 }
 
 /* The process that is identified by CRASH and listened at ADDRESS has died,
@@ -124,7 +134,8 @@
 gw_blame_lost (struct gw *gw, uint64_t crash, const char *address,
                const GPtrArray *requests)
 {
-  struct blm_crash event
+  GArray *crashes = g_array_new (FALSE, FALSE, sizeof (cs_crash));
+  cs_crash event
       = { .crash = crash, .place = XXH3_64bits (address, strlen (address)) };
 
   for (guint i = 0; i < requests->len; i++)
@@ -136,9 +147,26 @@
       for (guint j = 0; j < traits->len; j++)
         {
           event.trait = g_array_index (traits, uint64_t, j);
-          blm_add (gw->blame, &event);
+          g_array_append_val (crashes, event);
         }
     }
+  gw_blame_tell_group (gw, crashes, NULL);
+  for (guint i = 0; i < crashes->len; i++)
+    gw_blame_add (gw, &g_array_index (crashes, cs_crash, i));
+  g_array_unref (crashes);
+}
+
+/* Record CRASH, which this instance has seen or heard of.  */
+void
+gw_blame_add (struct gw *gw, const cs_crash *crash)
+{
+  const struct blm_crash event = { .trait = crash->trait,
+                                   .crash = crash->crash,
+                                   .place = crash->place,
+                                   .request = crash->request,
+                                   .age_ms = crash->age_ms };
+
+  blm_add (gw->blame, &event);
 }
 
 static void
@@ -149,6 +177,8 @@
   ctr_add (gw->counters, "traits_blocked_total", 1);
   lg_write (LG_TRAIT_BLOCKED, "trait=%016" G_GINT64_MODIFIER "x crashes=%u",
             trait, crashes);
+  if (ldr_is_leader (gw->ldr))
+    gw_blame_tell_all (gw, trait);
   gw_dispatch_queued (gw);
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -221,6 +221,7 @@
 
 /* gw_relay.c */
 void gw_relay_start (struct gw *gw);
+bool gw_in_group (const struct gw *gw, const struct ldr_member *member);
 void gw_relay_members_changed (struct gw *gw);
 void gw_relay_handle (struct gw *gw, const struct rpc_origin *origin,
                       const cs_relay *batch);
@@ -245,6 +246,13 @@
 void gw_blame_answered (struct gw_request *request);
 void gw_blame_lost (struct gw *gw, uint64_t crash, const char *address,
                     const GPtrArray *requests);
+void gw_blame_add (struct gw *gw, const cs_crash *crash);
+
+/* gw_blame_peers.c */
+void gw_blame_register (struct gw *gw);
+void gw_blame_tell_group (struct gw *gw, const GArray *crashes,
+                          const GArray *answered);
+void gw_blame_tell_all (struct gw *gw, uint64_t trait);
 
 /* gw_status.c */
 bool gw_status_start (struct gw *gw, GError **error);
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -107,6 +107,7 @@
   rpc_register (gw->rpc, &report, gw);
   rpc_register (gw->rpc, &news, gw);
   rpc_register (gw->rpc, &relay, gw);
+  gw_blame_register (gw);
 }
 
 /* Register this instance and join the leader election.  */
--- a/cowslipcoved/gw_relay.c
+++ b/cowslipcoved/gw_relay.c
@@ -14,8 +14,9 @@
    may be read again.  The watch and the relay need up to half of it.  */
 #define GW_RELAY_READ_SHARE 3
 
-static bool
-gw_relay_in_group (const struct gw *gw, const struct ldr_member *member)
+/* Return whether MEMBER is in the group of this instance.  */
+bool
+gw_in_group (const struct gw *gw, const struct ldr_member *member)
 {
   return ldr_members (gw->ldr)->len <= GW_RELAY_FLEET_MAX
          || g_str_equal (member->zone, gw->settings->zone);
@@ -52,7 +53,7 @@
     {
       const struct ldr_member *member = g_ptr_array_index (members, i);
 
-      if (gw_relay_in_group (gw, member)
+      if (gw_in_group (gw, member)
           && gw_relay_ranks_before (gw, member, &self))
         rank++;
     }
@@ -69,7 +70,7 @@
     {
       const struct ldr_member *member = g_ptr_array_index (members, i);
 
-      if (gw_relay_in_group (gw, member)
+      if (gw_in_group (gw, member)
           && !g_str_equal (member->instance, gw->settings->instance))
         gw_peers_send (gw, member->address, COWSLIP_RELAY,
                        (xdrproc_t)xdr_cs_relay, batch);
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -305,6 +305,33 @@
 };
 typedef struct cs_relay cs_relay;
 
+struct cs_crash {
+	u_quad_t trait;
+	u_quad_t crash;
+	u_quad_t place;
+	u_quad_t request;
+	u_int age_ms;
+};
+typedef struct cs_crash cs_crash;
+
+struct cs_sound {
+	u_quad_t trait;
+	u_int age_ms;
+};
+typedef struct cs_sound cs_sound;
+
+struct cs_crash_report {
+	struct {
+		u_int crashes_len;
+		cs_crash *crashes_val;
+	} crashes;
+	struct {
+		u_int sound_len;
+		cs_sound *sound_val;
+	} sound;
+};
+typedef struct cs_crash_report cs_crash_report;
+
 #define COWSLIP_PROGRAM 0x20c05110
 #define COWSLIP_VERSION 1
 
@@ -345,6 +372,9 @@
 #define COWSLIP_RELAY 13
 extern  void * cowslip_relay_1(cs_relay *, CLIENT *);
 extern  void * cowslip_relay_1_svc(cs_relay *, struct svc_req *);
+#define COWSLIP_CRASHES 14
+extern  void * cowslip_crashes_1(cs_crash_report *, CLIENT *);
+extern  void * cowslip_crashes_1_svc(cs_crash_report *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -384,6 +414,9 @@
 #define COWSLIP_RELAY 13
 extern  void * cowslip_relay_1();
 extern  void * cowslip_relay_1_svc();
+#define COWSLIP_CRASHES 14
+extern  void * cowslip_crashes_1();
+extern  void * cowslip_crashes_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -422,6 +455,9 @@
 extern  bool_t xdr_cs_relay_change (XDR *, cs_relay_change*);
 extern  bool_t xdr_cs_relay_stream (XDR *, cs_relay_stream*);
 extern  bool_t xdr_cs_relay (XDR *, cs_relay*);
+extern  bool_t xdr_cs_crash (XDR *, cs_crash*);
+extern  bool_t xdr_cs_sound (XDR *, cs_sound*);
+extern  bool_t xdr_cs_crash_report (XDR *, cs_crash_report*);
 
 #else /* K&R C */
 extern bool_t xdr_cs_name ();
@@ -456,6 +492,9 @@
 extern bool_t xdr_cs_relay_change ();
 extern bool_t xdr_cs_relay_stream ();
 extern bool_t xdr_cs_relay ();
+extern bool_t xdr_cs_crash ();
+extern bool_t xdr_cs_sound ();
+extern bool_t xdr_cs_crash_report ();
 
 #endif /* K&R C */
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -257,6 +257,29 @@
   cs_relay_stream streams<COWSLIP_STREAMS_MAX>;
 };
 
+/* A crash that requests with a trait may have caused; see blm.h.  */
+struct cs_crash
+{
+  unsigned hyper trait;
+  unsigned hyper crash;
+  unsigned hyper place;
+  unsigned hyper request;
+  unsigned int age_ms;
+};
+
+/* A request with a suspected trait was answered.  */
+struct cs_sound
+{
+  unsigned hyper trait;
+  unsigned int age_ms;
+};
+
+struct cs_crash_report
+{
+  cs_crash crashes<COWSLIP_LIST_MAX>;
+  cs_sound sound<COWSLIP_LIST_MAX>;
+};
+
 program COWSLIP_PROGRAM
 {
   version COWSLIP_VERSION
@@ -276,5 +299,7 @@
     void COWSLIP_RESIDENCY_NEWS (cs_residency_news) = 11;
     /* 12 was the beacon of the leader.  */
     void COWSLIP_RELAY (cs_relay) = 13;
+    /* One-way; to the instances of the group and the leader, and back.  */
+    void COWSLIP_CRASHES (cs_crash_report) = 14;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -571,3 +571,47 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cs_crash (XDR *xdrs, cs_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->trait))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->crash))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->place))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_sound (XDR *xdrs, cs_sound *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->trait))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_cs_crash_report (XDR *xdrs, cs_crash_report *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->crashes.crashes_val, (u_int *) &objp->crashes.crashes_len, COWSLIP_LIST_MAX,
+		sizeof (cs_crash), (xdrproc_t) xdr_cs_crash))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->sound.sound_val, (u_int *) &objp->sound.sound_len, COWSLIP_LIST_MAX,
+		sizeof (cs_sound), (xdrproc_t) xdr_cs_sound))
+		 return FALSE;
+	return TRUE;
+}
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -16,6 +16,9 @@
 #define RESUME          "/resume/x"
 #define AGAIN           "/again/x"
 
+static struct gw second;
+/* The instance to which requests are sent.  */
+static struct gw *target_gw = &gwf_gw;
 static uint32_t next_id;
 
 /* An endpoint crashes when it begins to answer; one that only resets the
@@ -55,7 +58,7 @@
   gwf_reset_endpoints ();
   for (uint32_t i = 0; i < GWF_ENDPOINTS; i++)
     gwf_set_script (i, script);
-  caller = gwf_call (bytes, 1);
+  caller = gwf_call_instance (target_gw, bytes, 1);
   status = wire_caller_status (caller);
   gwf_end_call (caller);
   wait_ms (CRASH_PAUSE_MS);
@@ -166,6 +169,49 @@
     }
 }
 
+/* Send a request for TARGET with PARTS and a part of its own to GW, whose
+   endpoints crash.  Return the status, and 0 if an endpoint was reached.  */
+static uint16_t
+call_refused (struct gw *gw, const char *target, const char *parts)
+{
+  char *all = g_strdup_printf ("%s,e%u:9", parts, next_id);
+  uint32_t arrivals = 0;
+  uint16_t status;
+
+  target_gw = gw;
+  status = call (target, all, "x", &crash, &arrivals);
+  target_gw = &gwf_gw;
+  g_free (all);
+  return arrivals == 0 ? status : 0;
+}
+
+/* Start the second instance, which the first one knows afterwards.  */
+static void
+start_second (void)
+{
+  gwf_start ();
+  if (second.loop != NULL)
+    return;
+  gwf_start_instance (&second, "i2");
+  while (gw_instance_count (&gwf_gw) < 2 || gw_instance_count (&second) < 2
+         || gwf_gw.rpc == NULL || second.rpc == NULL)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+}
+
+/* Guards against each instance learning by itself.  */
+static void
+test_other_instance (void)
+{
+  uint32_t arrivals = 0;
+
+  start_second ();
+  (void)call_with_parts (FLOW, "a5:5,dead5:3", &crash, 6);
+  CU_ASSERT_EQUAL (call_refused (&second, FLOW, "a5:5,dead5:3"), 503);
+  target_gw = &second;
+  CU_ASSERT_EQUAL (call (FLOW, "a5:5,b5:3,f5:2", "x", &sound, &arrivals), 200);
+  target_gw = &gwf_gw;
+}
+
 int
 main (void)
 {
@@ -175,6 +221,7 @@
           { "repeated request", test_repeated },
           { "connections that were reset", test_reset },
           { "sound part", test_sound_part },
+          { "another instance", test_other_instance },
           { NULL, NULL } };
 
   return unit_main ("deadly_part", tests);
