Keep records of requests that crash endpoints in the store

Cause: what instances learned about crashes was in their memory only, so one that started, or was cut off when the others told it, learned anew, and so did all of them after they were killed together.

Change: the leader writes a record of each blocked trait and removes it when the trait is cleared or has expired. Instances read the records with the keys of the election, which need no further watch. As long as the store has no record, the leader tells all instances each second, and the others tell the leader.

"restart" and "store away" of deadly_part_test fail without the records and the repeated messages (the first by its timeout).

--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -83,12 +83,12 @@
   const GArray *traits;
   uint64_t trait;
 
-  if (blm_is_empty (gw->blame) || request->response_started
+  if (blm_is_empty (gw->blame.table) || request->response_started
       || (request->on_trial && request->runs == 0))
     return true;
   traits = gw_request_traits (request);
-  verdict = blm_check (gw->blame, (const uint64_t *)traits->data, traits->len,
-                       ldr_is_leader (gw->ldr), &trait);
+  verdict = blm_check (gw->blame.table, (const uint64_t *)traits->data,
+                       traits->len, ldr_is_leader (gw->ldr), &trait);
   if (verdict == BLM_CLEAR)
     return true;
   lg_write (LG_REQUEST_BLOCKED,
@@ -112,7 +112,7 @@
   const GArray *traits;
   GArray *cleared;
 
-  if (blm_is_empty (gw->blame))
+  if (blm_is_empty (gw->blame.table))
     return;
   cleared = g_array_new (FALSE, FALSE, sizeof (cs_sound));
   traits = gw_request_traits (request);
@@ -120,7 +120,7 @@
     {
       cs_sound sound = { .trait = g_array_index (traits, uint64_t, i) };
 
-      if (blm_clear (gw->blame, sound.trait, 0))
+      if (blm_clear (gw->blame.table, sound.trait, 0))
         g_array_append_val (cleared, sound);
     }
   if (cleared->len > 0)
@@ -166,7 +166,7 @@
                                    .request = crash->request,
                                    .age_ms = crash->age_ms };
 
-  blm_add (gw->blame, &event);
+  blm_add (gw->blame.table, &event);
 }
 
 static void
@@ -177,8 +177,7 @@
   ctr_add (gw->counters, "traits_blocked_total", 1);
   lg_write (LG_TRAIT_BLOCKED, "trait=%016" G_GINT64_MODIFIER "x crashes=%u",
             trait, crashes);
-  if (ldr_is_leader (gw->ldr))
-    gw_blame_tell_all (gw, trait);
+  gw_blame_save_start (gw);
   gw_dispatch_queued (gw);
 }
 
@@ -190,6 +189,7 @@
   ctr_add (gw->counters, "traits_unblocked_total", 1);
   lg_write (LG_TRAIT_UNBLOCKED, "trait=%016" G_GINT64_MODIFIER "x reason=%s",
             trait, sound ? "answered" : "expired");
+  gw_blame_save_start (gw);
 }
 
 /* Create the table of what is known about crashes.  */
@@ -199,5 +199,7 @@
   static const struct blm_callbacks callbacks
       = { gw_blame_blocked, gw_blame_unblocked };
 
-  gw->blame = blm_new (gw->tm, &callbacks, gw);
+  gw->blame.table = blm_new (gw->tm, &callbacks, gw);
+  gw->blame.saved
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
 }
--- a/cowslipcoved/gw_blame_peers.c
+++ b/cowslipcoved/gw_blame_peers.c
@@ -4,21 +4,29 @@
 /* Exchanges with other instances which requests crash endpoints, because each
    instance sees only a part of the requests.  Crashes and answers are told at
    once to the group and the leader; the leader tells all instances which
-   traits are blocked.  */
+   traits are blocked, until the store has a record.  */
+
+enum gw_blame_audience
+{
+  GW_BLAME_LEADER,
+  GW_BLAME_GROUP, /* and the leader */
+  GW_BLAME_ALL
+};
 
 static bool
 gw_blame_is_recipient (const struct gw *gw, const struct ldr_member *member,
-                       bool all)
+                       enum gw_blame_audience audience)
 {
   if (g_str_equal (member->instance, gw->settings->instance))
     return false;
-  return all || gw_in_group (gw, member)
+  return audience == GW_BLAME_ALL
+         || (audience == GW_BLAME_GROUP && gw_in_group (gw, member))
          || g_strcmp0 (member->instance, ldr_leader (gw->ldr)) == 0;
 }
 
-/* Send REPORT to all instances, or to the group and the leader.  */
 static void
-gw_blame_send (struct gw *gw, cs_crash_report *report, bool all)
+gw_blame_send (struct gw *gw, cs_crash_report *report,
+               enum gw_blame_audience audience)
 {
   const GPtrArray *members = ldr_members (gw->ldr);
 
@@ -26,7 +34,7 @@
     {
       const struct ldr_member *member = g_ptr_array_index (members, i);
 
-      if (gw_blame_is_recipient (gw, member, all))
+      if (gw_blame_is_recipient (gw, member, audience))
         gw_peers_send (gw, member->address, COWSLIP_CRASHES,
                        (xdrproc_t)xdr_cs_crash_report, report);
     }
@@ -50,7 +58,7 @@
       report.sound.sound_len = MIN (answered->len, COWSLIP_LIST_MAX);
       report.sound.sound_val = (cs_sound *)answered->data;
     }
-  gw_blame_send (gw, &report, false);
+  gw_blame_send (gw, &report, GW_BLAME_GROUP);
 }
 
 static void
@@ -66,17 +74,26 @@
   g_array_append_val (crashes, each);
 }
 
-/* Tell all instances of the crashes of TRAIT.  */
+/* Tell the leader, or all instances if this is the leader, of the blocked
+   traits without a record in the store.  */
 void
-gw_blame_tell_all (struct gw *gw, uint64_t trait)
+gw_blame_tell_unsaved (struct gw *gw)
 {
   GArray *crashes = g_array_new (FALSE, FALSE, sizeof (cs_crash));
   cs_crash_report report = { 0 };
 
-  blm_foreach (gw->blame, trait, gw_blame_append_crash, crashes);
+  for (uint32_t i = 0; i < blm_blocked_count (gw->blame.table); i++)
+    {
+      uint64_t trait = blm_blocked_trait (gw->blame.table, i);
+
+      if (!gw_blame_is_saved (gw, trait))
+        blm_foreach (gw->blame.table, trait, gw_blame_append_crash, crashes);
+    }
   report.crashes.crashes_len = MIN (crashes->len, COWSLIP_LIST_MAX);
   report.crashes.crashes_val = (cs_crash *)crashes->data;
-  gw_blame_send (gw, &report, true);
+  if (crashes->len > 0)
+    gw_blame_send (gw, &report,
+                   ldr_is_leader (gw->ldr) ? GW_BLAME_ALL : GW_BLAME_LEADER);
   g_array_unref (crashes);
 }
 
@@ -96,7 +113,7 @@
   for (u_int i = 0; i < report->crashes.crashes_len; i++)
     gw_blame_add (gw, &report->crashes.crashes_val[i]);
   for (u_int i = 0; i < report->sound.sound_len; i++)
-    (void)blm_clear (gw->blame, report->sound.sound_val[i].trait,
+    (void)blm_clear (gw->blame.table, report->sound.sound_val[i].trait,
                      report->sound.sound_val[i].age_ms);
 }
 
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -31,6 +31,15 @@
 
 #define GW_US_PER_MS UINT64_C (1000)
 
+/* What is known about requests that crash endpoints.  */
+struct gw_blame
+{
+  struct blm_table *table;
+  GHashTable *saved; /* set of uint64_t: traits that have a record */
+  struct tm_timer save_timer;
+  bool saving;
+};
+
 /* The gateway process.  Members that end in _us are points in time of
    tm_now_us.  */
 struct gw
@@ -66,7 +75,7 @@
   struct res_table *res;
   GHashTable *demand;   /* name -> struct gw_demand */
   GHashTable *requests; /* set of struct gw_request */
-  struct blm_table *blame;
+  struct gw_blame blame;
   GHashTable *losses; /* endpoint id -> struct gw_loss, being probed */
   GQueue waiting;     /* struct gw_request, longest wait first */
   GQueue held;        /* struct gw_held, first arrival first */
@@ -252,7 +261,13 @@
 void gw_blame_register (struct gw *gw);
 void gw_blame_tell_group (struct gw *gw, const GArray *crashes,
                           const GArray *answered);
-void gw_blame_tell_all (struct gw *gw, uint64_t trait);
+void gw_blame_tell_unsaved (struct gw *gw);
+
+/* gw_blame_store.c */
+void gw_blame_save_start (struct gw *gw);
+void gw_blame_keys_read (void *arg, const struct kv_pair *pairs, size_t count);
+void gw_blame_key_changed (void *arg, const struct kv_change *change);
+bool gw_blame_is_saved (const struct gw *gw, uint64_t trait);
 
 /* gw_status.c */
 bool gw_status_start (struct gw *gw, GError **error);
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -115,8 +115,8 @@
 gw_peers_start (struct gw *gw)
 {
   static const struct ldr_callbacks callbacks
-      = { gw_peers_gained, gw_peers_lost, gw_peers_key_known,
-          gw_peers_changed };
+      = { gw_peers_gained,  gw_peers_lost,      gw_peers_key_known,
+          gw_peers_changed, gw_blame_keys_read, gw_blame_key_changed };
   struct ldr_config config
       = { .kv = gw->kv,
           .tm = gw->tm,
--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -152,6 +152,8 @@
                    change->revision,
                    leader ? ldr->leader_lease.id : ldr->member_lease.id);
   ldr_update_role (ldr);
+  if (ldr->callbacks.key_changed != NULL)
+    ldr->callbacks.key_changed (ldr->arg, change);
 }
 
 static void
@@ -186,6 +188,8 @@
   ldr->watch = ldr->config.kv.methods->watch (
       ldr->config.kv.context, ldr_prefix, result->revision + 1, ldr_on_change,
       ldr_watch_ended, ldr);
+  if (ldr->callbacks.keys_read != NULL)
+    ldr->callbacks.keys_read (ldr->arg, result->pairs, result->pair_count);
   ldr_update_role (ldr);
 }
 
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -68,6 +68,10 @@
      known.  */
   void (*key) (void *arg, const unsigned char *key, size_t bytes);
   void (*members) (void *arg); /* members or leader changed */
+  /* All keys with the prefix were read, or one has changed: lets other parts
+     keep records there without a watch of their own.  May be NULL.  */
+  void (*keys_read) (void *arg, const struct kv_pair *pairs, size_t count);
+  void (*key_changed) (void *arg, const struct kv_change *change);
 };
 
 const char *ldr_key_prefix (void);
--- a/regress/blm_script.c
+++ b/regress/blm_script.c
@@ -4,7 +4,7 @@
 
 #include <glib.h>
 
-#include "blm.h"
+#include "blm_record.h"
 
 /* Runs the table of traits that crash endpoints on commands, one a line:
      crash TRAIT CRASH PLACE REQUEST [AGE-MS]
@@ -12,11 +12,13 @@
      check TRAIT... | try TRAIT...   of one request; try: it may be a trial
      fill COUNT                      suspect COUNT other traits
      advance MS | expire
+     save TRAIT | load TRAIT TEXT    its record, read at the time of day 1000 s
    All identifiers are small numbers; a REQUEST is the trait of a request as a
    whole.  */
 
 #define ARGS_MAX   8
 #define US_PER_MS  1000ULL
+#define UNIX_MS    1000000
 #define FILL_FIRST 100000
 
 static struct tm_service *tm;
@@ -81,7 +83,27 @@
 }
 
 static void
-run (const char *command)
+run_load (const char *text)
+{
+  GError *error = NULL;
+
+  if (blm_record_apply (table, args[0], text, strlen (text), UNIX_MS, &error))
+    return;
+  printf ("malformed: %s\n", error->message);
+  g_error_free (error);
+}
+
+static void
+run_save (void)
+{
+  char *text = blm_record_encode (table, args[0], UNIX_MS);
+
+  printf ("%s\n", text);
+  g_free (text);
+}
+
+static void
+run (const char *command, const char *text)
 {
   if (strcmp (command, "crash") == 0)
     add_crash (args[0], args[1]);
@@ -98,6 +120,10 @@
     }
   else if (strcmp (command, "expire") == 0)
     blm_expire (table);
+  else if (strcmp (command, "save") == 0)
+    run_save ();
+  else if (strcmp (command, "load") == 0)
+    run_load (text == NULL ? "" : text);
   else
     {
       printf ("unknown command %s\n", command);
@@ -116,6 +142,7 @@
   while (fgets (line, sizeof line, stdin) != NULL)
     {
       char **words = g_strsplit (g_strchomp (line), " ", ARGS_MAX);
+      const char *text = strchr (line, '{');
 
       memset (args, 0, sizeof args);
       arg_count = g_strv_length (words);
@@ -125,7 +152,7 @@
       if (words[0] != NULL && words[0][0] != '#')
         {
           printf ("> %s\n", line);
-          run (words[0]);
+          run (words[0], text);
         }
       g_strfreev (words);
     }
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -16,7 +16,11 @@
 #define RESUME          "/resume/x"
 #define AGAIN           "/again/x"
 
+/* The leader repeats what the store does not have each second.  */
+#define REPEAT_MS 1500
+
 static struct gw second;
+static struct gw third;
 /* The instance to which requests are sent.  */
 static struct gw *target_gw = &gwf_gw;
 static uint32_t next_id;
@@ -212,6 +216,42 @@
   target_gw = &gwf_gw;
 }
 
+/* Guards against an instance that starts, or all of them, learning anew.  */
+static void
+test_restart (void)
+{
+  start_second ();
+  (void)call_with_parts (FLOW, "a6:5,dead6:3", &crash, 6);
+  while (fake_kv_count (gwf_kv, "cowslip/blocked/")
+         < blm_blocked_count (gwf_gw.blame.table))
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  gwf_start_instance (&third, "i3");
+  CU_ASSERT_EQUAL (call_refused (&third, FLOW, "a6:5,dead6:3"), 503);
+}
+
+/* Guards against an instance that was cut off, and missed the reports, while
+   the store was away.  */
+static void
+test_store_away (void)
+{
+  cs_crash event = { .trait = 7 };
+
+  start_second ();
+  fake_kv_set_fault (gwf_kv, FAKE_KV_UNAVAILABLE);
+  for (uint32_t i = 0; i < WHOLE_SENDS_MAX; i++)
+    {
+      event.crash = i;
+      event.place = i;
+      event.request = i;
+      event.age_ms = i * CRASH_PAUSE_MS;
+      gw_blame_add (&gwf_gw, &event);
+    }
+  CU_ASSERT_FALSE (blm_is_blocked (second.blame.table, event.trait));
+  wait_ms (REPEAT_MS);
+  CU_ASSERT_TRUE (blm_is_blocked (second.blame.table, event.trait));
+  fake_kv_set_fault (gwf_kv, FAKE_KV_NONE);
+}
+
 int
 main (void)
 {
@@ -222,6 +262,8 @@
           { "connections that were reset", test_reset },
           { "sound part", test_sound_part },
           { "another instance", test_other_instance },
+          { "restart", test_restart },
+          { "store away", test_store_away },
           { NULL, NULL } };
 
   return unit_main ("deadly_part", tests);
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -206,7 +206,7 @@
 start (struct instance *instance)
 {
   static const struct ldr_callbacks callbacks
-      = { on_gained, on_lost, on_key, on_members };
+      = { on_gained, on_lost, on_key, on_members, NULL, NULL };
   struct ldr_config config = { .kv = { &methods, instance },
                                .tm = tm,
                                .instance = instance->name,
