Pass on suspicions of other instances to one that starts

If that instance itself had restarted, nobody told it, and nobody told others that started later.

Change: what an instance hears is kept and sent to new members with their first heartbeat. Only own suspicions are repeated in later heartbeats, so reports do not go round. peers_test ("suspects", the first one restarts) failed before.

--- a/cowslipcoved/peers_heartbeat.c
+++ b/cowslipcoved/peers_heartbeat.c
@@ -124,7 +124,7 @@
    engines and suspicions.  */
 static void
 cd_heartbeat_send_local (struct cd_peers *peers, const char *address,
-                         const char *instance, uint64_t suspicion_age_us)
+                         const char *instance, bool initial)
 {
   cs_beat beat = { 0 };
   GPtrArray *leaving = mem_leaving_local (peers->leaving);
@@ -133,7 +133,8 @@
   beat.leaving.leaving_val = (cs_name *)(void *)leaving->pdata;
   beat.leaving.leaving_len = MIN (leaving->len, COWSLIP_LIST_MAX);
   beat.suspects.suspects_val = cd_suspects_recent (
-      peers, suspicion_age_us, &beat.suspects.suspects_len);
+      peers, initial ? CD_SUSPICION_VALID_US : CD_SUSPICION_REPEAT_US,
+      !initial, &beat.suspects.suspects_len);
   cd_heartbeat_send_loads (peers, address, instance, &beat);
   g_free (beat.suspects.suspects_val);
   g_ptr_array_free (leaving, TRUE);
@@ -157,8 +158,7 @@
 
   if (member != NULL && cd_is_local (peers, member->zone))
     {
-      cd_heartbeat_send_local (peers, address, instance,
-                               CD_SUSPICION_REPEAT_US);
+      cd_heartbeat_send_local (peers, address, instance, false);
       return;
     }
   cd_beat_fill (peers, &beat);
@@ -172,7 +172,7 @@
 {
   if (cd_is_local (peers, member->zone))
     cd_heartbeat_send_local (peers, member->rpc_address, member->instance,
-                             CD_SUSPICION_VALID_US);
+                             true);
   else
     cd_heartbeat_send (peers, member->rpc_address, member->instance);
 }
@@ -191,8 +191,10 @@
       beat->leaving.leaving_len);
   suspects.suspects.suspects_len = beat->suspects.suspects_len;
   suspects.suspects.suspects_val = beat->suspects.suspects_val;
-  if (suspects.suspects.suspects_len > 0)
-    cd_publish (peers->daemon, CD_SUSPECTS, &suspects);
+  if (suspects.suspects.suspects_len == 0)
+    return;
+  cd_suspects_keep (peers, &suspects);
+  cd_publish (peers->daemon, CD_SUSPECTS, &suspects);
 }
 
 /* Accept a heartbeat only from the instance that it describes.  */
--- a/cowslipcoved/peers_impl.h
+++ b/cowslipcoved/peers_impl.h
@@ -22,14 +22,15 @@
   uint64_t measured_us;
 };
 
-/* A suspicion of this instance.  It is repeated in heartbeats because a
-   message may have been lost.  */
+/* A suspicion.  One of this instance is repeated in heartbeats because a
+   message may have been lost; all are sent to a new member.  */
 struct cd_suspicion
 {
   uint64_t fingerprint;
   uint32_t crashes;
   uint32_t age_ms;
   uint64_t recorded_us;
+  bool own;
 };
 
 struct cd_peers
@@ -72,8 +73,9 @@
 void cd_document_register (struct cd_peers *peers);
 struct cfg_state *cd_document_start (struct cd_peers *peers);
 void cd_suspects_register (struct cd_peers *peers);
+void cd_suspects_keep (struct cd_peers *peers, const cs_suspects *suspects);
 cs_suspect *cd_suspects_recent (struct cd_peers *peers, uint64_t within_us,
-                                u_int *count);
+                                bool own, u_int *count);
 void cd_reports_start (struct cd_peers *peers);
 void cd_reports_free (struct cd_peers *peers);
 void *cd_peers_call_new (struct cd_peers *peers, size_t bytes);
--- a/cowslipcoved/peers_suspects.c
+++ b/cowslipcoved/peers_suspects.c
@@ -34,29 +34,74 @@
     cd_suspects_broadcast_done (broadcast);
 }
 
+static struct cd_suspicion *
+cd_suspicion_find (struct cd_peers *peers, uint64_t fingerprint)
+{
+  for (guint i = 0; i < peers->suspicions->len; i++)
+    {
+      struct cd_suspicion *suspicion
+          = &g_array_index (peers->suspicions, struct cd_suspicion, i);
+
+      if (suspicion->fingerprint == fingerprint)
+        return suspicion;
+    }
+  return NULL;
+}
+
 static void
-cd_suspicion_record (struct cd_peers *peers, const cs_suspect *suspect)
+cd_suspicion_record (struct cd_peers *peers, const cs_suspect *suspect,
+                     bool own)
 {
   struct cd_suspicion suspicion
       = { suspect->fingerprint, suspect->crashes, suspect->age_ms,
-          tm_now_us (peers->daemon->tm) };
+          tm_now_us (peers->daemon->tm), own };
+  struct cd_suspicion *found = cd_suspicion_find (peers, suspect->fingerprint);
 
-  for (guint i = 0; i < peers->suspicions->len; i++)
-    if (g_array_index (peers->suspicions, struct cd_suspicion, i).fingerprint
-        == suspicion.fingerprint)
-      {
-        g_array_remove_index (peers->suspicions, i);
-        break;
-      }
+  if (found != NULL)
+    {
+      *found = suspicion;
+      return;
+    }
   if (peers->suspicions->len >= CD_SUSPICIONS_MAX)
     g_array_remove_index (peers->suspicions, 0);
   g_array_append_val (peers->suspicions, suspicion);
 }
 
-/* Return the suspicions that this instance recorded in the last WITHIN_US,
-   oldest first; the caller frees the list.  */
+/* Return the point in time of the last crash or the clearing that SUSPICION
+   stands for.  */
+static int64_t
+cd_suspicion_time_us (const struct cd_suspicion *suspicion)
+{
+  return (int64_t)suspicion->recorded_us
+         - (int64_t)suspicion->age_ms * CD_US_PER_MS;
+}
+
+/* Keep SUSPECTS, which another instance has sent, for members that start: the
+   other instance may be gone by then.  */
+void
+cd_suspects_keep (struct cd_peers *peers, const cs_suspects *suspects)
+{
+  int64_t now_us = (int64_t)tm_now_us (peers->daemon->tm);
+
+  for (u_int i = 0; i < suspects->suspects.suspects_len; i++)
+    {
+      const cs_suspect *suspect = &suspects->suspects.suspects_val[i];
+      const struct cd_suspicion *known
+          = cd_suspicion_find (peers, suspect->fingerprint);
+      int64_t time_us = now_us - (int64_t)suspect->age_ms * CD_US_PER_MS;
+
+      if (known == NULL
+          || (known->crashes != suspect->crashes
+              && time_us >= cd_suspicion_time_us (known)))
+        cd_suspicion_record (peers, suspect, false);
+    }
+}
+
+/* Return the suspicions that were recorded in the last WITHIN_US, only those
+   of this instance if OWN is set; the caller frees the list.  */
 cs_suspect *
-cd_suspects_recent (struct cd_peers *peers, uint64_t within_us, u_int *count)
+cd_suspects_recent (struct cd_peers *peers, uint64_t within_us, bool own,
+                    u_int *count)
 {
   uint64_t now_us = tm_now_us (peers->daemon->tm);
   cs_suspect *list = g_new0 (cs_suspect, peers->suspicions->len + 1);
@@ -68,7 +113,7 @@
           = &g_array_index (peers->suspicions, struct cd_suspicion, i);
       uint64_t elapsed_us = now_us - suspicion->recorded_us;
 
-      if (elapsed_us > within_us)
+      if (elapsed_us > within_us || (own && !suspicion->own))
         continue;
       list[*count].fingerprint = suspicion->fingerprint;
       list[*count].crashes = suspicion->crashes;
@@ -122,7 +167,7 @@
   broadcast->done = done;
   broadcast->arg = arg;
   for (u_int i = 0; i < suspects->suspects.suspects_len; i++)
-    cd_suspicion_record (peers, &suspects->suspects.suspects_val[i]);
+    cd_suspicion_record (peers, &suspects->suspects.suspects_val[i], true);
   cd_suspects_send (broadcast, &copy);
   if (broadcast->pending == 0)
     tm_after (daemon->tm, &broadcast->done_timer, 0,
@@ -133,9 +178,10 @@
 cd_suspects_received (void *arg, const struct rpc_origin *origin, void *args,
                       struct rpc_request *request)
 {
-  const struct cd_peers *peers = arg;
+  struct cd_peers *peers = arg;
 
   (void)origin;
+  cd_suspects_keep (peers, args);
   cd_publish (peers->daemon, CD_SUSPECTS, args);
   rpc_send_reply (request, NULL);
 }
--- a/regress/peers_test.c
+++ b/regress/peers_test.c
@@ -516,6 +516,11 @@
   node_start (&rig, 2, 203);
   run_until (&rig, all_connected);
   CU_ASSERT_EQUAL (rig.observed[2].fingerprint, 77);
+  /* So has the one that had it first: the others know it from there.  */
+  node_stop (&rig, 0);
+  node_start (&rig, 0, 301);
+  run_until (&rig, all_connected);
+  CU_ASSERT_EQUAL (rig.observed[0].fingerprint, 77);
   run_until (&rig, all_loaded);
   cd_publish (&rig.nodes[0], CD_DRAIN, NULL);
   CU_ASSERT_TRUE (run_until (&rig, peers_see_draining) < 1000000);
