Take an answer for sound once it has gone on for 100 ms

An endpoint that crashes as it begins an answer may have written its first event, or the first bytes of a body, by then. The first bytes cleared the traits of such a request and kept it from being suspected, so it would crash endpoint after endpoint again; a stream that was resumed was not checked at all.

Now the traits are cleared when an answer is complete or has gone on for 100 ms, and until then a lost request is suspected. "crash after the first event" of deadly_part_test failed before.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -23,6 +23,9 @@
    received from its engine for this long.  Callers time out after 2 s without
    an event.  */
 #define GW_STREAM_IDLE_TIMEOUT_MS 1000
+/* An endpoint that crashes on a request may have written the first bytes of
+   its answer by then.  An answer that goes on for this long is sound.  */
+#define GW_SOUND_AFTER_MS 100
 /* Engines take priorities from 0, the highest, to 9.  Requests of a route with
    priority 0 get this one.  */
 #define GW_ENGINE_PRIORITY_BASE 2
@@ -234,11 +237,7 @@
     return;
   /* A resumed stream keeps the response head of its first endpoint.  */
   if (!request->response_started)
-    {
-      if (gw_is_success (request->response.status))
-        gw_blame_answered (request);
-      h1_response_head (request->exchange, &request->response);
-    }
+    h1_response_head (request->exchange, &request->response);
   request->response_started = true;
   request->response_buffered = false;
   h1_head_clear (&request->response);
@@ -348,6 +347,26 @@
   gw_attempt_failed (request);
 }
 
+/* The endpoint did not crash on REQUEST: it is being answered.  */
+static void
+gw_set_sound (struct gw_request *request)
+{
+  if (!request->sound && gw_is_success (request->response_status))
+    gw_blame_answered (request);
+  request->sound = true;
+}
+
+static void
+gw_check_sound (struct gw_request *request)
+{
+  uint64_t now_us = tm_now_us (request->gw->tm);
+
+  if (request->body_us == 0)
+    request->body_us = now_us;
+  else if (now_us - request->body_us >= GW_SOUND_AFTER_MS * GW_US_PER_MS)
+    gw_set_sound (request);
+}
+
 static void
 gw_on_body (void *arg, const char *data, size_t bytes)
 {
@@ -357,6 +376,7 @@
   gw_set_outstanding (request, false);
   if (request->response_discarded)
     return;
+  gw_check_sound (request);
   if (!request->event_stream)
     {
       gw_forward_body (request, data, bytes);
@@ -390,6 +410,7 @@
     gw_forward_body (request, request->events.partial->str,
                      request->events.partial->len);
   gw_forward_head (request);
+  gw_set_sound (request);
   flt_record_success (request->endpoint);
   ctr_add (gw->counters, "answers_total", 1);
   gw_release_endpoint (request);
@@ -425,12 +446,13 @@
 }
 
 /* Return whether the attempt of REQUEST, which ended with END, may have
-   crashed its endpoint: the connection was lost before the answer began.  */
+   crashed its endpoint: the connection was lost when the answer began, or
+   before.  */
 static bool
 gw_is_lost (const struct gw_request *request, enum h1_outcome end)
 {
   return (end == H1_OUTCOME_NO_RESPONSE || end == H1_OUTCOME_INCOMPLETE)
-         && !request->response_discarded && !request->response_started;
+         && !request->response_discarded && !request->sound;
 }
 
 static void
@@ -536,6 +558,7 @@
     return false;
   gw_dequeue (request);
   request->state = GW_SENT;
+  request->body_us = 0;
   request->framing = "-";
   request->attempt_end = "-";
   request->state_us = tm_now_us (gw->tm);
--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -73,8 +73,7 @@
 }
 
 /* Return whether REQUEST may be sent to an endpoint.  If not, it has been
-   refused, or has failed if it may have run, and is freed.  A response that
-   has begun shows that the request crashes nothing.  */
+   refused, or has failed if it may have run, and is freed.  */
 bool
 gw_blame_admits (struct gw_request *request)
 {
@@ -83,7 +82,7 @@
   const GArray *traits;
   uint64_t trait;
 
-  if (blm_is_empty (gw->blame.table) || request->response_started
+  if (blm_is_empty (gw->blame.table) || request->sound
       || (request->on_trial && request->runs == 0))
     return true;
   traits = gw_request_traits (request);
--- a/cowslipcoved/gw_crash.c
+++ b/cowslipcoved/gw_crash.c
@@ -6,9 +6,9 @@
 #include "lg.h"
 #include "prb.h"
 
-/* Requests whose connection to an endpoint was lost before they were answered.
-   If the process of the endpoint has died, one of them may have crashed
-   it.  */
+/* Requests whose connection to an endpoint was lost when their answer began,
+   or before. If the process of the endpoint has died, one of them may have
+   crashed it.  */
 
 /* Connecting within a region takes 1 ms, and a dead process refuses at
    once.  */
@@ -122,8 +122,8 @@
   return loss;
 }
 
-/* The connection of REQUEST to its endpoint was lost before the first bytes of
-   the answer.  Wait until it is known whether the endpoint has died; the
+/* The connection of REQUEST to its endpoint was lost when the answer began, or
+   before.  Wait until it is known whether the endpoint has died; the
    attempt has failed then.  Return false if there is nothing to wait for: an
    endpoint that was about to leave is expected to die.  */
 bool
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -146,6 +146,7 @@
   struct h1_head response;  /* buffered until bytes of the body arrive */
   bool outstanding;         /* counted among ENDPOINT's outstanding requests */
   uint16_t response_status; /* 0: no head received */
+  uint64_t body_us;         /* first bytes of the body; 0: none */
   const char *framing;      /* what ends the body; "-": no head received */
   const char *attempt_end;  /* outcome of the call; "-": canceled */
   bool response_buffered;
@@ -159,6 +160,7 @@
   uint32_t runs;       /* endpoints on which it may have run */
   enum fwd_result end; /* result of the current attempt, once known */
   bool response_started;
+  bool sound;           /* it does not crash endpoints */
   bool on_trial;        /* runs although a trait of it is blocked */
   struct gw_loss *loss; /* in state GW_LOST */
   GArray *traits;       /* uint64_t; NULL: not determined yet */
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -29,6 +29,8 @@
    connection lives on.  */
 static const struct wire_script crash = { GWF_EVENTS, WIRE_CRASH, false };
 static const struct wire_script crash_early = { "", WIRE_CRASH, false };
+static const struct wire_script crash_late
+    = { GWF_EVENTS GWF_EVENT ("1"), WIRE_CRASH, false };
 static const struct wire_script reset = { GWF_EVENTS, WIRE_RESET, false };
 static const struct wire_script sound
     = { GWF_EVENTS GWF_EVENT ("1") "0\r\n\r\n", WIRE_KEEP, false };
@@ -132,6 +134,21 @@
                    200);
 }
 
+/* Guards against taking an event that was written just before the crash for an
+   answer.  */
+static void
+test_first_event (void)
+{
+  uint32_t arrivals = 0;
+
+  gwf_start ();
+  CU_ASSERT_TRUE (call_with_parts (FLOW, "a8:5,dead8:3", &crash_late, 6)
+                  <= PART_SENDS_MAX);
+  CU_ASSERT_TRUE (call_with_parts (RESUME, "a9:5,dead9:3", &crash_late, 6)
+                  <= PART_SENDS_MAX);
+  CU_ASSERT_EQUAL (call (FLOW, "a8:5,b8:3,f8:2", "x", &sound, &arrivals), 200);
+}
+
 /* Guards against one request that comes again and crashes endpoint after
    endpoint, also at a plain service.  */
 static void
@@ -258,6 +275,7 @@
   static const struct unit_test tests[]
       = { { "part of a prompt", test_part },
           { "part of a prompt, resumable", test_part_resumable },
+          { "crash after the first event", test_first_event },
           { "repeated request", test_repeated },
           { "connections that were reset", test_reset },
           { "sound part", test_sound_part },
