Move the heads of requests and responses of the gateway into a file

No change of behaviour: functions are moved, two get the names gw_build_request_head and gw_buffer_response_head. A local array of blm_record.c is initialized, because the linter cannot see that only read elements are used.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -26,98 +26,6 @@
 /* An endpoint that crashes on a request may have written the first bytes of
    its answer by then.  An answer that goes on for this long is sound.  */
 #define GW_SOUND_AFTER_MS 100
-/* Engines take priorities from 0, the highest, to 9.  Requests of a route with
-   priority 0 get this one.  */
-#define GW_ENGINE_PRIORITY_BASE 2
-#define GW_ENGINE_PRIORITY_MAX  9
-
-/* Return the names of the hop-by-hop fields in the Connection field of HEAD,
-   to be freed with g_strfreev, or NULL if there are none.  */
-static char **
-gw_connection_fields (const struct h1_head *head)
-{
-  const char *value = h1_head_get (head, "Connection");
-  char **names = value == NULL ? NULL : g_strsplit (value, ",", -1);
-
-  for (char **each = names; each != NULL && *each != NULL; each++)
-    g_strstrip (*each);
-  return names;
-}
-
-/* Return whether NAMES, which may be NULL, contains NAME, ignoring case.  */
-static bool
-gw_list_has_name (const char *const *names, const char *name)
-{
-  for (; names != NULL && *names != NULL; names++)
-    if (g_ascii_strcasecmp (*names, name) == 0)
-      return true;
-  return false;
-}
-
-static bool
-gw_is_reserved (const struct prt_fields *fields, const char *name)
-{
-  return gw_list_has_name (fields->reserved, name)
-         || g_ascii_strcasecmp (fields->deadline_remaining_ms, name) == 0;
-}
-
-static void
-gw_add_gateway_fields (const struct gw_request *request,
-                       const struct flt_endpoint *endpoint,
-                       struct h1_head *head)
-{
-  const struct prt_fields *fields = &request->gw->protocol->fields;
-  uint32_t engine_priority
-      = MIN (GW_ENGINE_PRIORITY_BASE + request->route->priority,
-             GW_ENGINE_PRIORITY_MAX);
-  char number[32];
-
-  h1_head_add (head, fields->expected_endpoint, endpoint->entry.id);
-  (void)snprintf (number, sizeof number, "%u", gw_remaining_ms (request));
-  h1_head_add (head, fields->deadline_remaining_ms, number);
-  if (request->model != NULL)
-    {
-      (void)snprintf (number, sizeof number, "%u", engine_priority);
-      h1_head_add (head, fields->priority, number);
-    }
-  if (request->response_started)
-    {
-      (void)snprintf (number, sizeof number, "%" G_GUINT64_FORMAT,
-                      request->events.last_id);
-      h1_head_add (head, fields->last_event_id, number);
-    }
-}
-
-/* Build in HEAD the request head for ENDPOINT.  */
-static void
-gw_build_head (const struct gw_request *request,
-               const struct flt_endpoint *endpoint, struct h1_head *head)
-{
-  const struct prt_fields *names = &request->gw->protocol->fields;
-  const struct h1_head *from = h1_exchange_head (request->exchange);
-  char **hop_by_hop = gw_connection_fields (from);
-
-  h1_head_init (head);
-  head->method = g_strdup (from->method);
-  head->target = g_strdup (from->target);
-  head->has_length = from->has_length;
-  head->chunked = from->chunked;
-  for (guint i = 0; i < from->fields->len; i++)
-    {
-      const struct h1_field *field
-          = &g_array_index (from->fields, struct h1_field, i);
-
-      if (gw_is_reserved (names, field->name)
-          || gw_list_has_name ((const char *const *)hop_by_hop, field->name)
-          || (request->response_started
-              && g_ascii_strcasecmp (field->name, names->last_event_id) == 0))
-        continue;
-      h1_head_add (head, field->name, field->value);
-    }
-  g_strfreev (hop_by_hop);
-  gw_add_gateway_fields (request, endpoint, head);
-}
-
 static void
 gw_set_outstanding (struct gw_request *request, bool outstanding)
 {
@@ -272,32 +180,6 @@
     h1_call_set_reading (request->call, true);
 }
 
-static void
-gw_buffer_head (struct gw_request *request, const struct h1_head *head)
-{
-  const char *type = h1_head_get (head, "Content-Type");
-  char **hop_by_hop = gw_connection_fields (head);
-
-  request->event_stream = evs_is_stream_type (type);
-  request->unframed
-      = !head->has_length && !head->chunked
-        && !g_str_equal (h1_exchange_head (request->exchange)->method, "HEAD");
-  h1_head_init (&request->response);
-  request->response.status = head->status;
-  request->response.has_length = head->has_length && !request->event_stream;
-  request->response.length_bytes = head->length_bytes;
-  for (guint i = 0; i < head->fields->len; i++)
-    {
-      const struct h1_field *field
-          = &g_array_index (head->fields, struct h1_field, i);
-
-      if (!gw_list_has_name ((const char *const *)hop_by_hop, field->name))
-        h1_head_add (&request->response, field->name, field->value);
-    }
-  g_strfreev (hop_by_hop);
-  request->response_buffered = true;
-}
-
 static void
 gw_on_head (void *arg, const struct h1_head *head)
 {
@@ -332,7 +214,7 @@
       request->response_discarded = true;
     }
   else
-    gw_buffer_head (request, head);
+    gw_buffer_response_head (request, head);
 }
 
 /* End the current attempt of REQUEST, which has failed with RESULT, while its
@@ -551,7 +433,7 @@
                              .idle_max_ms = GW_CONNECTION_IDLE_MAX_MS };
 
   send.body = h1_exchange_body (request->exchange, &send.body_bytes);
-  gw_build_head (request, endpoint, &head);
+  gw_build_request_head (request, endpoint, &head);
   request->call = h1_call_start (gw->pool, &send, &gw_call_events, request);
   h1_head_clear (&head);
   if (request->call == NULL)
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -204,6 +204,13 @@
 void gw_fail (struct gw_request *request, enum rsn_refusal reason);
 void gw_expire (struct gw_request *request);
 
+/* gw_head.c */
+void gw_build_request_head (const struct gw_request *request,
+                            const struct flt_endpoint *endpoint,
+                            struct h1_head *head);
+void gw_buffer_response_head (struct gw_request *request,
+                              const struct h1_head *head);
+
 /* gw_attempt.c */
 bool gw_send (struct gw_request *request, struct flt_endpoint *endpoint);
 void gw_cancel_call (struct gw_request *request);
--- a/libcowslip/blm_record.c
+++ b/libcowslip/blm_record.c
@@ -114,7 +114,7 @@
 {
   struct json_object *object = jsn_parse (text, bytes, error);
   struct blm_crash crashes[BLM_CRASHES_MAX] = { 0 };
-  uint64_t times_ms[BLM_CRASHES_MAX];
+  uint64_t times_ms[BLM_CRASHES_MAX] = { 0 };
   struct jsn_reader reader;
   struct json_object *list;
   size_t count = 0;
