Bound the records and repeated messages about blocked traits

If the only endpoint of a service crashes by itself, each of its requests becomes a blocked trait after three retries. The leader would have written a record for each of them, and would have told all instances of all of them each second.

Now at most 128 traits have a record, the last 64 only parts of prompts, which concern more requests and come first everywhere, and a repeated message ends with the trait that reaches 64 crashes. "many traits" of deadly_part_test failed before with 100 records.

--- a/cowslipcoved/gw_blame_peers.c
+++ b/cowslipcoved/gw_blame_peers.c
@@ -1,6 +1,10 @@
 #include "gw_impl.h"
 #include "lg.h"
 
+/* Crashes in one repeated message, which the leader may send to hundreds of
+   instances each second.  Those of one trait are at most 16.  */
+#define GW_REPEATED_CRASHES_MAX 64
+
 /* Exchanges with other instances which requests crash endpoints, because each
    instance sees only a part of the requests.  Crashes and answers are told at
    once to the group and the leader; the leader tells all instances which
@@ -82,14 +86,16 @@
   GArray *crashes = g_array_new (FALSE, FALSE, sizeof (cs_crash));
   cs_crash_report report = { 0 };
 
-  for (uint32_t i = 0; i < blm_blocked_count (gw->blame.table); i++)
+  for (uint32_t i = 0; i < blm_blocked_count (gw->blame.table)
+                       && crashes->len < GW_REPEATED_CRASHES_MAX;
+       i++)
     {
-      uint64_t trait = blm_blocked_trait (gw->blame.table, i);
+      uint64_t trait = blm_blocked_trait (gw->blame.table, i, NULL);
 
       if (!gw_blame_is_saved (gw, trait))
         blm_foreach (gw->blame.table, trait, gw_blame_append_crash, crashes);
     }
-  report.crashes.crashes_len = MIN (crashes->len, COWSLIP_LIST_MAX);
+  report.crashes.crashes_len = crashes->len;
   report.crashes.crashes_val = (cs_crash *)crashes->data;
   if (crashes->len > 0)
     gw_blame_send (gw, &report,
--- a/cowslipcoved/gw_blame_store.c
+++ b/cowslipcoved/gw_blame_store.c
@@ -12,6 +12,11 @@
 #define GW_SAVE_INTERVAL_MS 1000
 /* The store allows 32 entries in one transaction.  */
 #define GW_SAVE_OPS_MAX 32
+/* Records at most, and when no more are written for whole requests.  There may
+   be as many of those as a service with a single endpoint that crashes by
+   itself gets requests.  */
+#define GW_RECORDS_MAX       128
+#define GW_WHOLE_RECORDS_MAX 64
 
 static const char gw_blame_infix[] = "blocked/";
 
@@ -184,6 +189,7 @@
 {
   const struct gw *gw = changes->gw;
   uint64_t unix_ms = (uint64_t)g_get_real_time () / GW_US_PER_MS;
+  uint32_t records = g_hash_table_size (gw->blame.saved);
   GHashTableIter iter;
   gpointer key;
 
@@ -191,8 +197,12 @@
                        && changes->count < GW_SAVE_OPS_MAX;
        i++)
     {
-      uint64_t trait = blm_blocked_trait (gw->blame.table, i);
+      bool whole;
+      uint64_t trait = blm_blocked_trait (gw->blame.table, i, &whole);
 
+      if (records + changes->count
+          >= (whole ? GW_WHOLE_RECORDS_MAX : GW_RECORDS_MAX))
+        break;
       if (!gw_blame_is_saved (gw, trait))
         gw_blame_append (changes, trait,
                          blm_record_encode (gw->blame.table, trait, unix_ms));
--- a/libcowslip/blm.c
+++ b/libcowslip/blm.c
@@ -55,7 +55,8 @@
   struct blm_callbacks callbacks;
   void *arg;
   GHashTable *traits; /* id -> struct blm_trait */
-  GPtrArray *blocked; /* struct blm_trait */
+  /* struct blm_trait: parts, the latest first, then whole requests.  */
+  GPtrArray *blocked;
 };
 
 /* Return an empty table that calls CALLBACKS with ARG.  */
@@ -105,7 +106,7 @@
   if (!trait->blocked)
     return;
   trait->blocked = false;
-  g_ptr_array_remove_fast (table->blocked, trait);
+  (void)g_ptr_array_remove (table->blocked, trait);
   table->callbacks.unblocked (table->arg, trait->id, sound);
 }
 
@@ -265,6 +266,13 @@
   return requests;
 }
 
+/* Return whether TRAIT is that of a request as a whole.  */
+static bool
+blm_has_whole_request (const struct blm_trait *trait)
+{
+  return trait->event_count > 0 && trait->events[0].request == trait->id;
+}
+
 /* Return the number of crashes of TRAIT if they suffice to block it, otherwise
    0.  */
 static uint32_t
@@ -273,12 +281,11 @@
   uint32_t crashes = blm_count_crashes (trait);
   bool places;
   bool requests = blm_requests_differ (trait, &places);
-  /* The trait of a whole request is the same in all its events.  */
-  bool whole = trait->event_count > 0 && trait->events[0].request == trait->id;
 
   if (crashes < BLM_CRASHES_MIN)
     return 0;
-  if (whole || (requests && (places || crashes >= BLM_SAME_PLACE_CRASHES)))
+  if (blm_has_whole_request (trait)
+      || (requests && (places || crashes >= BLM_SAME_PLACE_CRASHES)))
     return crashes;
   return 0;
 }
@@ -305,7 +312,8 @@
     return;
   trait->blocked = true;
   trait->trial_us = tm_now_us (table->tm) + BLM_FIRST_TRIAL_US;
-  g_ptr_array_add (table->blocked, trait);
+  g_ptr_array_insert (table->blocked, blm_has_whole_request (trait) ? -1 : 0,
+                      trait);
   table->callbacks.blocked (table->arg, trait->id, crashes);
 }
 
@@ -421,12 +429,15 @@
   return table->blocked->len;
 }
 
-/* Return the blocked trait at INDEX.  */
+/* Return the blocked trait at INDEX, parts first, and store in WHOLE, unless
+   it is NULL, whether it is that of a request as a whole.  */
 uint64_t
-blm_blocked_trait (const struct blm_table *table, uint32_t index)
+blm_blocked_trait (const struct blm_table *table, uint32_t index, bool *whole)
 {
   const struct blm_trait *trait = g_ptr_array_index (table->blocked, index);
 
+  if (whole != NULL)
+    *whole = blm_has_whole_request (trait);
   return trait->id;
 }
 
--- a/libcowslip/blm.h
+++ b/libcowslip/blm.h
@@ -57,7 +57,8 @@
                             size_t count, bool may_try, uint64_t *trait);
 bool blm_is_blocked (const struct blm_table *table, uint64_t trait);
 uint32_t blm_blocked_count (const struct blm_table *table);
-uint64_t blm_blocked_trait (const struct blm_table *table, uint32_t index);
+uint64_t blm_blocked_trait (const struct blm_table *table, uint32_t index,
+                            bool *whole);
 void blm_foreach (const struct blm_table *table, uint64_t trait, blm_each each,
                   void *arg);
 
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -16,6 +16,11 @@
 #define RESUME          "/resume/x"
 #define AGAIN           "/again/x"
 
+/* Traits, the time in which the leader could write all of them, and how many
+   it may write.  */
+#define MANY          100
+#define MANY_SAVED_MS 4500
+#define SAVED_MAX     64
 /* The leader repeats what the store does not have each second.  */
 #define REPEAT_MS 1500
 
@@ -269,6 +274,30 @@
   fake_kv_set_fault (gwf_kv, FAKE_KV_NONE);
 }
 
+/* Guards against traits without number in the store and in messages, such as
+   those of requests to a service whose only endpoint crashes by itself.  */
+static void
+test_many (void)
+{
+  cs_crash event = { 0 };
+  uint32_t before;
+
+  gwf_start ();
+  before = blm_blocked_count (gwf_gw.blame.table);
+  for (uint32_t i = 0; i < MANY * WHOLE_SENDS_MAX; i++)
+    {
+      event.crash = i % WHOLE_SENDS_MAX;
+      event.place = event.crash;
+      event.trait = MANY + i / WHOLE_SENDS_MAX;
+      event.request = event.trait;
+      event.age_ms = (WHOLE_SENDS_MAX - event.crash) * CRASH_PAUSE_MS;
+      gw_blame_add (&gwf_gw, &event);
+    }
+  CU_ASSERT_EQUAL (blm_blocked_count (gwf_gw.blame.table), before + MANY);
+  wait_ms (MANY_SAVED_MS);
+  CU_ASSERT_EQUAL (fake_kv_count (gwf_kv, "cowslip/blocked/"), SAVED_MAX);
+}
+
 int
 main (void)
 {
@@ -282,6 +311,7 @@
           { "another instance", test_other_instance },
           { "restart", test_restart },
           { "store away", test_store_away },
+          { "many traits", test_many },
           { NULL, NULL } };
 
   return unit_main ("deadly_part", tests);
