Take over a source's revision only if the keys agree

Requests were handled by version 4 up to 21.3 s; version 7 was acked at 13.4 s.

Three instances that had been cut off until 13.0 s never installed version 7; no E428 (keys differ) at them. Their source had relayed the change before it knew them, told its revision once in the next batch, and was then replaced.

Cause: a follower took over the revision of each batch, also when the digest showed that it lacked a change. A change is relayed once, so the own watch, or its turn as a source, began after the change that it had missed, and its digest then matched that of others in the same state. The revision is taken over only together with an equal digest now, so a later watch begins before what is missing.

Ruled out: the configuration was read (E200 version 4 at 13.2 s); the store answered (E601); a read that got no answer (no E600).

--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -353,7 +353,10 @@
     return;
   if (!known || !rly_matches (stream, in))
     stream->stale = true;
-  stream->revision = MAX (stream->revision, in->revision);
+  /* A change that was missed is not relayed again: until the keys agree, an
+     own watch must begin before it.  */
+  if (in->comparable && in->digest == stream->digest)
+    stream->revision = MAX (stream->revision, in->revision);
 }
 
 /* Apply the changes that were received while the owner read the keys.  */
