Relay each write of the election's keys, also of the same value

Cause: an election writes the leader's record and the term. Elected twice in a row, an instance writes a term with the same value and a new revision. The relay passed on only changes of values, so all others kept the old revision, and each campaign, which compares it, was lost. The relay hashes the revision of the election's keys with their values now, so that such a write is reported, relayed and part of the digest. Entries of endpoints, which are rewritten each second, are still relayed only if their condensed value changes.

Ruled out: the lease of the lost leader (2 s, and the record was gone); the store (grants and campaigns were answered, with conflicts).

While instances of the older shape run beside new ones, their digests of these keys differ, so that both read them again, at most each 0.7 s.

--- a/cowslipcoved/gw_relay.c
+++ b/cowslipcoved/gw_relay.c
@@ -129,9 +129,12 @@
   static const struct rly_callbacks callbacks
       = { gw_relay_send, gw_relay_condense, gw_relay_role_changed,
           gw_relay_diverged };
-  const char *const prefixes[]
-      = { gw->protocol->keys.config, gw->protocol->keys.endpoint_prefix,
-          ldr_key_prefix (), NULL };
+  /* The election compares the revisions of its keys.  */
+  const struct rly_prefix prefixes[]
+      = { { gw->protocol->keys.config, false },
+          { gw->protocol->keys.endpoint_prefix, false },
+          { ldr_key_prefix (), true },
+          { NULL, false } };
   struct rly_config config
       = { .kv = gw->store,
           .tm = gw->tm,
--- a/libcowslip/rly.c
+++ b/libcowslip/rly.c
@@ -179,8 +179,9 @@
   rly->role = RLY_FOLLOWING;
   rly->received_us = tm_now_us (config->tm);
   rly->streams = g_ptr_array_new_with_free_func (rly_stream_free);
-  for (const char *const *prefix = config->prefixes; *prefix != NULL; prefix++)
-    g_ptr_array_add (rly->streams, rly_stream_new (rly, *prefix));
+  for (const struct rly_prefix *prefix = config->prefixes;
+       prefix->prefix != NULL; prefix++)
+    g_ptr_array_add (rly->streams, rly_stream_new (rly, prefix));
   tm_after (config->tm, &rly->timer, 0, rly_tick, rly);
   return rly;
 }
--- a/libcowslip/rly.h
+++ b/libcowslip/rly.h
@@ -35,11 +35,20 @@
   RLY_FOLLOWING, /* receives changes from a source */
 };
 
+/* Keys whose watch is relayed.  */
+struct rly_prefix
+{
+  const char *prefix;
+  /* The owner needs the revision of each write, also of one that leaves the
+     value as it was.  */
+  bool revisions;
+};
+
 struct rly_config
 {
   struct kv_store kv;
   struct tm_service *tm;
-  const char *const *prefixes; /* watches that are relayed; ends with NULL */
+  const struct rly_prefix *prefixes; /* the last one is NULL */
   /* Minimum time between two reads of the keys of a prefix.  When a large
      value changes several times a second, hundreds of followers would read
      more than the store can send.  */
--- a/libcowslip/rly_impl.h
+++ b/libcowslip/rly_impl.h
@@ -11,7 +11,7 @@
 struct rly_item
 {
   int64_t revision; /* of its last change */
-  uint64_t hash;    /* of key and condensed value; 0: removed */
+  uint64_t hash;    /* see rly_hash; 0: removed */
 };
 
 struct rly_change
@@ -27,6 +27,7 @@
 {
   struct rly *rly;
   char *prefix;
+  bool revisions;        /* hashes include revisions */
   GHashTable *items;     /* key -> struct rly_item */
   uint64_t digest;       /* exclusive or of the hashes of all items */
   int64_t revision;      /* all changes up to it were applied or received */
@@ -61,7 +62,8 @@
 };
 
 /* rly_stream.c */
-struct rly_stream *rly_stream_new (struct rly *rly, const char *prefix);
+struct rly_stream *rly_stream_new (struct rly *rly,
+                                   const struct rly_prefix *prefix);
 void rly_stream_free (gpointer data);
 struct rly_stream *rly_find_stream (const struct rly *rly, const char *prefix);
 void rly_stream_load (struct rly_stream *stream,
--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -30,14 +30,15 @@
   return changes;
 }
 
-/* Return a stream of the keys that start with PREFIX.  */
+/* Return a stream of the keys of PREFIX.  */
 struct rly_stream *
-rly_stream_new (struct rly *rly, const char *prefix)
+rly_stream_new (struct rly *rly, const struct rly_prefix *prefix)
 {
   struct rly_stream *stream = g_new0 (struct rly_stream, 1);
 
   stream->rly = rly;
-  stream->prefix = g_strdup (prefix);
+  stream->prefix = g_strdup (prefix->prefix);
+  stream->revisions = prefix->revisions;
   stream->items
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   stream->changes = rly_changes_new ();
@@ -73,10 +74,15 @@
   return NULL;
 }
 
+/* Return the hash of what the owner of STREAM needs to know of KEY: the
+   condensed VALUE, and its revision if the owner compares it.  */
 static uint64_t
-rly_hash (const char *key, const char *value, size_t bytes)
+rly_hash (const struct rly_stream *stream, const char *key, int64_t revision,
+          const char *value, size_t bytes)
 {
-  return XXH64 (value, bytes, XXH64 (key, strlen (key), 0)) | 1;
+  uint64_t seed = stream->revisions ? (uint64_t)revision : 0;
+
+  return XXH64 (value, bytes, XXH64 (key, strlen (key), seed)) | 1;
 }
 
 /* Record that KEY has HASH since REVISION.  Return whether that is news.  */
@@ -159,9 +165,10 @@
     {
       kind = rly_condense (stream, change->key, change->value,
                            change->value_bytes, value);
-      hash = kind == RLY_PUT
-                 ? rly_hash (change->key, value->str, value->len)
-                 : rly_hash (change->key, change->value, change->value_bytes);
+      hash = kind == RLY_PUT ? rly_hash (stream, change->key, change->revision,
+                                         value->str, value->len)
+                             : rly_hash (stream, change->key, change->revision,
+                                         change->value, change->value_bytes);
     }
   if (rly_update_item (stream, change->key, hash, change->revision))
     {
@@ -289,7 +296,8 @@
            int64_t revision, const char *value, size_t bytes)
 {
   const struct rly_item *item = g_hash_table_lookup (stream->items, key);
-  uint64_t hash = kind == RLY_PUT ? rly_hash (key, value, bytes) : 0;
+  uint64_t hash
+      = kind == RLY_PUT ? rly_hash (stream, key, revision, value, bytes) : 0;
 
   /* The read has shown that the key was removed later.  */
   if (item == NULL && revision <= stream->read_revision)
@@ -406,9 +414,10 @@
   g_string_truncate (value, 0);
   kind = rly_condense (stream, pair->key, pair->value, pair->value_bytes,
                        value);
-  hash = kind == RLY_PUT
-             ? rly_hash (pair->key, value->str, value->len)
-             : rly_hash (pair->key, pair->value, pair->value_bytes);
+  hash = kind == RLY_PUT ? rly_hash (stream, pair->key, pair->revision,
+                                     value->str, value->len)
+                         : rly_hash (stream, pair->key, pair->revision,
+                                     pair->value, pair->value_bytes);
   if (rly_update_item (stream, pair->key, hash, pair->revision))
     rly_keep_change (stream->changes, pair->key, kind, pair->revision,
                      value->str, value->len);
--- a/regress/rly_script.c
+++ b/regress/rly_script.c
@@ -19,16 +19,19 @@
      advance MS
      roles               print the roles
      show I              print what the owner at I knows
+     writes I            print how many changes were reported to it
      calls               print the calls of all instances to the store
-   Owners watch the prefixes a/ and b/.  A value is condensed to the part
-   before a colon; one that begins with ! is not relayed.  */
+   Owners watch the prefixes a/ and b/, of which b/ is relayed with revisions.
+   A value is condensed to the part before a colon; one that begins with ! is
+   not relayed.  */
 
 #define INSTANCES       4
 #define OWNERS          2
 #define US_PER_MS       1000ULL
 #define BATCH_MAX_BYTES 65536
 
-static const char *const prefixes[] = { "a/", "b/", NULL };
+static const struct rly_prefix prefixes[]
+    = { { "a/", false }, { "b/", true }, { NULL, false } };
 
 struct instance;
 
@@ -37,7 +40,8 @@
 {
   struct instance *instance;
   const char *prefix;
-  GTree *values; /* key -> condensed value */
+  GTree *values;   /* key -> condensed value */
+  uint32_t writes; /* reported since the start */
 };
 
 /* A watch of the store, which reports nothing while the instance is cut.  */
@@ -88,6 +92,7 @@
 {
   struct owner *owner = arg;
 
+  owner->writes++;
   if (change->value == NULL)
     g_tree_remove (owner->values, change->key);
   else
@@ -302,7 +307,8 @@
       struct owner *owner = &instance->owners[i];
 
       owner->instance = instance;
-      owner->prefix = prefixes[i];
+      owner->prefix = prefixes[i].prefix;
+      owner->writes = 0;
       owner->values = g_tree_new_full (compare_keys, NULL, g_free, g_free);
       owner_read (owner);
     }
@@ -354,6 +360,9 @@
     instance->cut = command[0] == 'c';
   else if (strcmp (command, "show") == 0)
     show (instance);
+  else if (strcmp (command, "writes") == 0)
+    printf ("%u: a/ %u b/ %u\n", instance->number, instance->owners[0].writes,
+            instance->owners[1].writes);
   else if (strcmp (command, "hold") == 0)
     instance->holding = true;
   else if (strcmp (command, "release") == 0)
