Update the election's records after a lost campaign

Cause: a campaign that is lost shows that the cached records are out of date. A candidate repeated it with the same records, each 0.3 s and with a new lease each time, until something else made it read them again. The store's response to a lost campaign holds the records; they are taken over.

ldr/missed, in which a candidate has missed an election, fails before: it never leads.

--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -19,6 +19,14 @@
     ldr_back_off (ldr);
 }
 
+static void
+ldr_send_txn (struct ldr *ldr, const struct kv_txn *txn, kv_done done)
+{
+  ldr->writing = true;
+  ldr->calls_in_flight++;
+  kv_txn (&ldr->config.kv, txn, done, ldr);
+}
+
 static void
 ldr_write_txn (struct ldr *ldr, const struct kv_compare *compares,
                size_t compare_count, const struct kv_op *ops, size_t op_count,
@@ -29,9 +37,7 @@
                         .then_ops = ops,
                         .then_count = op_count };
 
-  ldr->writing = true;
-  ldr->calls_in_flight++;
-  kv_txn (&ldr->config.kv, &txn, done, ldr);
+  ldr_send_txn (ldr, &txn, done);
 }
 
 static void
@@ -89,6 +95,25 @@
   g_free (key);
 }
 
+/* A campaign was lost: another instance was elected, or the cached copy is out
+   of date.  Update it from RESULT, which holds the records that were compared,
+   because the next campaign would be lost like this one.  */
+static void
+ldr_campaign_lost (struct ldr *ldr, const struct kv_result *result)
+{
+  ldr->leader_lease.id = 0;
+  for (size_t i = 0; i < result->pair_count; i++)
+    {
+      const struct kv_pair *pair = &result->pairs[i];
+
+      if (!g_str_equal (pair->key, ldr_term_key)
+          || pair->revision > ldr->term_revision)
+        ldr_table_apply (ldr, pair->key, pair->value, pair->value_bytes,
+                         pair->revision, pair->lease);
+    }
+  ldr_update_role (ldr);
+}
+
 static void
 ldr_campaign_done (void *arg, const struct kv_result *result)
 {
@@ -99,7 +124,7 @@
     return;
   ldr_write_ended (ldr, result->outcome);
   if (result->outcome == KV_CONFLICT)
-    ldr->leader_lease.id = 0; /* another instance was elected */
+    ldr_campaign_lost (ldr, result);
   if (result->outcome != KV_OK)
     return;
   text = ldr_encode (ldr);
@@ -128,13 +153,20 @@
                             .key = ldr_term_key,
                             .value = holders,
                             .value_bytes = strlen (holders) } };
+  struct kv_op gets[] = { { .kind = KV_GET, .key = ldr_leader_key },
+                          { .kind = KV_GET, .key = ldr_term_key } };
+  struct kv_txn txn = { .compares = compares,
+                        .compare_count = G_N_ELEMENTS (compares),
+                        .then_ops = puts,
+                        .then_count = G_N_ELEMENTS (puts),
+                        .else_ops = gets,
+                        .else_count = G_N_ELEMENTS (gets) };
 
   /* Compute the delay now, from the term record that the transaction
      compares.  The watch may deliver the new record before the reply
      arrives.  */
   ldr->order_delay_ms = ldr_order_delay_ms (ldr);
-  ldr_write_txn (ldr, compares, G_N_ELEMENTS (compares), puts,
-                 G_N_ELEMENTS (puts), ldr_campaign_done);
+  ldr_send_txn (ldr, &txn, ldr_campaign_done);
   g_free (holders);
   g_free (text);
 }
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -8,7 +8,7 @@
 /* Runs the election on commands, one per line:
      start I | kill I | resign I   instance I, 1 to 4
      cut I | heal I                the connection of I to the store
-     deaf I                        the watches of I deliver no events
+     deaf I | hear I               the watches of I deliver no events
      expire I                      the store expires the leases of I early
      remove                        delete only the leader's record
      advance MS
@@ -270,8 +270,8 @@
     }
   else if (strcmp (command, "resign") == 0)
     ldr_resign (instance->ldr);
-  else if (strcmp (command, "deaf") == 0)
-    instance->watches_silent = true;
+  else if (strcmp (command, "deaf") == 0 || strcmp (command, "hear") == 0)
+    instance->watches_silent = command[0] == 'd';
   else if (strcmp (command, "expire") == 0)
     {
       for (guint i = 0; i < instance->leases->len; i++)
