Take a refused connection for a crash only if the zone is reached

E540 blocked up to 5 parts that most prompts share, at all instances of the zone and, through the store, of the fleet.

Cause: a refused connection was taken for a process that has died. Before the requests are blamed, the instance now connects to two other endpoints and two instances of the zone; if all of these fail as well, it is the network.

Ruled out: counting crashes close to each other as one (a cut shows when a connection is next used, so the losses are spread over seconds); other instances alone (an instance that is cut off from them still learns) or endpoints alone (all engines of a small zone may be down at once).

deadly_part_test, "network that refuses", fails before.

--- a/cowslipcoved/gw_crash.c
+++ b/cowslipcoved/gw_crash.c
@@ -7,8 +7,9 @@
 #include "prb.h"
 
 /* Requests whose connection to an endpoint was lost when their answer began,
-   or before. If the process of the endpoint has died, one of them may have
-   crashed it.  */
+   or before.  If the process of the endpoint has died, one of them may have
+   crashed it.  It has died if its host refuses a connection while others of
+   its availability zone can be reached.  */
 
 /* Connecting within a region takes 1 ms, and a dead process refuses at
    once.  */
@@ -20,8 +21,8 @@
   struct gw *gw;
   char *endpoint;
   char *address;
+  char *zone;
   uint64_t started_ms;
-  struct prb *probe;
   GPtrArray *requests; /* struct gw_request, waiting for the result */
 };
 
@@ -34,6 +35,7 @@
   g_ptr_array_unref (loss->requests);
   g_free (loss->endpoint);
   g_free (loss->address);
+  g_free (loss->zone);
   g_free (loss);
 }
 
@@ -61,34 +63,32 @@
 
 static void
 gw_log_lost (const struct gw_loss *loss, struct gw_request *request,
-             enum prb_result result)
+             const char *cause)
 {
   char *parts = gw_shared_parts (request);
 
   lg_write (LG_REQUEST_LOST,
             "id=%s endpoint=%s started_ms=%" G_GUINT64_FORMAT
-            " probe=%s lost=%u whole=%016" G_GINT64_MODIFIER "x parts=%s",
-            request->id, loss->endpoint, loss->started_ms,
-            prb_result_text (result), loss->requests->len,
+            " cause=%s lost=%u whole=%016" G_GINT64_MODIFIER "x parts=%s",
+            request->id, loss->endpoint, loss->started_ms, cause,
+            loss->requests->len,
             g_array_index (gw_request_traits (request), uint64_t, 0), parts);
   g_free (parts);
 }
 
-/* The probe of the endpoint has ended.  Record what may have crashed it before
-   any of the requests is sent again.  */
+/* The cause of LOSS is known: CRASHED tells whether the process has died.
+   Record what may have crashed it before any of the requests is sent
+   again.  */
 static void
-gw_loss_probed (void *arg, enum prb_result result)
+gw_loss_end (struct gw_loss *loss, bool crashed, const char *cause)
 {
-  struct gw_loss *loss = arg;
   struct gw *gw = loss->gw;
 
   ctr_add (gw->counters,
-           result == PRB_REFUSED ? "endpoint_crashes_total"
-                                 : "endpoint_losses_total",
-           1);
+           crashed ? "endpoint_crashes_total" : "endpoint_losses_total", 1);
   for (guint i = 0; i < loss->requests->len; i++)
-    gw_log_lost (loss, g_ptr_array_index (loss->requests, i), result);
-  if (result == PRB_REFUSED)
+    gw_log_lost (loss, g_ptr_array_index (loss->requests, i), cause);
+  if (crashed)
     gw_blame_lost (gw, gw_loss_crash (loss), loss->address, loss->requests);
   while (loss->requests->len > 0)
     {
@@ -101,6 +101,24 @@
   g_hash_table_remove (gw->losses, loss->endpoint);
 }
 
+static void
+gw_loss_path_checked (void *arg, bool reachable)
+{
+  gw_loss_end (arg, reachable, reachable ? "crash" : "network");
+}
+
+static void
+gw_loss_probed (void *arg, enum prb_result result)
+{
+  struct gw_loss *loss = arg;
+
+  if (result != PRB_REFUSED)
+    gw_loss_end (loss, false, prb_result_text (result));
+  else if (!gw_path_check (loss->gw, loss->zone, loss->endpoint,
+                           gw_loss_path_checked, loss))
+    gw_loss_end (loss, true, "crash");
+}
+
 static struct gw_loss *
 gw_loss_new (struct gw *gw, const struct flt_endpoint *endpoint)
 {
@@ -109,11 +127,12 @@
   loss->gw = gw;
   loss->endpoint = g_strdup (endpoint->entry.id);
   loss->address = g_strdup (endpoint->entry.address);
+  loss->zone = g_strdup (endpoint->entry.zone);
   loss->started_ms = endpoint->entry.started_ms;
   loss->requests = g_ptr_array_new ();
-  loss->probe = prb_start (gw->loop, gw->tm, endpoint->entry.address,
-                           GW_CRASH_PROBE_MS, gw_loss_probed, loss);
-  if (loss->probe == NULL)
+  if (prb_start (gw->loop, gw->tm, endpoint->entry.address, GW_CRASH_PROBE_MS,
+                 gw_loss_probed, loss)
+      == NULL)
     {
       gw_loss_free (loss);
       return NULL;
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -257,6 +257,11 @@
 void gw_forget_probe (struct gw_request *request);
 void gw_loss_free (gpointer data);
 
+/* gw_path.c */
+typedef void (*gw_path_done) (void *arg, bool reachable);
+bool gw_path_check (struct gw *gw, const char *zone, const char *except,
+                    gw_path_done done, void *arg);
+
 /* gw_blame.c */
 void gw_blame_start (struct gw *gw);
 const GArray *gw_request_traits (struct gw_request *request);
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -182,6 +182,52 @@
   CU_ASSERT_EQUAL (call_with_parts (FLOW, "a3:5,b3:3", &reset, 6), 6);
 }
 
+/* Announce the endpoints w1 and w2, which get no requests, at ADDRESS in the
+   zones of the two others.  */
+static void
+announce_neighbours (const char *address)
+{
+  for (uint32_t i = 1; i <= GWF_ENDPOINTS; i++)
+    {
+      char *key = g_strdup_printf ("servers/w%u", i);
+      char *id = g_strdup_printf ("w%u", i);
+      char *text = g_strdup_printf (
+          "{\"Service\":\"other\",\"Address\":\"%s\",\"Zone\":\"z%u\","
+          "\"Version\":\"v\",\"Slots\":8,\"State\":\"ready\","
+          "\"ColdLeftMs\":0,\"Seq\":1,\"born\":1}",
+          address, i);
+      const struct flt_endpoint *endpoint;
+
+      fake_kv_put (gwf_kv, key, text);
+      while ((endpoint = flt_find (gwf_gw.fleet, id)) == NULL
+             || !g_str_equal (endpoint->entry.address, address))
+        uv_run (gwf_gw.loop, UV_RUN_ONCE);
+      g_free (text);
+      g_free (id);
+      g_free (key);
+    }
+}
+
+/* Guards against blaming a part for endpoints that a cut network refuses: no
+   other one of their zones can be reached either.  */
+static void
+test_cut (void)
+{
+  char *address;
+
+  gwf_start ();
+  address = gwf_unused_address ();
+  announce_neighbours (address);
+  CU_ASSERT_EQUAL (call_with_parts (FLOW, "a10:5,b10:3", &crash, 6), 6);
+  g_free (address);
+  /* The same with neighbours that can be reached.  */
+  address = g_strdup_printf ("127.0.0.1:%u", h1_server_port (gwf_gw.ready));
+  announce_neighbours (address);
+  CU_ASSERT_TRUE (call_with_parts (FLOW, "a11:5,dead11:3", &crash, 6)
+                  <= PART_SENDS_MAX);
+  g_free (address);
+}
+
 /* Guards against blaming a part with which requests are answered: the crashes
    have another cause.  */
 static void
@@ -307,6 +353,7 @@
           { "crash after the first event", test_first_event },
           { "repeated request", test_repeated },
           { "connections that were reset", test_reset },
+          { "network that refuses", test_cut },
           { "sound part", test_sound_part },
           { "another instance", test_other_instance },
           { "restart", test_restart },
--- a/regress/gw_fixture.c
+++ b/regress/gw_fixture.c
@@ -60,9 +60,10 @@
   g_free (key);
 }
 
-/* Return an address of this machine that no process listens on.  */
-static char *
-unused_address (void)
+/* Return an address of this machine that no process listens on, to be
+   freed with g_free.  */
+char *
+gwf_unused_address (void)
 {
   struct sockaddr_in address = { .sin_family = AF_INET };
   socklen_t bytes = sizeof address;
@@ -86,7 +87,7 @@
   settings->zone = g_strdup ("z1");
   settings->caller_address = g_strdup ("127.0.0.1:0");
   settings->ready_address = g_strdup ("127.0.0.1:0");
-  settings->peer_address = unused_address ();
+  settings->peer_address = gwf_unused_address ();
   settings->metrics_address = g_strdup ("127.0.0.1:0");
   settings->grace_ms = 8000;
   settings->retry_ratio = 0.2;
--- a/regress/gw_fixture.h
+++ b/regress/gw_fixture.h
@@ -38,6 +38,7 @@
 extern struct fake_kv *gwf_kv;
 extern struct wire_endpoint *gwf_endpoints[GWF_ENDPOINTS];
 
+char *gwf_unused_address (void);
 void gwf_start (void);
 void gwf_start_instance (struct gw *gw, const char *name);
 void gwf_set_script (uint32_t index, const struct wire_script *script);
