Retract a crash when its process answers later

Callers could see: a sound part that is blocked because the network refused connections to some engines stays blocked for 60 s, because nobody sends requests with it that could be answered.

Cause: the only proof against a suspicion was an answer to a request with the same part. That an engine which was taken for crashed goes on was not used.

An instance that gets a response from such a process, to a request sent at least 5 s after the crash, forgets the crash and tells its group and the leader. By then the entry of a process that has died is gone. A new process at the same address has another id or start time.

Ruled out: the entry being listed alone (an instance that is cut off from the store keeps old entries); live connections at the time of the crash (bytes that were sent before are read later).

blm/alive and deadly_part_test, "process that lives", fail without the call.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -26,6 +26,7 @@
 /* An endpoint that crashes on a request may have written the first bytes of
    its answer by then.  An answer that goes on for this long is sound.  */
 #define GW_SOUND_AFTER_MS 100
+
 static void
 gw_set_outstanding (struct gw_request *request, bool outstanding)
 {
@@ -192,6 +193,7 @@
   request->response_status = head->status;
   request->framing = h1_head_framing (head);
   gw_update_load (request, head);
+  gw_blame_alive (request);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
       request->end = FWD_NOT_RUN;
--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -127,6 +127,36 @@
   g_array_unref (cleared);
 }
 
+/* Return what identifies the end of the process at ENDPOINT that was started
+   at STARTED_MS.  */
+uint64_t
+gw_crash_id (const char *endpoint, uint64_t started_ms)
+{
+  return XXH3_64bits_withSeed (endpoint, strlen (endpoint), started_ms);
+}
+
+/* The endpoint of REQUEST has begun to respond.  If its process was taken for
+   crashed, it was not: the network had refused connections.  */
+void
+gw_blame_alive (const struct gw_request *request)
+{
+  struct gw *gw = request->gw;
+  const struct flt_entry *entry = &request->endpoint->entry;
+  uint64_t crash;
+
+  if (blm_is_empty (gw->blame.table) || entry->started_ms == 0
+      || !request->endpoint->listed)
+    return;
+  crash = gw_crash_id (entry->id, entry->started_ms);
+  if (!blm_is_disproved (gw->blame.table, crash, request->state_us))
+    return;
+  lg_write (LG_CRASH_RETRACTED,
+            "id=%s endpoint=%s started_ms=%" G_GUINT64_FORMAT, request->id,
+            entry->id, entry->started_ms);
+  blm_retract (gw->blame.table, crash);
+  gw_blame_tell_alive (gw, crash);
+}
+
 /* The process that is identified by CRASH and listened at ADDRESS has died,
    and REQUESTS (struct gw_request) were lost there.  */
 void
@@ -181,13 +211,13 @@
 }
 
 static void
-gw_blame_unblocked (void *arg, uint64_t trait, bool sound)
+gw_blame_unblocked (void *arg, uint64_t trait, enum blm_reason reason)
 {
   struct gw *gw = arg;
 
   ctr_add (gw->counters, "traits_unblocked_total", 1);
   lg_write (LG_TRAIT_UNBLOCKED, "trait=%016" G_GINT64_MODIFIER "x reason=%s",
-            trait, sound ? "answered" : "expired");
+            trait, blm_reason_text (reason));
   gw_blame_save_start (gw);
 }
 
--- a/cowslipcoved/gw_blame_peers.c
+++ b/cowslipcoved/gw_blame_peers.c
@@ -6,9 +6,10 @@
 #define GW_REPEATED_CRASHES_MAX 64
 
 /* Exchanges with other instances which requests crash endpoints, because each
-   instance sees only a part of the requests.  Crashes and answers are told at
-   once to the group and the leader; the leader tells all instances which
-   traits are blocked, until the store has a record.  */
+   instance sees only a part of the requests.  Crashes, answers and crashes
+   that turn out to be none are told at once to the group and the leader; the
+   leader tells all instances which traits are blocked, until the store has a
+   record.  */
 
 enum gw_blame_audience
 {
@@ -65,6 +66,18 @@
   gw_blame_send (gw, &report, GW_BLAME_GROUP);
 }
 
+/* Tell the group and the leader that the process which was taken to have ended
+   in CRASH lives.  */
+void
+gw_blame_tell_alive (struct gw *gw, uint64_t crash)
+{
+  cs_crash_report report = { 0 };
+
+  report.retracted.retracted_len = 1;
+  report.retracted.retracted_val = &crash;
+  gw_blame_send (gw, &report, GW_BLAME_GROUP);
+}
+
 static void
 gw_blame_append_crash (void *arg, const struct blm_crash *crash)
 {
@@ -121,6 +134,8 @@
   for (u_int i = 0; i < report->sound.sound_len; i++)
     (void)blm_clear (gw->blame.table, report->sound.sound_val[i].trait,
                      report->sound.sound_val[i].age_ms);
+  for (u_int i = 0; i < report->retracted.retracted_len; i++)
+    blm_retract (gw->blame.table, report->retracted.retracted_val[i]);
 }
 
 /* Accept reports from other instances.  */
--- a/cowslipcoved/gw_crash.c
+++ b/cowslipcoved/gw_crash.c
@@ -1,7 +1,5 @@
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "gw_impl.h"
 #include "lg.h"
 #include "prb.h"
@@ -39,14 +37,6 @@
   g_free (loss);
 }
 
-/* Return what identifies the process that died.  */
-static uint64_t
-gw_loss_crash (const struct gw_loss *loss)
-{
-  return XXH3_64bits_withSeed (loss->endpoint, strlen (loss->endpoint),
-                               loss->started_ms);
-}
-
 /* Return the parts of the prompt of REQUEST without the last one, which is its
    own; "-" if there are none.  */
 static char *
@@ -89,7 +79,8 @@
   for (guint i = 0; i < loss->requests->len; i++)
     gw_log_lost (loss, g_ptr_array_index (loss->requests, i), cause);
   if (crashed)
-    gw_blame_lost (gw, gw_loss_crash (loss), loss->address, loss->requests);
+    gw_blame_lost (gw, gw_crash_id (loss->endpoint, loss->started_ms),
+                   loss->address, loss->requests);
   while (loss->requests->len > 0)
     {
       struct gw_request *request
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -267,6 +267,8 @@
 const GArray *gw_request_traits (struct gw_request *request);
 bool gw_blame_admits (struct gw_request *request);
 void gw_blame_answered (struct gw_request *request);
+uint64_t gw_crash_id (const char *endpoint, uint64_t started_ms);
+void gw_blame_alive (const struct gw_request *request);
 void gw_blame_lost (struct gw *gw, uint64_t crash, const char *address,
                     const GPtrArray *requests);
 void gw_blame_add (struct gw *gw, const cs_crash *crash);
@@ -275,6 +277,7 @@
 void gw_blame_register (struct gw *gw);
 void gw_blame_tell_group (struct gw *gw, const GArray *crashes,
                           const GArray *answered);
+void gw_blame_tell_alive (struct gw *gw, uint64_t crash);
 void gw_blame_tell_unsaved (struct gw *gw);
 
 /* gw_blame_store.c */
--- a/libcowslip/blm.c
+++ b/libcowslip/blm.c
@@ -24,6 +24,11 @@
 /* Reports of crashes before a success may arrive this much later.  */
 #define BLM_LATE_REPORT_US INT64_C (10000000)
 #define BLM_EVENTS_MAX     BLM_CRASHES_MAX
+/* An answer shows that its process lives only if it was sent this long after
+   the crash: until then the entry of a process that has died is in use, and
+   another process may have its address.  */
+#define BLM_DEAD_LISTED_US  INT64_C (5000000)
+#define BLM_CRASH_TIMES_MAX 4096
 /* Traits that are kept; the one whose last crash is longest ago yields.  */
 #define BLM_TRAITS_MAX 4096
 
@@ -54,7 +59,8 @@
   struct tm_service *tm;
   struct blm_callbacks callbacks;
   void *arg;
-  GHashTable *traits; /* id -> struct blm_trait */
+  GHashTable *traits;  /* id -> struct blm_trait */
+  GHashTable *crashes; /* id -> int64_t: when it was, of those in TRAITS */
   /* struct blm_trait: parts, the latest first, then whole requests.  */
   GPtrArray *blocked;
 };
@@ -71,6 +77,8 @@
   table->arg = arg;
   table->traits
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  table->crashes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   table->blocked = g_ptr_array_new ();
   return table;
 }
@@ -83,6 +91,7 @@
     return;
   g_ptr_array_free (table->blocked, TRUE);
   g_hash_table_destroy (table->traits);
+  g_hash_table_destroy (table->crashes);
   g_free (table);
 }
 
@@ -101,13 +110,14 @@
 }
 
 static void
-blm_unblock (struct blm_table *table, struct blm_trait *trait, bool sound)
+blm_unblock (struct blm_table *table, struct blm_trait *trait,
+             enum blm_reason reason)
 {
   if (!trait->blocked)
     return;
   trait->blocked = false;
   (void)g_ptr_array_remove (table->blocked, trait);
-  table->callbacks.unblocked (table->arg, trait->id, sound);
+  table->callbacks.unblocked (table->arg, trait->id, reason);
 }
 
 /* Return whether nothing about TRAIT matters any more.  */
@@ -122,6 +132,13 @@
          || now_us - trait->cleared_us >= BLM_LATE_REPORT_US;
 }
 
+static gboolean
+blm_is_old_crash (gpointer crash, gpointer value, gpointer data)
+{
+  (void)crash;
+  return blm_ago_us (data, 0) - *(const int64_t *)value >= BLM_EXPIRY_US;
+}
+
 /* Forget the traits in TABLE whose last crash is long ago.  */
 void
 blm_expire (struct blm_table *table)
@@ -129,11 +146,12 @@
   GHashTableIter iter;
   gpointer value;
 
+  (void)g_hash_table_foreach_remove (table->crashes, blm_is_old_crash, table);
   g_hash_table_iter_init (&iter, table->traits);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (blm_is_expired (table, value))
       {
-        blm_unblock (table, value, false);
+        blm_unblock (table, value, BLM_EXPIRED);
         g_hash_table_iter_remove (&iter);
       }
 }
@@ -290,6 +308,19 @@
   return 0;
 }
 
+/* Keep the time of the crash EVENT.  Without it, such as when there are too
+   many, the crash cannot be retracted.  */
+static void
+blm_keep_crash (struct blm_table *table, const struct blm_event *event)
+{
+  if (g_hash_table_contains (table->crashes, &event->crash)
+      || g_hash_table_size (table->crashes) >= BLM_CRASH_TIMES_MAX)
+    return;
+  g_hash_table_insert (table->crashes,
+                       g_memdup2 (&event->crash, sizeof event->crash),
+                       g_memdup2 (&event->at_us, sizeof event->at_us));
+}
+
 /* Add CRASH, seen by this instance or reported by another one.  */
 void
 blm_add (struct blm_table *table, const struct blm_crash *crash)
@@ -307,6 +338,7 @@
   if (trait == NULL || event.at_us <= trait->cleared_us)
     return;
   blm_insert (trait, &event);
+  blm_keep_crash (table, &event);
   crashes = blm_decide (trait);
   if (trait->blocked || crashes == 0)
     return;
@@ -337,10 +369,55 @@
   trait->cleared_us = MAX (trait->cleared_us, at_us);
   trait->trials = 0;
   if (blm_decide (trait) == 0)
-    blm_unblock (table, trait, true);
+    blm_unblock (table, trait, BLM_ANSWERED);
   return true;
 }
 
+/* Remove the events of TRAIT that are part of CRASH.  */
+static void
+blm_remove_events (struct blm_trait *trait, uint64_t crash)
+{
+  uint32_t kept = 0;
+
+  for (uint32_t i = 0; i < trait->event_count; i++)
+    if (trait->events[i].crash != crash)
+      trait->events[kept++] = trait->events[i];
+  trait->event_count = kept;
+}
+
+/* Return whether the answer to a request that was sent at SINCE_US shows that
+   the process which was taken to have ended in CRASH goes on.  */
+bool
+blm_is_disproved (const struct blm_table *table, uint64_t crash,
+                  uint64_t since_us)
+{
+  const int64_t *at_us = g_hash_table_lookup (table->crashes, &crash);
+
+  return at_us != NULL && (int64_t)since_us - *at_us >= BLM_DEAD_LISTED_US;
+}
+
+/* Forget CRASH, which was none: its process goes on.  */
+void
+blm_retract (struct blm_table *table, uint64_t crash)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!g_hash_table_remove (table->crashes, &crash))
+    return;
+  g_hash_table_iter_init (&iter, table->traits);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct blm_trait *trait = value;
+
+      if (!blm_has_crash (trait, crash))
+        continue;
+      blm_remove_events (trait, crash);
+      if (blm_decide (trait) == 0)
+        blm_unblock (table, trait, BLM_ALIVE);
+    }
+}
+
 static bool
 blm_contains (const uint64_t *traits, size_t count, uint64_t trait)
 {
@@ -379,7 +456,7 @@
     return NULL;
   if (!blm_is_expired (table, trait))
     return trait;
-  blm_unblock (table, trait, false);
+  blm_unblock (table, trait, BLM_EXPIRED);
   g_hash_table_remove (table->traits, &id);
   return NULL;
 }
@@ -462,3 +539,19 @@
       each (arg, &crash);
     }
 }
+
+/* Return the name of REASON for log lines.  */
+const char *
+blm_reason_text (enum blm_reason reason)
+{
+  switch (reason)
+    {
+    case BLM_ANSWERED:
+      return "answered";
+    case BLM_ALIVE:
+      return "alive";
+    case BLM_EXPIRED:
+      return "expired";
+    }
+  return "unknown";
+}
--- a/libcowslip/blm.h
+++ b/libcowslip/blm.h
@@ -36,12 +36,18 @@
   BLM_BLOCKED /* refused */
 };
 
+/* Why a trait is no longer blocked.  */
+enum blm_reason
+{
+  BLM_ANSWERED, /* a request with it was answered */
+  BLM_ALIVE,    /* a process that was taken for crashed goes on */
+  BLM_EXPIRED   /* its last crash is long ago */
+};
+
 struct blm_callbacks
 {
   void (*blocked) (void *arg, uint64_t trait, uint32_t crashes);
-  /* A blocked trait is no longer blocked.  SOUND: a request with it was
-     answered; otherwise its last crash is long ago.  */
-  void (*unblocked) (void *arg, uint64_t trait, bool sound);
+  void (*unblocked) (void *arg, uint64_t trait, enum blm_reason reason);
 };
 
 typedef void (*blm_each) (void *arg, const struct blm_crash *crash);
@@ -53,8 +59,12 @@
 void blm_expire (struct blm_table *table);
 void blm_add (struct blm_table *table, const struct blm_crash *crash);
 bool blm_clear (struct blm_table *table, uint64_t trait, uint32_t age_ms);
+bool blm_is_disproved (const struct blm_table *table, uint64_t crash,
+                       uint64_t since_us);
+void blm_retract (struct blm_table *table, uint64_t crash);
 enum blm_verdict blm_check (struct blm_table *table, const uint64_t *traits,
                             size_t count, bool may_try, uint64_t *trait);
+const char *blm_reason_text (enum blm_reason reason);
 bool blm_is_blocked (const struct blm_table *table, uint64_t trait);
 uint32_t blm_blocked_count (const struct blm_table *table);
 uint64_t blm_blocked_trait (const struct blm_table *table, uint32_t index,
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -329,6 +329,10 @@
 		u_int sound_len;
 		cs_sound *sound_val;
 	} sound;
+	struct {
+		u_int retracted_len;
+		u_quad_t *retracted_val;
+	} retracted;
 };
 typedef struct cs_crash_report cs_crash_report;
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -278,6 +278,7 @@
 {
   cs_crash crashes<COWSLIP_LIST_MAX>;
   cs_sound sound<COWSLIP_LIST_MAX>;
+  unsigned hyper retracted<COWSLIP_LIST_MAX>; /* the process lives */
 };
 
 program COWSLIP_PROGRAM
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -613,5 +613,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->sound.sound_val, (u_int *) &objp->sound.sound_len, COWSLIP_LIST_MAX,
 		sizeof (cs_sound), (xdrproc_t) xdr_cs_sound))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->retracted.retracted_val, (u_int *) &objp->retracted.retracted_len, COWSLIP_LIST_MAX,
+		sizeof (u_quad_t), (xdrproc_t) xdr_u_quad_t))
+		 return FALSE;
 	return TRUE;
 }
--- a/regress/blm_script.c
+++ b/regress/blm_script.c
@@ -9,6 +9,7 @@
 /* Runs the table of traits that crash endpoints on commands, one a line:
      crash TRAIT CRASH PLACE REQUEST [AGE-MS]
      answered TRAIT [AGE-MS]
+     alive CRASH [AGE-MS]            a request sent then was answered
      check TRAIT... | try TRAIT...   of one request; try: it may be a trial
      fill COUNT                      suspect COUNT other traits
      advance MS | expire
@@ -35,11 +36,11 @@
 }
 
 static void
-on_unblocked (void *arg, uint64_t trait, bool sound)
+on_unblocked (void *arg, uint64_t trait, enum blm_reason reason)
 {
   (void)arg;
   printf ("%" G_GUINT64_FORMAT " unblocked: %s\n", trait,
-          sound ? "answered" : "expired");
+          blm_reason_text (reason));
 }
 
 static void
@@ -93,6 +94,17 @@
   g_error_free (error);
 }
 
+static void
+run_alive (void)
+{
+  bool disproved
+      = blm_is_disproved (table, args[0], now_us - args[1] * US_PER_MS);
+
+  printf ("%s\n", disproved ? "disproved" : "not disproved");
+  if (disproved)
+    blm_retract (table, args[0]);
+}
+
 static void
 run_save (void)
 {
@@ -109,6 +121,8 @@
     add_crash (args[0], args[1]);
   else if (strcmp (command, "answered") == 0)
     (void)blm_clear (table, args[0], (uint32_t)args[1]);
+  else if (strcmp (command, "alive") == 0)
+    run_alive ();
   else if (strcmp (command, "check") == 0 || strcmp (command, "try") == 0)
     run_check (command[0] == 't');
   else if (strcmp (command, "fill") == 0)
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -21,6 +21,8 @@
 #define MANY          100
 #define MANY_SAVED_MS 4500
 #define SAVED_MAX     64
+/* An entry of a process that has died is gone after this time.  */
+#define LATER_MS 6000
 /* The leader repeats what the store does not have each second.  */
 #define REPEAT_MS 1500
 
@@ -320,6 +322,34 @@
   fake_kv_set_fault (gwf_kv, FAKE_KV_NONE);
 }
 
+/* Guards against refusing requests because of crashes that were none: an
+   endpoint that was taken for crashed answers later.  */
+static void
+test_alive (void)
+{
+  const struct flt_endpoint *first = flt_find (gwf_gw.fleet, "e1");
+  cs_crash event = { .trait = 8, .age_ms = LATER_MS };
+  uint32_t arrivals = 0;
+
+  start_second ();
+  event.crash = gw_crash_id ("e1", first->entry.started_ms);
+  for (uint32_t i = 0; i < WHOLE_SENDS_MAX; i++)
+    {
+      event.place = i;
+      event.request = i;
+      event.age_ms -= CRASH_PAUSE_MS;
+      gw_blame_add (&gwf_gw, &event);
+      gw_blame_add (&second, &event);
+      event.crash = i;
+    }
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, event.trait));
+  CU_ASSERT_TRUE (blm_is_blocked (second.blame.table, event.trait));
+  CU_ASSERT_EQUAL (call (FLOW, "a12:5,b12:3", "x", &sound, &arrivals), 200);
+  CU_ASSERT_FALSE (blm_is_blocked (gwf_gw.blame.table, event.trait));
+  wait_ms (CRASH_PAUSE_MS);
+  CU_ASSERT_FALSE (blm_is_blocked (second.blame.table, event.trait));
+}
+
 /* Guards against traits without number in the store and in messages, such as
    those of requests to a service whose only endpoint crashes by itself.  */
 static void
@@ -358,6 +388,7 @@
           { "another instance", test_other_instance },
           { "restart", test_restart },
           { "store away", test_store_away },
+          { "process that lives", test_alive },
           { "many traits", test_many },
           { NULL, NULL } };
 
