Do not pause a call that has ended

Callers could see: all connections to an instance close at once, because its process crashes, when an engine ends a stream with a long comment and the caller is slow.

Cause: what follows the last event of a stream is passed on when the response is complete. The call to the endpoint has ended then, and pausing it because more than 256 KiB wait for the caller dereferences a null pointer.

It tries several sizes, because the kernel's buffers decide how much waits.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -166,7 +166,9 @@
   request->forwarded_us = now_us;
   gw_forward_head (request);
   h1_response_body (request->exchange, data, bytes);
-  if (h1_exchange_pending_bytes (request->exchange) > GW_PENDING_MAX_BYTES)
+  /* The last bytes are passed on when the call has ended.  */
+  if (request->call != NULL
+      && h1_exchange_pending_bytes (request->exchange) > GW_PENDING_MAX_BYTES)
     h1_call_set_reading (request->call, false);
 }
 
--- a/regress/truncated_stream_test.c
+++ b/regress/truncated_stream_test.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gw_fixture.h"
 #include "unit.h"
 
@@ -10,10 +12,16 @@
 #define LENGTH(n)                                                             \
   GWF_OK_HEAD                                                                 \
   "Content-Type: text/event-stream\r\nContent-Length: " n "\r\n\r\n"
-#define ENDLESS_BYTES    (4U << 20)
-#define CLOSE_TIMEOUT_US 500000
-#define EVENT(n)         "id: " n "\ndata: x\n\n"
-#define PART(n)          "id: " n "\nda"
+#define ENDLESS_BYTES      (4U << 20)
+#define CLOSE_TIMEOUT_US   500000
+#define LONG_EVENT_BYTES   1000
+#define LONG_MIN_BYTES     (100U << 10)
+#define LONG_MAX_BYTES     (6U << 20)
+#define LONG_STEP_BYTES    (100U << 10)
+#define LONG_COMMENT_BYTES (250U << 10)
+#define STALL_US           60000
+#define EVENT(n)           "id: " n "\ndata: x\n\n"
+#define PART(n)            "id: " n "\nda"
 
 static const struct gwf_case truncated[] = {
   { "no length, closed within an event",
@@ -209,6 +217,64 @@
   g_free (event);
 }
 
+/* Return a stream of BYTES bytes or a little more, and a long comment at the
+   end, to be freed with g_free.  */
+static char *
+long_stream (size_t bytes)
+{
+  GString *events = g_string_new (NULL);
+  char *data = g_strnfill (LONG_EVENT_BYTES, 'x');
+  char *comment = g_strnfill (LONG_COMMENT_BYTES, 'x');
+  char *response;
+
+  for (uint32_t id = 1; events->len < bytes; id++)
+    g_string_append_printf (events, "id: %u\ndata: %s\n\n", id, data);
+  g_string_append_printf (events, ": %s end\n", comment);
+  response = g_strdup_printf (GWF_OK_HEAD
+                              "Content-Type: text/event-stream\r\n"
+                              "Content-Length: %zu\r\n\r\n" EVENT ("0") "|%s",
+                              events->len + strlen (EVENT ("0")), events->str);
+  g_string_free (events, TRUE);
+  g_free (comment);
+  g_free (data);
+  return response;
+}
+
+/* Guards against a crash when a stream ends with a comment while much of it
+   waits for its caller.  Which size that is depends on the kernel.  */
+static void
+test_slow_caller (void)
+{
+  gwf_start ();
+  for (size_t bytes = LONG_MIN_BYTES; bytes <= LONG_MAX_BYTES;
+       bytes += LONG_STEP_BYTES)
+    {
+      char *response = long_stream (bytes);
+      struct wire_script script = { response, WIRE_KEEP, false };
+      char *request = gwf_request_text ("flow");
+      uint64_t start_us = tm_now_us (gwf_gw.tm);
+      struct wire_caller *caller;
+
+      gwf_reset_endpoints ();
+      gwf_set_script (0, &script);
+      caller = wire_caller_new (gwf_gw.loop, h1_server_port (gwf_gw.callers),
+                                request);
+      while (wire_caller_status (caller) == 0)
+        uv_run (gwf_gw.loop, UV_RUN_ONCE);
+      wire_caller_set_reading (caller, false);
+      while (tm_now_us (gwf_gw.tm) - start_us < STALL_US)
+        uv_run (gwf_gw.loop, UV_RUN_NOWAIT);
+      wire_caller_set_reading (caller, true);
+      while (!gwf_call_is_done (caller, 1))
+        uv_run (gwf_gw.loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (wire_caller_status (caller), 200);
+      CU_ASSERT_TRUE (g_str_has_suffix (wire_caller_body (caller), " end\n"));
+      gwf_end_call (caller);
+      g_free (request);
+      g_free (response);
+    }
+}
+
 int
 main (void)
 {
@@ -216,6 +282,7 @@
       = { { "truncated streams", test_truncated },
           { "complete streams", test_complete },
           { "event without end", test_endless_event },
+          { "comment at the end, slow caller", test_slow_caller },
           { NULL, NULL } };
 
   return unit_main ("truncated_stream", tests);
