Keep refused requests of the own front in the key-value service

Callers could see: a request that is refused as poison crashes engines again after all instances of a zone have restarted together.

Cause: what instances know about requests that crash engines was in memory and passed between members only; nobody is left to pass it on then. The gateway already has records in its store.

Members read the records when they start. Suspicions of one crash are not written: most are of requests that ran beside the cause.

peers_test, "suspects, all restart", fails without the write: no member knows the request after the restart. Not measured on real processes.

--- a/cowslipcoved/peers.c
+++ b/cowslipcoved/peers.c
@@ -116,6 +116,7 @@
                       settings->peers->len, cd_heartbeat_send, peers);
   cfg_start (peers->cfg, addresses, settings->peers->len);
   cfg_set_watching (peers->cfg, true);
+  peers->suspects_store = cd_suspects_store_new (peers);
   cd_reports_start (peers);
 }
 
@@ -164,6 +165,7 @@
   if (peers == NULL)
     return;
   cd_reports_free (peers);
+  cd_suspects_store_free (peers->suspects_store);
   mem_beat_free (peers->beat);
   mem_register_free (peers->reg);
   cfg_free (peers->cfg);
--- a/cowslipcoved/peers_impl.h
+++ b/cowslipcoved/peers_impl.h
@@ -48,7 +48,8 @@
   GHashTable *endpoints;         /* mem_load_hash -> address in DOCUMENT */
   GHashTable *fetches;           /* address -> struct cd_fetch in progress */
   GArray *suspicions;            /* struct cd_suspicion */
-  GHashTable *calls;             /* set of contexts of calls in progress */
+  struct cd_suspects_store *suspects_store;
+  GHashTable *calls; /* set of contexts of calls in progress */
   struct tm_timer poll_timer;
   uint64_t generation; /* of DOCUMENT */
   uint64_t fence;      /* highest in heartbeats of the zone */
@@ -76,6 +77,10 @@
 void cd_suspects_keep (struct cd_peers *peers, const cs_suspects *suspects);
 cs_suspect *cd_suspects_recent (struct cd_peers *peers, uint64_t within_us,
                                 bool own, u_int *count);
+struct cd_suspects_store *cd_suspects_store_new (struct cd_peers *peers);
+void cd_suspects_store_free (struct cd_suspects_store *store);
+void cd_suspects_save (struct cd_suspects_store *store,
+                       const cs_suspects *suspects);
 void cd_reports_start (struct cd_peers *peers);
 void cd_reports_free (struct cd_peers *peers);
 void *cd_peers_call_new (struct cd_peers *peers, size_t bytes);
--- a/cowslipcoved/peers_suspects.c
+++ b/cowslipcoved/peers_suspects.c
@@ -168,6 +168,7 @@
   broadcast->arg = arg;
   for (u_int i = 0; i < suspects->suspects.suspects_len; i++)
     cd_suspicion_record (peers, &suspects->suspects.suspects_val[i], true);
+  cd_suspects_save (peers->suspects_store, suspects);
   cd_suspects_send (broadcast, &copy);
   if (broadcast->pending == 0)
     tm_after (daemon->tm, &broadcast->done_timer, 0,
--- a/regress/peers_test.c
+++ b/regress/peers_test.c
@@ -166,6 +166,7 @@
 
   fake_kv_cancel_calls (rig->kv, daemon->peers->reg);
   fake_kv_cancel_calls (rig->kv, daemon->peers->cfg);
+  fake_kv_cancel_calls (rig->kv, daemon->peers->suspects_store);
   cd_peers_free (daemon->peers);
   rpc_node_free (daemon->rpc);
   for (int event = 0; event < CD_EVENT_COUNT; event++)
@@ -529,6 +530,48 @@
   rig_stop (&rig);
 }
 
+static bool
+suspect_saved (const struct rig *rig)
+{
+  return fake_kv_count (rig->kv, "cowslip/e/suspects/z/") == 1;
+}
+
+static bool
+suspect_known (const struct rig *rig)
+{
+  for (uint32_t i = 0; i < NODES; i++)
+    if (rig->observed[i].fingerprint != 78)
+      return false;
+  return true;
+}
+
+/* Guards against forgetting which requests crash engines when all members
+   restart, also if the service was away at the time of the crash.  */
+static void
+test_suspects_restart (void)
+{
+  cs_suspect suspect = { 78, 2, 0 };
+  cs_suspects suspects;
+  static struct rig rig;
+
+  rig_start (&rig);
+  run_until (&rig, all_connected);
+  suspects.suspects.suspects_len = 1;
+  suspects.suspects.suspects_val = &suspect;
+  fake_kv_set_fault (rig.kv, FAKE_KV_UNAVAILABLE);
+  cd_peers_send_suspects (&rig.nodes[0], &suspects, on_suspects_acked, &rig);
+  run_until (&rig, suspects_acked);
+  CU_ASSERT_FALSE (suspect_saved (&rig));
+  fake_kv_set_fault (rig.kv, FAKE_KV_NONE);
+  run_until (&rig, suspect_saved);
+  for (uint32_t i = 0; i < NODES; i++)
+    node_stop (&rig, i);
+  for (uint32_t i = 0; i < NODES; i++)
+    node_start (&rig, i, 400 + i);
+  run_until (&rig, suspect_known);
+  rig_stop (&rig);
+}
+
 int
 main (void)
 {
@@ -537,6 +580,7 @@
           { "patches", test_patches },
           { "signals", test_signals },
           { "suspects", test_suspects },
+          { "suspects, all restart", test_suspects_restart },
           { NULL, NULL } };
 
   return unit_main ("peers", tests);
