--- a/cowslipcoved/peers_suspects_store.c
+++ b/cowslipcoved/peers_suspects_store.c
@@ -147,7 +147,7 @@
 {
   struct cd_suspects_store *store = arg;
   struct kv_op ops[CD_SUSPECT_OPS_MAX];
-  char *keys[CD_SUSPECT_OPS_MAX];
+  char *keys[CD_SUSPECT_OPS_MAX] = { NULL };
   struct kv_txn txn = { .then_ops = ops };
   char *prefix;
 
