Compute the hash of a relayed value in one place

Changes and reads condensed a value and then chose between two hashes, each in its own copy. rly_condense does both now.

--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -127,15 +127,21 @@
   g_array_append_val (changes, change);
 }
 
-/* Condense VALUE into OUT and return its kind.  */
+/* Condense VALUE of KEY at REVISION into OUT, store its hash in HASH and
+   return its kind.  */
 static enum rly_kind
 rly_condense (const struct rly_stream *stream, const char *key,
-              const char *value, size_t bytes, GString *out)
+              int64_t revision, const char *value, size_t bytes, GString *out,
+              uint64_t *hash)
 {
   const struct rly *rly = stream->rly;
 
   if (rly->callbacks.condense (rly->arg, key, value, bytes, out))
-    return RLY_PUT;
+    {
+      *hash = rly_hash (stream, key, revision, out->str, out->len);
+      return RLY_PUT;
+    }
+  *hash = rly_hash (stream, key, revision, value, bytes);
   g_string_truncate (out, 0);
   return RLY_REPLACE;
 }
@@ -162,14 +168,8 @@
 
   stream->revision = MAX (stream->revision, change->revision);
   if (change->value != NULL)
-    {
-      kind = rly_condense (stream, change->key, change->value,
-                           change->value_bytes, value);
-      hash = kind == RLY_PUT ? rly_hash (stream, change->key, change->revision,
-                                         value->str, value->len)
-                             : rly_hash (stream, change->key, change->revision,
-                                         change->value, change->value_bytes);
-    }
+    kind = rly_condense (stream, change->key, change->revision, change->value,
+                         change->value_bytes, value, &hash);
   if (rly_update_item (stream, change->key, hash, change->revision))
     {
       rly_keep_change (stream->changes, change->key, kind, change->revision,
@@ -412,12 +412,8 @@
   uint64_t hash;
 
   g_string_truncate (value, 0);
-  kind = rly_condense (stream, pair->key, pair->value, pair->value_bytes,
-                       value);
-  hash = kind == RLY_PUT ? rly_hash (stream, pair->key, pair->revision,
-                                     value->str, value->len)
-                         : rly_hash (stream, pair->key, pair->revision,
-                                     pair->value, pair->value_bytes);
+  kind = rly_condense (stream, pair->key, pair->revision, pair->value,
+                       pair->value_bytes, value, &hash);
   if (rly_update_item (stream, pair->key, hash, pair->revision))
     rly_keep_change (stream->changes, pair->key, kind, pair->revision,
                      value->str, value->len);
