Define the limits of suspicions once

The records of refused requests had their own copies of the number of crashes after which a request is refused and of the time after which a suspicion lapses; heartbeats had a third copy of the latter. psn.h has both now. No change of behaviour: peers_test, psn_test, dsp_test and requests_test pass unchanged.

--- a/cowslipcoved/peers_heartbeat.c
+++ b/cowslipcoved/peers_heartbeat.c
@@ -2,11 +2,12 @@
 
 #include "control.h"
 #include "peers_impl.h"
+#include "psn.h"
 
 /* Suspicions are repeated in heartbeats for 10 s.  The first heartbeat to a
    new member carries all that are still valid, which is for 10 minutes.  */
 #define CD_SUSPICION_REPEAT_US 10000000
-#define CD_SUSPICION_VALID_US  600000000
+#define CD_SUSPICION_VALID_US  (PSN_EXPIRY_S * 1000000ULL)
 
 struct cd_heartbeat_call
 {
--- a/cowslipcoved/peers_suspects_store.c
+++ b/cowslipcoved/peers_suspects_store.c
@@ -2,21 +2,18 @@
 
 #include "kv_backoff.h"
 #include "peers_impl.h"
+#include "psn.h"
 
 /* Keeps the requests that are refused because they crash engines in the
    key-value service, so that they are known when all members of the zone have
    restarted.  Suspicions of one crash are not kept: they would cost a write
    for each request that ran beside the cause.  */
 
-/* Crashes after which a request is refused.  */
-#define CD_REFUSED_CRASHES 2
-/* A suspicion lapses after this time, and so does its record.  */
-#define CD_SUSPECT_TTL_S UINT32_C (600)
 /* Records in one transaction, and waiting for one; the oldest yields.  */
 #define CD_SUSPECT_OPS_MAX    32
 #define CD_UNSAVED_MAX        1024
 #define CD_HEXADECIMAL        16
-#define CD_SUSPECT_VALUE      "{\"crashes\":2}"
+#define CD_SUSPECT_VALUE      "{\"crashes\":" G_STRINGIFY (PSN_CRASHES_MAX) "}"
 #define CD_SUSPECT_KEY_FORMAT "cowslip/%s/suspects/%s/"
 
 struct cd_suspects_store
@@ -76,7 +73,7 @@
       if (!cd_suspect_parse_key (result->pairs[i].key, strlen (prefix),
                                  &suspect->fingerprint))
         continue;
-      suspect->crashes = CD_REFUSED_CRASHES;
+      suspect->crashes = PSN_CRASHES_MAX;
       suspects.suspects.suspects_len++;
     }
   if (suspects.suspects.suspects_len > 0)
@@ -184,7 +181,7 @@
   if (store->busy || store->unsaved->len == 0)
     return;
   store->busy = true;
-  kv->methods->lease_grant (kv->context, CD_SUSPECT_TTL_S, cd_suspects_leased,
+  kv->methods->lease_grant (kv->context, PSN_EXPIRY_S, cd_suspects_leased,
                             store);
 }
 
@@ -196,7 +193,7 @@
     {
       const cs_suspect *suspect = &suspects->suspects.suspects_val[i];
 
-      if (suspect->crashes < CD_REFUSED_CRASHES)
+      if (suspect->crashes < PSN_CRASHES_MAX)
         continue;
       if (store->unsaved->len >= CD_UNSAVED_MAX && !store->busy)
         g_array_remove_index (store->unsaved, 0);
--- a/libcowslip/psn.c
+++ b/libcowslip/psn.c
@@ -1,9 +1,8 @@
 #include "psn.h"
 
-#define PSN_CRASHES_MAX 2
-#define PSN_EXPIRY_US   600000000ULL
-#define PSN_US_PER_MS   1000
-#define PSN_TABLE_MAX   4096 /* capacity of one message to the peers */
+#define PSN_EXPIRY_US (PSN_EXPIRY_S * 1000000ULL)
+#define PSN_US_PER_MS 1000
+#define PSN_TABLE_MAX 4096 /* capacity of one message to the peers */
 /* A crash that a peer reports as at most this much newer than the clearing of
    its suspicion may be an older one whose message was delayed.  */
 #define PSN_REPORT_DELAY_US 1000000ULL
--- a/libcowslip/psn.h
+++ b/libcowslip/psn.h
@@ -12,6 +12,11 @@
    identified by fingerprint.  */
 struct psn_table;
 
+/* Crashes after which a request is refused.  */
+#define PSN_CRASHES_MAX 2
+/* A suspicion lapses this long after the last crash.  */
+#define PSN_EXPIRY_S 600
+
 enum psn_verdict
 {
   PSN_CLEAR,
