--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -327,11 +327,12 @@
 static void
 test_alive (void)
 {
-  const struct flt_endpoint *first = flt_find (gwf_gw.fleet, "e1");
   cs_crash event = { .trait = 8, .age_ms = LATER_MS };
+  const struct flt_endpoint *first;
   uint32_t arrivals = 0;
 
   start_second ();
+  first = flt_find (gwf_gw.fleet, "e1");
   event.crash = gw_crash_id ("e1", first->entry.started_ms);
   for (uint32_t i = 0; i < WHOLE_SENDS_MAX; i++)
     {
