Ignore an older term where records are applied

A lost campaign guarded against an older term itself, on top of the function that applies records and already does so for the leader. The guard is there now, so that a watch that is behind such a reply does not put the term back either. ldr/* (11 scripts) pass unchanged, ldr/missed among them.

--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -165,6 +165,18 @@
   ldr_member_free (member);
 }
 
+static void
+ldr_apply_term (struct ldr *ldr, const char *value, size_t bytes,
+                int64_t revision)
+{
+  /* As for the leader: a reply may have brought a newer one.  */
+  if (revision < ldr->term_revision)
+    return;
+  ldr->term_revision = revision;
+  g_free (ldr->past_leaders);
+  ldr->past_leaders = value == NULL ? NULL : g_strndup (value, bytes);
+}
+
 static void
 ldr_apply_peer_key (struct ldr *ldr, const char *value, size_t bytes)
 {
@@ -208,11 +220,7 @@
   else if (g_str_equal (key, ldr_leader_key))
     ldr_apply_leader (ldr, value, bytes, revision, lease);
   else if (g_str_equal (key, ldr_term_key))
-    {
-      ldr->term_revision = revision;
-      g_free (ldr->past_leaders);
-      ldr->past_leaders = value == NULL ? NULL : g_strndup (value, bytes);
-    }
+    ldr_apply_term (ldr, value, bytes, revision);
   else if (g_str_equal (key, ldr_peak_members_key))
     {
       ldr->peak_revision = revision;
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -106,10 +106,8 @@
     {
       const struct kv_pair *pair = &result->pairs[i];
 
-      if (!g_str_equal (pair->key, ldr_term_key)
-          || pair->revision > ldr->term_revision)
-        ldr_table_apply (ldr, pair->key, pair->value, pair->value_bytes,
-                         pair->revision, pair->lease);
+      ldr_table_apply (ldr, pair->key, pair->value, pair->value_bytes,
+                       pair->revision, pair->lease);
     }
   ldr_update_role (ldr);
 }
