Do not cut a response that has begun before its caller's time limit

Callers saw their connection closed within an event stream, 20 ms before their time limit or the route's.

Cause: a request's deadline is the caller's limit less a margin of 20 ms, in which a 504 can still arrive. The same deadline ended responses that had begun. For those the margin only loses the end of the response, and the gateway is the side that breaks off. Endpoints got the shortened limit too, so they stopped as early.

A response that has begun now ends 50 ms after its caller's limit. Requests of streaming routes are sent with the caller's limit. Requests without any byte of a response are answered with 504 as before.

The class of fault: one deadline for two purposes.

gw_answers_test, "cut before the limit", failed before: closed at 880 ms of 900 ms. It passes now.

--- a/cowslipcoved/gw_head.c
+++ b/cowslipcoved/gw_head.c
@@ -48,10 +48,13 @@
   uint32_t engine_priority
       = MIN (GW_ENGINE_PRIORITY_BASE + request->route->priority,
              GW_ENGINE_PRIORITY_MAX);
+  uint32_t remaining_ms = request->route->kind == RTE_STREAM
+                              ? gw_caller_remaining_ms (request)
+                              : gw_remaining_ms (request);
   char number[32];
 
   h1_head_add (head, fields->expected_endpoint, endpoint->entry.id);
-  (void)snprintf (number, sizeof number, "%u", gw_remaining_ms (request));
+  (void)snprintf (number, sizeof number, "%u", remaining_ms);
   h1_head_add (head, fields->deadline_remaining_ms, number);
   if (request->model != NULL)
     {
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -130,8 +130,9 @@
   struct gw_demand *adapter_demand;
   uint64_t prefix;
   uint64_t arrived_us;
-  uint64_t deadline_us;
-  uint64_t waited_us;     /* total of completed waits in the queue */
+  uint64_t deadline_us;        /* for the first bytes of a response */
+  uint64_t caller_deadline_us; /* when its caller gives up */
+  uint64_t waited_us;          /* total of completed waits in the queue */
   uint64_t first_byte_us; /* from arrival to the first bytes of the body */
   uint64_t forwarded_us;  /* when bytes were last forwarded to the caller */
   uint64_t max_gap_us;    /* longest time between two parts of the body */
@@ -187,6 +188,7 @@
 void gw_request_finish (struct gw_request *request, uint16_t status,
                         const char *outcome);
 uint32_t gw_remaining_ms (const struct gw_request *request);
+uint32_t gw_caller_remaining_ms (const struct gw_request *request);
 
 void gw_route_request (struct gw *gw, struct h1_exchange *exchange,
                        uint64_t arrived_us);
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -10,7 +10,10 @@
 /* A request is answered this long before its caller times out, so that the
    response arrives in time; the one-way latency is 3 ms.  */
 #define GW_RESPONSE_MARGIN_MS 20
-#define GW_CHECK_INTERVAL_MS  100
+/* A response that has begun is ended this long after the caller's time limit,
+   so that the caller, which may still receive its end, leaves first.  */
+#define GW_STARTED_GRACE_MS  50
+#define GW_CHECK_INTERVAL_MS 100
 
 static void gw_caller_disconnected (void *arg);
 
@@ -28,6 +31,18 @@
              : (uint32_t)((request->deadline_us - now_us) / GW_US_PER_MS);
 }
 
+/* Return the time until the caller of REQUEST gives up, in milliseconds.  */
+uint32_t
+gw_caller_remaining_ms (const struct gw_request *request)
+{
+  uint64_t now_us = tm_now_us (request->gw->tm);
+
+  return now_us >= request->caller_deadline_us
+             ? 0
+             : (uint32_t)((request->caller_deadline_us - now_us)
+                          / GW_US_PER_MS);
+}
+
 static const char *
 gw_request_field (const struct gw_request *request, const char *name)
 {
@@ -106,12 +121,24 @@
 
 static void gw_request_check (void *arg);
 
+/* Return when REQUEST ends at the latest.  */
+static uint64_t
+gw_request_end_us (const struct gw_request *request)
+{
+  return request->response_started
+             ? request->caller_deadline_us + GW_STARTED_GRACE_MS * GW_US_PER_MS
+             : request->deadline_us;
+}
+
 static void
 gw_request_schedule_check (struct gw_request *request)
 {
+  uint64_t now_us = tm_now_us (request->gw->tm);
+  uint64_t end_us = gw_request_end_us (request);
+  uint64_t left_us = end_us > now_us ? end_us - now_us : 0;
+
   tm_after (request->gw->tm, &request->timer,
-            MIN (GW_CHECK_INTERVAL_MS, gw_remaining_ms (request) + 1)
-                * GW_US_PER_MS,
+            MIN (GW_CHECK_INTERVAL_MS * GW_US_PER_MS, left_us + GW_US_PER_MS),
             gw_request_check, request);
 }
 
@@ -122,7 +149,7 @@
 {
   struct gw_request *request = arg;
 
-  if (gw_remaining_ms (request) == 0)
+  if (tm_now_us (request->gw->tm) >= gw_request_end_us (request))
     {
       gw_expire (request);
       return;
@@ -177,6 +204,8 @@
 
   if (value != NULL)
     remaining_ms = MIN (remaining_ms, strtoull (value, NULL, 10));
+  request->caller_deadline_us
+      = request->arrived_us + remaining_ms * GW_US_PER_MS;
   remaining_ms = remaining_ms > GW_RESPONSE_MARGIN_MS
                      ? remaining_ms - GW_RESPONSE_MARGIN_MS
                      : 0;
--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -7,6 +7,8 @@
 /* A byte each 30 ms lasts for 1.8 s; the caller waits for 0.9 s.  */
 #define DRIP_PAUSE_MS 30
 #define DRIP_END_MS   1100
+/* Time limit of the caller of gwf_request_text.  */
+#define LIMIT_MS 900
 
 /* Tests how the gateway handles complete, truncated and malformed responses of
    endpoints, over loopback with a scripted caller and endpoints.  */
@@ -358,6 +360,35 @@
     }
 }
 
+/* Guards against closing a caller's connection within a response before the
+   caller's time limit.  */
+static void
+test_cut_before_limit (void)
+{
+  static const struct wire_script script
+      = { GWF_EVENTS GWF_EVENT ("1") "ff\r\nid: 2\ndata: " DRIP DRIP,
+          WIRE_KEEP, false };
+  char *bytes = gwf_request_text ("flow");
+  uint64_t start_us;
+  uint64_t took_us;
+  struct wire_caller *caller;
+
+  gwf_start ();
+  gwf_reset_endpoints ();
+  wire_endpoint_set_pause (gwf_endpoints[0], DRIP_PAUSE_MS);
+  gwf_set_script (0, &script);
+  gwf_set_script (1, NULL);
+  start_us = tm_now_us (gwf_gw.tm);
+  caller = gwf_call (bytes, 1);
+  took_us = tm_now_us (gwf_gw.tm) - start_us;
+  CU_ASSERT_TRUE (wire_caller_closed (caller));
+  CU_ASSERT_EQUAL (wire_caller_status (caller), 200);
+  CU_ASSERT_TRUE (took_us >= LIMIT_MS * GW_US_PER_MS);
+  CU_ASSERT_TRUE (took_us < DRIP_END_MS * GW_US_PER_MS);
+  gwf_end_call (caller);
+  g_free (bytes);
+}
+
 int
 main (void)
 {
@@ -365,6 +396,7 @@
       = { { "responses", test_cases },
           { "pause without a retry budget", test_pause_without_budget },
           { "dripping responses", test_dripping },
+          { "cut before the limit", test_cut_before_limit },
           { NULL, NULL } };
 
   return unit_main ("gw_answers", tests);
