Send the last response of a connection completely

Callers that read slowly got a truncated response with "Connection: close", and during a shutdown.

Cause: the second in which a peer may close its side began when the response was queued, not when it was sent, so bytes that still waited were dropped. The connection had left the server's table by then, so a shutdown did not wait for them either.

The second now begins when all bytes were handed to the kernel. Until then the connection is closed only if its peer takes nothing for 4 s, the time after which it is considered dead elsewhere. The connection stays in the table until it is closed, and h1_server_close_idle leaves it alone.

h1_server_test, "slow reader of the last response", failed before (the body was truncated after a pause of 1.2 s) and passes now.

--- a/libcowslip/h1_conn.c
+++ b/libcowslip/h1_conn.c
@@ -7,8 +7,12 @@
 
 #define H1_READ_BYTES 16384
 #define H1_US_PER_MS  UINT64_C (1000)
-/* Time for a peer to close its side after the last response.  */
+/* Time for a peer to close its side after the last response was sent.  */
 #define H1_LINGER_US 1000000
+/* While the last response is sent, its progress is checked at this interval.
+   A peer that has taken no bytes for some of them is considered dead.  */
+#define H1_FLUSH_CHECK_US   1000000
+#define H1_FLUSH_STALLS_MAX 4
 /* A peer that acknowledges no data for this long is considered dead.
    Retransmissions on a lossy network path take less than a second.  */
 #define H1_USER_TIMEOUT_MS 4000U
@@ -23,6 +27,8 @@
   uv_shutdown_t shutdown;
   struct tm_timer timer;
   size_t pending_bytes;
+  size_t unflushed_bytes; /* at the last check */
+  uint32_t flush_stalls;
   bool connected;
   bool reading;
   bool shutting_down;
@@ -111,7 +117,7 @@
 
   if (bytes < 0)
     h1_conn_report_closed (conn, h1_conn_was_reset (conn, bytes));
-  else if (bytes > 0 && conn->events != NULL && !conn->shutting_down)
+  else if (bytes > 0 && conn->events != NULL)
     conn->events->data (conn->arg, buffer->base, (size_t)bytes);
 }
 
@@ -275,28 +281,55 @@
   return conn->pending_bytes;
 }
 
+/* Close the connection ARG, which is being shut down, if its peer takes no
+   more bytes.  */
+static void
+h1_conn_check_flush (void *arg)
+{
+  struct h1_conn *conn = arg;
+  size_t queued
+      = uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
+
+  conn->flush_stalls
+      = queued < conn->unflushed_bytes ? 0 : conn->flush_stalls + 1;
+  conn->unflushed_bytes = queued;
+  if (conn->flush_stalls >= H1_FLUSH_STALLS_MAX)
+    h1_conn_report_closed (conn, true);
+  else
+    tm_after (conn->tm, &conn->timer, H1_FLUSH_CHECK_US, h1_conn_check_flush,
+              conn);
+}
+
 static void
 h1_conn_on_shutdown (uv_shutdown_t *request, int status)
 {
-  (void)request;
-  (void)status;
+  struct h1_conn *conn = request->handle->data;
+
+  if (uv_is_closing ((uv_handle_t *)&conn->tcp))
+    return;
+  if (status != 0)
+    h1_conn_report_closed (conn, true);
+  else
+    tm_after (conn->tm, &conn->timer, H1_LINGER_US, h1_conn_timed_out, conn);
 }
 
-/* Send the queued bytes, then close gracefully.  Received data is read and
-   discarded meanwhile, because closing a socket with unread bytes sends a
-   reset.  There are no further callbacks.  */
+/* Send the queued bytes, then close gracefully.  Reading goes on meanwhile,
+   because closing a socket with unread bytes sends a reset.  The CLOSED
+   callback is called at the end.  */
 void
 h1_conn_shutdown (struct h1_conn *conn)
 {
   if (conn->shutting_down || uv_is_closing ((uv_handle_t *)&conn->tcp))
     return;
   conn->shutting_down = true;
-  conn->events = NULL;
   h1_conn_set_reading (conn, true);
+  conn->unflushed_bytes
+      = uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
   if (uv_shutdown (&conn->shutdown, (uv_stream_t *)&conn->tcp,
                    h1_conn_on_shutdown)
       != 0)
-    h1_conn_close (conn);
+    tm_after (conn->tm, &conn->timer, 0, h1_conn_timed_out, conn);
   else
-    tm_after (conn->tm, &conn->timer, H1_LINGER_US, h1_conn_timed_out, conn);
+    tm_after (conn->tm, &conn->timer, H1_FLUSH_CHECK_US, h1_conn_check_flush,
+              conn);
 }
--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -22,6 +22,16 @@
   g_free (exchange);
 }
 
+/* Close the connection of EXCHANGE when its last response has been sent.  */
+void
+h1_exchange_shutdown (struct h1_exchange *exchange)
+{
+  exchange->closing = true;
+  exchange->events = NULL;
+  tm_cancel (exchange->server->tm, &exchange->timer);
+  h1_conn_shutdown (exchange->conn);
+}
+
 static void
 h1_exchange_on_closed (void *arg, bool reset)
 {
@@ -149,6 +159,8 @@
 {
   struct h1_exchange *exchange = arg;
 
+  if (exchange->closing)
+    return;
   if (exchange->busy || exchange->pipelined->len > 0)
     h1_exchange_buffer_pipelined (exchange, data, bytes);
   else
--- a/libcowslip/h1_response.c
+++ b/libcowslip/h1_response.c
@@ -60,9 +60,7 @@
   exchange->busy = false;
   if (exchange->close_after)
     {
-      h1_conn_shutdown (exchange->conn);
-      exchange->conn = NULL;
-      h1_exchange_destroy (exchange);
+      h1_exchange_shutdown (exchange);
       return;
     }
   h1_exchange_next_request (exchange);
--- a/libcowslip/h1_server.c
+++ b/libcowslip/h1_server.c
@@ -77,7 +77,7 @@
     {
       struct h1_exchange *exchange = item->data;
 
-      if (!exchange->busy && !exchange->parser.started)
+      if (!exchange->busy && !exchange->closing && !exchange->parser.started)
         h1_exchange_destroy (exchange);
     }
   g_list_free (all);
--- a/libcowslip/h1_server_impl.h
+++ b/libcowslip/h1_server_impl.h
@@ -29,7 +29,8 @@
   GByteArray *pipelined; /* pipelined bytes after the current request */
   const struct h1_exchange_events *events;
   void *arg;
-  bool busy; /* a request awaits its response */
+  bool busy;    /* a request awaits its response */
+  bool closing; /* the last response is being sent */
   bool oversize;
   bool close_after;
   bool chunked; /* the response uses chunked transfer coding */
@@ -38,6 +39,7 @@
 
 void h1_exchange_next_request (struct h1_exchange *exchange);
 void h1_exchange_destroy (struct h1_exchange *exchange);
+void h1_exchange_shutdown (struct h1_exchange *exchange);
 struct h1_exchange *h1_exchange_accept (struct h1_server *server);
 
 #endif
--- /dev/null
+++ b/regress/h1_server_test.c
@@ -0,0 +1,94 @@
+#include <string.h>
+
+#include "h1_server.h"
+#include "tm_uv.h"
+#include "unit.h"
+#include "wire.h"
+
+/* Tests when the server closes connections, over loopback with callers that
+   read slowly.  */
+
+/* More than the kernel buffers of a connection hold.  */
+#define BODY_BYTES (64U << 20)
+/* Longer than the time that a caller has to close its side.  */
+#define READER_PAUSE_MS 1200
+#define US_PER_MS       UINT64_C (1000)
+
+static struct tm_uv timer;
+static struct h1_server *server;
+static char *body;
+
+static void
+on_request (void *arg, struct h1_exchange *exchange)
+{
+  (void)arg;
+  h1_respond (exchange, 200, NULL, 0, body);
+}
+
+static void
+start (void)
+{
+  static const struct h1_server_events events = { on_request };
+  GError *error = NULL;
+
+  if (server != NULL)
+    return;
+  body = g_strnfill (BODY_BYTES, 'b');
+  tm_uv_start (&timer, uv_default_loop ());
+  server = h1_server_new (uv_default_loop (), timer.service, "127.0.0.1:0",
+                          &events, NULL, &error);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (server);
+}
+
+static void
+run_ms (uint64_t ms)
+{
+  uint64_t start_us = tm_now_us (timer.service);
+
+  while (tm_now_us (timer.service) - start_us < ms * US_PER_MS)
+    uv_run (uv_default_loop (), UV_RUN_NOWAIT);
+}
+
+/* Send REQUEST from a caller that pauses within the response.  Return the
+   bytes of the body that it gets.  */
+static size_t
+read_slowly (const char *request)
+{
+  struct wire_caller *caller
+      = wire_caller_new (uv_default_loop (), h1_server_port (server), request);
+  size_t bytes;
+
+  while (wire_caller_status (caller) == 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  wire_caller_set_reading (caller, false);
+  run_ms (READER_PAUSE_MS);
+  wire_caller_set_reading (caller, true);
+  while (wire_caller_responses (caller) == 0 && !wire_caller_closed (caller))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  bytes = strlen (wire_caller_body (caller));
+  wire_caller_close (caller);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  return bytes;
+}
+
+/* Guards against closing a connection while its last response is being sent to
+   a caller that reads slowly.  */
+static void
+test_last_response (void)
+{
+  start ();
+  CU_ASSERT_EQUAL (
+      read_slowly ("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"),
+      BODY_BYTES);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "slow reader of the last response", test_last_response },
+          { NULL, NULL } };
+
+  return unit_main ("h1_server", tests);
+}
