Begin the time between two requests when the response was sent

Callers that read slowly got a truncated response on a connection that is kept, if the rest took longer than the idle timeout.

Cause: the idle timeout began when the response was queued. It now begins when all bytes were handed to the kernel.

h1_server_test, "slow reader and the idle timeout", failed before and passes now.

--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -47,16 +47,6 @@
     events->disconnected (owner);
 }
 
-static void
-h1_exchange_on_flushed (void *arg)
-{
-  struct h1_exchange *exchange = arg;
-
-  if (exchange->busy && exchange->events != NULL
-      && exchange->events->flushed != NULL)
-    exchange->events->flushed (exchange->arg);
-}
-
 static void
 h1_exchange_on_timer (void *arg)
 {
@@ -70,6 +60,28 @@
             h1_exchange_on_timer, exchange);
 }
 
+/* The time between two requests begins when the response was sent.  */
+static void
+h1_exchange_start_idle (struct h1_exchange *exchange)
+{
+  if (h1_conn_pending_bytes (exchange->conn) == 0)
+    h1_exchange_set_timeout (exchange,
+                             exchange->server->limits.idle_timeout_ms);
+}
+
+static void
+h1_exchange_on_flushed (void *arg)
+{
+  struct h1_exchange *exchange = arg;
+
+  if (exchange->busy && exchange->events != NULL
+      && exchange->events->flushed != NULL)
+    exchange->events->flushed (exchange->arg);
+  else if (!exchange->busy && !exchange->closing && !exchange->parser.started
+           && exchange->pipelined->len == 0)
+    h1_exchange_start_idle (exchange);
+}
+
 /* Respond with STATUS to a request that may be incomplete, and close the
    connection gracefully.  */
 static void
@@ -197,8 +209,7 @@
     tm_after (exchange->server->tm, &exchange->timer, 0,
               h1_exchange_on_pipelined, exchange);
   else
-    h1_exchange_set_timeout (exchange,
-                             exchange->server->limits.idle_timeout_ms);
+    h1_exchange_start_idle (exchange);
 }
 
 /* Accept a connection of SERVER.  A connection over the limit is closed
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -83,11 +83,28 @@
       BODY_BYTES);
 }
 
+/* The same when the time between requests runs out meanwhile.  */
+static void
+test_idle_timeout (void)
+{
+  static const struct h1_limits limits = { .head_max_bytes = 4096,
+                                           .body_max_bytes = 4096,
+                                           .head_timeout_ms = 5000,
+                                           .idle_timeout_ms = 500,
+                                           .connections_max = 10 };
+
+  start ();
+  h1_server_set_limits (server, &limits);
+  CU_ASSERT_EQUAL (read_slowly ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+                   BODY_BYTES);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
       = { { "slow reader of the last response", test_last_response },
+          { "slow reader and the idle timeout", test_idle_timeout },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
