Apply a raised idle timeout to connections that are idle

Beside a change of the configuration that raises IdleTimeoutMs, callers that reused a connection within the new limit found it closed, or their request crossed the close.

Cause: the timer of an idle connection was set with the limit that was in force when it became idle. It now looks at the limit in force when it expires, and waits for the rest. A lowered limit still applies from the next idle time on, as before.

h1_server_test, "raised idle timeout", failed before and passes now.

--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -60,13 +60,35 @@
             h1_exchange_on_timer, exchange);
 }
 
+/* Close the idle connection of ARG, unless the limit was raised meanwhile.  */
+static void
+h1_exchange_on_idle (void *arg)
+{
+  struct h1_exchange *exchange = arg;
+  const struct h1_server *server = exchange->server;
+  uint64_t end_us = exchange->idle_since_us
+                    + server->limits.idle_timeout_ms * H1_US_PER_MS;
+  uint64_t now_us = tm_now_us (server->tm);
+
+  if (now_us < end_us)
+    tm_after (server->tm, &exchange->timer, end_us - now_us,
+              h1_exchange_on_idle, exchange);
+  else
+    h1_exchange_destroy (exchange);
+}
+
 /* The time between two requests begins when the response was sent.  */
 static void
 h1_exchange_start_idle (struct h1_exchange *exchange)
 {
-  if (h1_conn_pending_bytes (exchange->conn) == 0)
-    h1_exchange_set_timeout (exchange,
-                             exchange->server->limits.idle_timeout_ms);
+  const struct h1_server *server = exchange->server;
+
+  if (h1_conn_pending_bytes (exchange->conn) > 0)
+    return;
+  exchange->idle_since_us = tm_now_us (server->tm);
+  tm_after (server->tm, &exchange->timer,
+            server->limits.idle_timeout_ms * H1_US_PER_MS, h1_exchange_on_idle,
+            exchange);
 }
 
 static void
@@ -238,7 +260,7 @@
                   server->limits.head_max_bytes, &h1_exchange_parser_events,
                   exchange);
   g_hash_table_add (server->connections, exchange);
-  h1_exchange_set_timeout (exchange, server->limits.idle_timeout_ms);
+  h1_exchange_start_idle (exchange);
   return exchange;
 }
 
--- a/libcowslip/h1_server_impl.h
+++ b/libcowslip/h1_server_impl.h
@@ -25,6 +25,7 @@
   struct h1_conn *conn; /* NULL: closed */
   struct h1_parser parser;
   struct tm_timer timer;
+  uint64_t idle_since_us;
   GByteArray *body;
   GByteArray *pipelined; /* pipelined bytes after the current request */
   const struct h1_exchange_events *events;
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -13,6 +13,9 @@
 /* Longer than the time that a caller has to close its side.  */
 #define READER_PAUSE_MS 1200
 #define US_PER_MS       UINT64_C (1000)
+#define SHORT_IDLE_MS   300
+#define LONG_IDLE_MS    3000
+#define SMALL_REQUEST   "GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
 
 static struct tm_uv timer;
 static struct h1_server *server;
@@ -21,8 +24,11 @@
 static void
 on_request (void *arg, struct h1_exchange *exchange)
 {
+  bool small
+      = g_str_has_prefix (h1_exchange_head (exchange)->target, "/small");
+
   (void)arg;
-  h1_respond (exchange, 200, NULL, 0, body);
+  h1_respond (exchange, 200, NULL, 0, small ? "" : body);
 }
 
 static void
@@ -83,18 +89,70 @@
       BODY_BYTES);
 }
 
-/* The same when the time between requests runs out meanwhile.  */
 static void
-test_idle_timeout (void)
+set_idle_timeout (uint32_t idle_timeout_ms)
 {
-  static const struct h1_limits limits = { .head_max_bytes = 4096,
-                                           .body_max_bytes = 4096,
-                                           .head_timeout_ms = 5000,
-                                           .idle_timeout_ms = 500,
-                                           .connections_max = 10 };
+  struct h1_limits limits = { .head_max_bytes = 4096,
+                              .body_max_bytes = 4096,
+                              .head_timeout_ms = 5000,
+                              .idle_timeout_ms = idle_timeout_ms,
+                              .connections_max = 10 };
 
-  start ();
   h1_server_set_limits (server, &limits);
+}
+
+/* Return a caller that has got one response on a connection that is kept.  */
+static struct wire_caller *
+keep_connection (void)
+{
+  struct wire_caller *caller = wire_caller_new (
+      uv_default_loop (), h1_server_port (server), SMALL_REQUEST);
+
+  while (wire_caller_responses (caller) == 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  return caller;
+}
+
+/* Wait for the second response to CALLER and close its connection.  Return
+   whether the response came.  */
+static bool
+end_connection (struct wire_caller *caller)
+{
+  bool answered;
+
+  while (wire_caller_responses (caller) < 2 && !wire_caller_closed (caller))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  answered = wire_caller_responses (caller) == 2;
+  wire_caller_close (caller);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  return answered;
+}
+
+/* Guards against closing a connection that became idle under a shorter limit
+   than the one in force.  */
+static void
+test_raised_limit (void)
+{
+  struct wire_caller *caller;
+
+  start ();
+  set_idle_timeout (SHORT_IDLE_MS);
+  caller = keep_connection ();
+  set_idle_timeout (LONG_IDLE_MS);
+  run_ms (2 * SHORT_IDLE_MS);
+  CU_ASSERT_FALSE (wire_caller_closed (caller));
+  wire_caller_send (caller, SMALL_REQUEST);
+  CU_ASSERT_TRUE (end_connection (caller));
+}
+
+/* Guards against a truncated response when the time between requests runs out
+   while it is being sent.  */
+static void
+test_idle_timeout (void)
+{
+  start ();
+  set_idle_timeout (SHORT_IDLE_MS);
   CU_ASSERT_EQUAL (read_slowly ("GET / HTTP/1.1\r\nHost: h\r\n\r\n"),
                    BODY_BYTES);
 }
@@ -105,6 +163,7 @@
   static const struct unit_test tests[]
       = { { "slow reader of the last response", test_last_response },
           { "slow reader and the idle timeout", test_idle_timeout },
+          { "raised idle timeout", test_raised_limit },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
--- a/regress/wire.c
+++ b/regress/wire.c
@@ -513,6 +513,13 @@
   return caller;
 }
 
+/* Send BYTES on the connection of CALLER, which is open.  */
+void
+wire_caller_send (struct wire_caller *caller, const char *bytes)
+{
+  wire_send (&caller->tcp, NULL, bytes, strlen (bytes));
+}
+
 static void
 wire_caller_freed (uv_handle_t *handle)
 {
--- a/regress/wire.h
+++ b/regress/wire.h
@@ -54,6 +54,7 @@
 
 struct wire_caller *wire_caller_new (uv_loop_t *loop, uint16_t port,
                                      const char *bytes);
+void wire_caller_send (struct wire_caller *caller, const char *bytes);
 void wire_caller_set_reading (struct wire_caller *caller, bool enabled);
 void wire_caller_close (struct wire_caller *caller);
 uint32_t wire_caller_responses (const struct wire_caller *caller);
