Read a request that arrived during a stall before closing for idleness

After this process was stalled, callers whose request had arrived within the idle timeout got a reset instead of an answer.

Cause: libuv runs timers before it polls sockets, so the idle timer closed the connection with the request unread in its socket buffer. The timer now looks whether bytes have arrived and lets them be read.

h1_server_test, "request that arrived during a stall", failed before and passes now.

--- a/libcowslip/h1_conn.c
+++ b/libcowslip/h1_conn.c
@@ -96,6 +96,17 @@
   *buffer = uv_buf_init (memory, sizeof memory);
 }
 
+/* Return whether bytes have arrived that were not read yet.  */
+bool
+h1_conn_has_unread (struct h1_conn *conn)
+{
+  uv_os_fd_t fd;
+  char byte;
+
+  return uv_fileno ((uv_handle_t *)&conn->tcp, &fd) == 0
+         && recv (fd, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 /* Return whether the connection ended with a reset.  If a reset arrives
    together with data, libuv reports the end of the stream and leaves the
    error pending on the socket.  */
--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -3,6 +3,8 @@
 #include "h1_server_impl.h"
 
 #define H1_US_PER_MS UINT64_C (1000)
+/* Time to read bytes that have arrived.  */
+#define H1_READ_DELAY_US 10000
 /* Limit on pipelined bytes buffered while a request is processed.  */
 #define H1_PIPELINED_MAX_BYTES (64U << 10)
 
@@ -60,7 +62,8 @@
             h1_exchange_on_timer, exchange);
 }
 
-/* Close the idle connection of ARG, unless the limit was raised meanwhile.  */
+/* Close the idle connection of ARG, unless the limit was raised meanwhile or
+   bytes have arrived.  */
 static void
 h1_exchange_on_idle (void *arg)
 {
@@ -70,6 +73,9 @@
                     + server->limits.idle_timeout_ms * H1_US_PER_MS;
   uint64_t now_us = tm_now_us (server->tm);
 
+  /* After a stall of this process timers expire before sockets are read.  */
+  if (now_us >= end_us && h1_conn_has_unread (exchange->conn))
+    end_us = now_us + H1_READ_DELAY_US;
   if (now_us < end_us)
     tm_after (server->tm, &exchange->timer, end_us - now_us,
               h1_exchange_on_idle, exchange);
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -146,6 +146,21 @@
   CU_ASSERT_TRUE (end_connection (caller));
 }
 
+/* Guards against closing an idle connection whose next request has arrived
+   while this process was stalled.  */
+static void
+test_stall (void)
+{
+  struct wire_caller *caller;
+
+  start ();
+  set_idle_timeout (SHORT_IDLE_MS);
+  caller = keep_connection ();
+  wire_caller_send (caller, SMALL_REQUEST);
+  g_usleep (2 * SHORT_IDLE_MS * US_PER_MS);
+  CU_ASSERT_TRUE (end_connection (caller));
+}
+
 /* Guards against a truncated response when the time between requests runs out
    while it is being sent.  */
 static void
@@ -164,6 +179,7 @@
       = { { "slow reader of the last response", test_last_response },
           { "slow reader and the idle timeout", test_idle_timeout },
           { "raised idle timeout", test_raised_limit },
+          { "request that arrived during a stall", test_stall },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
