Do not close connections with a buffered request as idle

During a shutdown, callers whose request was read behind the one before, or had reached the socket buffer, got a closed connection.

Cause: h1_server_close_idle looked at the request in progress and the parser only. It now leaves connections with buffered or unread bytes, or an unsent response, which end with the response ("Connection: close").

h1_server_test, "closing idle connections", failed before and passes now.

--- a/libcowslip/h1_server.c
+++ b/libcowslip/h1_server.c
@@ -67,6 +67,15 @@
   server->draining = true;
 }
 
+static bool
+h1_server_is_idle (const struct h1_exchange *exchange)
+{
+  return !exchange->busy && !exchange->closing && !exchange->parser.started
+         && exchange->pipelined->len == 0
+         && h1_conn_pending_bytes (exchange->conn) == 0
+         && !h1_conn_has_unread (exchange->conn);
+}
+
 /* Close the connections without a request in progress.  */
 void
 h1_server_close_idle (struct h1_server *server)
@@ -77,7 +86,7 @@
     {
       struct h1_exchange *exchange = item->data;
 
-      if (!exchange->busy && !exchange->closing && !exchange->parser.started)
+      if (h1_server_is_idle (exchange))
         h1_exchange_destroy (exchange);
     }
   g_list_free (all);
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -20,6 +20,7 @@
 static struct tm_uv timer;
 static struct h1_server *server;
 static char *body;
+static bool close_idle_after_response;
 
 static void
 on_request (void *arg, struct h1_exchange *exchange)
@@ -29,6 +30,8 @@
 
   (void)arg;
   h1_respond (exchange, 200, NULL, 0, small ? "" : body);
+  if (close_idle_after_response)
+    h1_server_close_idle (server);
 }
 
 static void
@@ -161,6 +164,26 @@
   CU_ASSERT_TRUE (end_connection (caller));
 }
 
+/* Guards against closing connections as idle that have a request to answer: it
+   was read behind the one before, or it waits in the socket buffer.  */
+static void
+test_close_idle (void)
+{
+  struct wire_caller *caller;
+
+  start ();
+  set_idle_timeout (LONG_IDLE_MS);
+  close_idle_after_response = true;
+  caller = wire_caller_new (uv_default_loop (), h1_server_port (server),
+                            SMALL_REQUEST SMALL_REQUEST);
+  CU_ASSERT_TRUE (end_connection (caller));
+  close_idle_after_response = false;
+  caller = keep_connection ();
+  wire_caller_send (caller, SMALL_REQUEST);
+  h1_server_close_idle (server);
+  CU_ASSERT_TRUE (end_connection (caller));
+}
+
 /* Guards against a truncated response when the time between requests runs out
    while it is being sent.  */
 static void
@@ -180,6 +203,7 @@
           { "slow reader and the idle timeout", test_idle_timeout },
           { "raised idle timeout", test_raised_limit },
           { "request that arrived during a stall", test_stall },
+          { "closing idle connections", test_close_idle },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
