Log why a caller's connection was closed within a request or response

The logs could not tell why a caller's connection ended: caller_gone (E530) did not say whether the caller closed it or it was lost, and requests that were held, buffered behind another or not complete had no line at all. E534 has the reason, the id if it was read, the age of the request, and the bytes that were not processed or not sent. One line per connection at most.

h1_server_test, "reports of unfinished work".

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -112,7 +112,8 @@
 static bool
 gw_start_network (struct gw *gw, GError **error)
 {
-  static const struct h1_server_events events = { gw_on_request };
+  static const struct h1_server_events events
+      = { gw_on_request, gw_on_unfinished };
 
   gw->pool = h1_pool_new (gw->loop, gw->tm);
   gw->callers = h1_server_new (gw->loop, gw->tm, gw->settings->caller_address,
--- a/cowslipcoved/gw_answer.c
+++ b/cowslipcoved/gw_answer.c
@@ -12,6 +12,26 @@
 /* Time after which a request that crashed endpoints may be tried again.  */
 #define GW_POISON_RETRY_AFTER_S 60.0
 
+/* Log that the connection of a caller was closed within a request or a
+   response.  */
+void
+gw_on_unfinished (void *arg, const struct h1_unfinished *unfinished)
+{
+  struct gw *gw = arg;
+  const char *id
+      = unfinished->head == NULL
+            ? NULL
+            : h1_head_get (unfinished->head, gw->protocol->fields.request_id);
+
+  ctr_add (gw->counters, "connections_unfinished_total", 1);
+  lg_write (LG_CONNECTION_UNFINISHED,
+            "id=%s reason=%s answering=%d age_ms=%" G_GUINT64_FORMAT
+            " unread_bytes=%zu unsent_bytes=%zu",
+            id == NULL ? "-" : id, h1_close_reason_text (unfinished->reason),
+            unfinished->answering, unfinished->age_us / GW_US_PER_MS,
+            unfinished->unread_bytes, unfinished->unsent_bytes);
+}
+
 static void
 gw_send_error (struct gw_request *request, enum rsn_refusal reason,
                uint16_t status)
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -202,6 +202,7 @@
 void gw_refuse_held (struct gw *gw);
 
 /* gw_answer.c */
+void gw_on_unfinished (void *arg, const struct h1_unfinished *unfinished);
 void gw_refuse (struct gw_request *request, enum rsn_refusal reason);
 void gw_fail (struct gw_request *request, enum rsn_refusal reason);
 void gw_expire (struct gw_request *request);
--- a/cowslipcoved/gw_status.c
+++ b/cowslipcoved/gw_status.c
@@ -54,8 +54,8 @@
 bool
 gw_status_start (struct gw *gw, GError **error)
 {
-  static const struct h1_server_events ready = { gw_on_ready };
-  static const struct h1_server_events metrics = { gw_on_metrics };
+  static const struct h1_server_events ready = { gw_on_ready, NULL };
+  static const struct h1_server_events metrics = { gw_on_metrics, NULL };
 
   gw->ready = h1_server_new (gw->loop, gw->tm, gw->settings->ready_address,
                              &ready, gw, error);
--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -24,6 +24,37 @@
   g_free (exchange);
 }
 
+/* Return the name of REASON for log lines.  */
+const char *
+h1_close_reason_text (enum h1_close_reason reason)
+{
+  static const char *const texts[] = { "peer", "lost", "timeout", "abort" };
+
+  return texts[reason];
+}
+
+/* Close the connection of EXCHANGE for REASON and free it.  Report what was
+   not finished.  */
+void
+h1_exchange_close (struct h1_exchange *exchange, enum h1_close_reason reason)
+{
+  struct h1_server *server = exchange->server;
+  struct h1_unfinished unfinished
+      = { .reason = reason,
+          .head = exchange->parser.started ? &exchange->parser.head : NULL,
+          .answering = exchange->busy || exchange->closing,
+          .age_us = tm_now_us (server->tm) - exchange->request_us,
+          .unread_bytes = exchange->pipelined->len,
+          .unsent_bytes = h1_conn_pending_bytes (exchange->conn) };
+  bool within_request = exchange->parser.started && !exchange->closing;
+
+  if (server->events.unfinished != NULL
+      && (within_request || unfinished.unread_bytes > 0
+          || unfinished.unsent_bytes > 0))
+    server->events.unfinished (server->arg, &unfinished);
+  h1_exchange_destroy (exchange);
+}
+
 /* Close the connection of EXCHANGE when its last response has been sent.  */
 void
 h1_exchange_shutdown (struct h1_exchange *exchange)
@@ -42,9 +73,7 @@
   void *owner = exchange->arg;
   bool busy = exchange->busy;
 
-  (void)reset;
-  exchange->conn = NULL;
-  h1_exchange_destroy (exchange);
+  h1_exchange_close (exchange, reset ? H1_CLOSE_LOST : H1_CLOSE_PEER);
   if (busy && events != NULL)
     events->disconnected (owner);
 }
@@ -52,7 +81,7 @@
 static void
 h1_exchange_on_timer (void *arg)
 {
-  h1_exchange_destroy (arg);
+  h1_exchange_close (arg, H1_CLOSE_TIMEOUT);
 }
 
 static void
@@ -180,8 +209,11 @@
   size_t used;
 
   if (!exchange->parser.started)
-    h1_exchange_set_timeout (exchange,
-                             exchange->server->limits.head_timeout_ms);
+    {
+      exchange->request_us = tm_now_us (exchange->server->tm);
+      h1_exchange_set_timeout (exchange,
+                               exchange->server->limits.head_timeout_ms);
+    }
   result = h1_parser_feed (&exchange->parser, data, bytes, &used);
   if (exchange->oversize)
     h1_exchange_reject (exchange, 413);
--- a/libcowslip/h1_response.c
+++ b/libcowslip/h1_response.c
@@ -71,7 +71,7 @@
 void
 h1_response_abort (struct h1_exchange *exchange)
 {
-  h1_exchange_destroy (exchange);
+  h1_exchange_close (exchange, H1_CLOSE_ABORT);
 }
 
 /* Send a complete response with the string BODY and FIELD_COUNT additional
--- a/libcowslip/h1_server.h
+++ b/libcowslip/h1_server.h
@@ -24,10 +24,32 @@
   uint32_t connections_max;
 };
 
+/* Why a connection was closed.  */
+enum h1_close_reason
+{
+  H1_CLOSE_PEER,    /* the caller closed it */
+  H1_CLOSE_LOST,    /* reset, or the caller is considered dead */
+  H1_CLOSE_TIMEOUT, /* the request was not complete in time */
+  H1_CLOSE_ABORT    /* the response could not be completed */
+};
+
+/* A connection that was closed within a request or a response.  */
+struct h1_unfinished
+{
+  enum h1_close_reason reason;
+  const struct h1_head *head; /* fields that were read; NULL: unknown */
+  bool answering;             /* the request was complete */
+  uint64_t age_us;            /* since the first bytes of the request */
+  size_t unread_bytes;        /* received behind the request */
+  size_t unsent_bytes;        /* of the response */
+};
+
 struct h1_server_events
 {
   /* A complete request was received.  */
   void (*request) (void *arg, struct h1_exchange *exchange);
+  /* A connection was closed within a request or a response; may be NULL.  */
+  void (*unfinished) (void *arg, const struct h1_unfinished *unfinished);
 };
 
 /* Callbacks of the owner of an exchange.  */
@@ -50,6 +72,8 @@
 uint32_t h1_server_connections (const struct h1_server *server);
 uint16_t h1_server_port (const struct h1_server *server);
 
+const char *h1_close_reason_text (enum h1_close_reason reason);
+
 const struct h1_head *h1_exchange_head (const struct h1_exchange *exchange);
 const char *h1_exchange_body (const struct h1_exchange *exchange,
                               size_t *bytes);
--- a/libcowslip/h1_server_impl.h
+++ b/libcowslip/h1_server_impl.h
@@ -26,6 +26,7 @@
   struct h1_parser parser;
   struct tm_timer timer;
   uint64_t idle_since_us;
+  uint64_t request_us; /* first bytes of the current request */
   GByteArray *body;
   GByteArray *pipelined; /* pipelined bytes after the current request */
   const struct h1_exchange_events *events;
@@ -40,6 +41,8 @@
 
 void h1_exchange_next_request (struct h1_exchange *exchange);
 void h1_exchange_destroy (struct h1_exchange *exchange);
+void h1_exchange_close (struct h1_exchange *exchange,
+                        enum h1_close_reason reason);
 void h1_exchange_shutdown (struct h1_exchange *exchange);
 struct h1_exchange *h1_exchange_accept (struct h1_server *server);
 
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -21,6 +21,8 @@
 static struct h1_server *server;
 static char *body;
 static bool close_idle_after_response;
+static struct h1_unfinished last;
+static uint32_t unfinished_count;
 
 static void
 on_request (void *arg, struct h1_exchange *exchange)
@@ -34,10 +36,18 @@
     h1_server_close_idle (server);
 }
 
+static void
+on_unfinished (void *arg, const struct h1_unfinished *unfinished)
+{
+  (void)arg;
+  last = *unfinished;
+  unfinished_count++;
+}
+
 static void
 start (void)
 {
-  static const struct h1_server_events events = { on_request };
+  static const struct h1_server_events events = { on_request, on_unfinished };
   GError *error = NULL;
 
   if (server != NULL)
@@ -184,6 +194,45 @@
   CU_ASSERT_TRUE (end_connection (caller));
 }
 
+/* Guards against closing a connection within a request or a response without a
+   report.  */
+static void
+test_reports (void)
+{
+  struct wire_caller *caller;
+
+  start ();
+  set_idle_timeout (LONG_IDLE_MS);
+  unfinished_count = 0;
+  CU_ASSERT_TRUE (wire_caller_responses (caller = keep_connection ()) == 1);
+  wire_caller_close (caller);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (unfinished_count, 0);
+  caller = keep_connection ();
+  wire_caller_send (caller, "GET /small HTTP/1.1\r\n");
+  run_ms (SHORT_IDLE_MS);
+  wire_caller_close (caller);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (unfinished_count, 1);
+  CU_ASSERT_EQUAL (last.reason, H1_CLOSE_PEER);
+  CU_ASSERT_FALSE (last.answering);
+  CU_ASSERT_TRUE (last.age_us > 0);
+  caller = wire_caller_new (uv_default_loop (), h1_server_port (server),
+                            "GET / HTTP/1.1\r\nHost: h\r\n"
+                            "Connection: close\r\n\r\n");
+  while (wire_caller_status (caller) == 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  wire_caller_close (caller);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (unfinished_count, 2);
+  CU_ASSERT_EQUAL (last.reason, H1_CLOSE_LOST);
+  CU_ASSERT_TRUE (last.answering);
+  CU_ASSERT_TRUE (last.unsent_bytes > 0);
+}
+
 /* Guards against a truncated response when the time between requests runs out
    while it is being sent.  */
 static void
@@ -204,6 +253,7 @@
           { "raised idle timeout", test_raised_limit },
           { "request that arrived during a stall", test_stall },
           { "closing idle connections", test_close_idle },
+          { "reports of unfinished work", test_reports },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
