Keep a silent stream's connection until another engine goes on

Cause: after 1 s without bytes the gateway closed the connection to the engine and then tried to resume the stream elsewhere. Class of fault: a replacement is committed before it works.

Now the first connection stays open while another engine is asked. The one that sends first is kept: the other engine's first event, or its head 200 ms before, cancels the first; bytes of the first cancel the other; if the other one fails, the stream goes on waiting for the first. No more engines are used than before, and the same retry budget.

Ruled out: waiting longer than 1 s before another engine is asked. Callers leave after 2 s, and a pause has no upper bound that is stated.

--- a/cowslipcoved/gw_answer.c
+++ b/cowslipcoved/gw_answer.c
@@ -79,10 +79,7 @@
 void
 gw_expire (struct gw_request *request)
 {
-  bool may_have_run
-      = request->runs > 0 || request->state == GW_LOST
-        || (request->call != NULL && h1_call_sent (request->call)
-            && !(request->response_discarded && request->end == FWD_NOT_RUN));
+  bool may_have_run = request->runs > 0 || gw_attempt_may_have_run (request);
 
   if (may_have_run)
     gw_fail (request, RSN_DEADLINE);
--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -40,7 +40,7 @@
 }
 
 /* Detach REQUEST from its endpoint and clear the state of the attempt.  */
-static void
+void
 gw_release_endpoint (struct gw_request *request)
 {
   gw_set_outstanding (request, false);
@@ -64,6 +64,15 @@
   gw_release_endpoint (request);
 }
 
+/* Return whether REQUEST may have run in its current attempt.  */
+bool
+gw_attempt_may_have_run (const struct gw_request *request)
+{
+  return request->state == GW_LOST
+         || (request->call != NULL && h1_call_sent (request->call)
+             && !(request->response_discarded && request->end == FWD_NOT_RUN));
+}
+
 static void
 gw_update_load (struct gw_request *request, const struct h1_head *head)
 {
@@ -134,7 +143,8 @@
           .runs_max = request->route->attempts_max,
           .sends = request->sends,
           .remaining_ms = gw_remaining_ms (request),
-          .endpoint_available = gw_has_untried_endpoint (request) };
+          .endpoint_available = gw_has_untried_endpoint (request),
+          .earlier_open = request->silent.endpoint != NULL };
 
   return fwd_decide (&input);
 }
@@ -158,6 +168,7 @@
   struct gw_request *request = arg;
   uint64_t now_us = tm_now_us (request->gw->tm);
 
+  gw_silent_drop (request, "resumed");
   if (request->forwarded_us == 0)
     request->first_byte_us = now_us - request->arrived_us;
   else
@@ -194,6 +205,7 @@
 
   request->response_status = head->status;
   request->framing = h1_head_framing (head);
+  request->head_us = tm_now_us (request->gw->tm);
   gw_update_load (request, head);
   gw_blame_alive (request);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
@@ -371,7 +383,7 @@
     gw_attempt_failed (request);
 }
 
-static const struct h1_call_events gw_call_events
+const struct h1_call_events gw_call_events
     = { gw_on_head, gw_on_body, gw_on_done };
 
 static void
@@ -406,6 +418,9 @@
   evs_reset (&request->events);
   switch (action)
     {
+    case FWD_GO_BACK:
+      gw_silent_go_back (request);
+      break;
     case FWD_RETRY:
       ctr_count_retry (gw->counters, gw_retry_reason (request));
       gw_request_dispatch (request);
@@ -444,6 +459,7 @@
     return false;
   gw_dequeue (request);
   request->state = GW_SENT;
+  request->head_us = 0;
   request->body_us = 0;
   request->framing = "-";
   request->attempt_end = "-";
@@ -467,6 +483,7 @@
       = MAX (request->endpoint->last_receive_us, request->state_us);
   double limit_ms = GW_STREAM_IDLE_TIMEOUT_MS;
 
+  gw_silent_check (request);
   if (!rte_may_retry (request->route) || request->response_discarded)
     return;
   if (request->route->kind == RTE_IDEMPOTENT)
@@ -481,7 +498,8 @@
       || gw_decide (request, FWD_TIMED_OUT) != FWD_RETRY)
     return;
   /* The endpoint may only be slow: without a retry the attempt goes on.  */
-  if (!gw_acquire_retry (request))
-    return;
-  gw_abandon_attempt (request, FWD_TIMED_OUT);
+  if (request->response_started)
+    gw_silent_resume (request);
+  else if (gw_acquire_retry (request))
+    gw_abandon_attempt (request, FWD_TIMED_OUT);
 }
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -105,6 +105,22 @@
   uint32_t waiting;
 };
 
+/* An attempt whose stream has fallen silent and may go on, while the current
+   attempt tries to resume it at another endpoint.  */
+struct gw_silent
+{
+  struct h1_call *call;
+  struct flt_endpoint *endpoint; /* NULL: there is no such attempt */
+  uint64_t state_us;
+  uint64_t head_us;
+  uint64_t body_us;
+  const char *framing;
+  uint16_t response_status;
+  bool unframed;
+  GString *partial; /* incomplete event */
+  uint32_t event_count;
+};
+
 enum gw_state
 {
   GW_NEW,
@@ -147,6 +163,7 @@
   struct h1_head response;  /* buffered until bytes of the body arrive */
   bool outstanding;         /* counted among ENDPOINT's outstanding requests */
   uint16_t response_status; /* 0: no head received */
+  uint64_t head_us;         /* head of the response; 0: none */
   uint64_t body_us;         /* first bytes of the body; 0: none */
   const char *framing;      /* what ends the body; "-": no head received */
   const char *attempt_end;  /* outcome of the call; "-": canceled */
@@ -155,6 +172,7 @@
   bool event_stream;
   bool unframed; /* the body ends with the connection */
 
+  struct gw_silent silent;
   GPtrArray *tried; /* char *: ids of endpoints */
   uint32_t sends;
   uint32_t arrivals;   /* attempts that reached an endpoint */
@@ -215,12 +233,22 @@
                               const struct h1_head *head);
 
 /* gw_attempt.c */
+extern const struct h1_call_events gw_call_events;
+
 bool gw_send (struct gw_request *request, struct flt_endpoint *endpoint);
 void gw_cancel_call (struct gw_request *request);
+void gw_release_endpoint (struct gw_request *request);
+bool gw_attempt_may_have_run (const struct gw_request *request);
 void gw_attempt_failed (struct gw_request *request);
 void gw_resume_reading (void *arg);
 void gw_check_timeout (struct gw_request *request);
 
+/* gw_silent.c */
+void gw_silent_resume (struct gw_request *request);
+void gw_silent_check (struct gw_request *request);
+void gw_silent_go_back (struct gw_request *request);
+void gw_silent_drop (struct gw_request *request, const char *result);
+
 /* gw_queue.c */
 void gw_enqueue (struct gw_request *request);
 void gw_dequeue (struct gw_request *request);
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -57,6 +57,7 @@
   gw_dequeue (request);
   gw_forget_probe (request);
   gw_cancel_call (request);
+  gw_silent_drop (request, "ended");
   tm_cancel (gw->tm, &request->timer);
   if (request->model_demand != NULL)
     request->model_demand->active--;
--- a/libcowslip/fwd.c
+++ b/libcowslip/fwd.c
@@ -41,6 +41,8 @@
 enum fwd_action
 fwd_decide (const struct fwd_input *input)
 {
+  if (input->earlier_open)
+    return FWD_GO_BACK;
   if (fwd_may_have_run (input->end))
     return fwd_after_run (input);
   if (input->response_started && !(input->can_resume && fwd_can_send (input)))
--- a/libcowslip/fwd.h
+++ b/libcowslip/fwd.h
@@ -29,6 +29,7 @@
   uint32_t sends;          /* attempts, this one included */
   uint32_t remaining_ms;   /* until the caller's deadline */
   bool endpoint_available; /* an untried endpoint can take it */
+  bool earlier_open;       /* an earlier attempt, which is silent, may go on */
 };
 
 enum fwd_action
@@ -39,7 +40,8 @@
   FWD_REFUSE, /* respond that the request did not run */
   FWD_FAIL,   /* respond with an error; the request may have run */
   FWD_RELAY,  /* relay the error response of the endpoint */
-  FWD_ABORT   /* abort the response to the caller */
+  FWD_ABORT,  /* abort the response to the caller */
+  FWD_GO_BACK /* wait for the earlier attempt */
 };
 
 bool fwd_may_have_run (enum fwd_result end);
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -435,6 +435,13 @@
   return call;
 }
 
+/* Report the rest of the response of CALL to EVENTS.  */
+void
+h1_call_set_events (struct h1_call *call, const struct h1_call_events *events)
+{
+  call->events = *events;
+}
+
 /* Cancel CALL without a callback and reset its connection, on which most
    endpoints stop processing the request.  */
 void
--- a/libcowslip/h1_pool.h
+++ b/libcowslip/h1_pool.h
@@ -57,6 +57,8 @@
 struct h1_call *h1_call_start (struct h1_pool *pool,
                                const struct h1_request *request,
                                const struct h1_call_events *events, void *arg);
+void h1_call_set_events (struct h1_call *call,
+                         const struct h1_call_events *events);
 void h1_call_cancel (struct h1_call *call);
 void h1_call_set_reading (struct h1_call *call, bool enabled);
 bool h1_call_sent (const struct h1_call *call);
--- a/regress/gw_script.c
+++ b/regress/gw_script.c
@@ -11,6 +11,7 @@
 
 /* Runs the decision functions of the gateway from commands, one a line:
      fwd END [may] [ran] [begun] [resume] runs=N of=N sends=N left=MS [other]
+       [earlier]
      wtq [cold] [known] [stream] target=MS gap=MS total=MS waited=MS
      begin left=MS age=MS held=N    at an instance that is starting
      drn [stream] left=MS grace=MS
@@ -57,7 +58,7 @@
   static const char *const end_names[]
       = { "not_sent", "not_run", "error", "lost", "slow" };
   static const char *const action_names[]
-      = { "again", "wait", "refuse", "fail", "pass", "cut" };
+      = { "again", "wait", "refuse", "fail", "pass", "cut", "back" };
   struct fwd_input input = { .may_retry = has_flag ("may"),
                              .may_have_run = has_flag ("ran"),
                              .response_started = has_flag ("begun"),
@@ -66,7 +67,8 @@
                              .runs_max = get_number ("of"),
                              .sends = get_number ("sends"),
                              .remaining_ms = get_number ("left"),
-                             .endpoint_available = has_flag ("other") };
+                             .endpoint_available = has_flag ("other"),
+                             .earlier_open = has_flag ("earlier") };
 
   for (size_t i = 0; i < G_N_ELEMENTS (end_names); i++)
     if (strcmp (args[1], end_names[i]) == 0)
