Keep a retry of the budget that no endpoint received

A stream that its engine broke off was cut although its one allowed retry had not been used: it had been tried at an engine that refused the connection.

Cause: gw_send spends the acquired retry when the connection is opened. If that fails nothing has arrived, but the next attempt needed another retry, and without one the caller's connection was closed within the answer.

An attempt that was not sent gives its retry back to the request.

Evidence: unsent_retry_test fails without the change (the caller gets the first event and is cut, the endpoint that could go on gets no second request) and passes with it.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -405,6 +405,8 @@
 
   if (request->end != FWD_NOT_SENT)
     request->arrivals++;
+  else if (request->arrivals > 0)
+    request->retry_acquired = true;
   if (fwd_may_have_run (request->end))
     request->runs++;
   lg_write (LG_NO_RESPONSE,
