Let revisions rise across a restoration of the store

Callers got 404 for routes that had been added (CONFIG, DENIED), engines orders with a lower fence (ONE): after the store came back from a copy some seconds old, it gave out revisions again. Followers of the relay took newer changes for older ones and did not compare digests, watches went on from a revision that meant another change, a leader's fence was lower than its last one (timeline in docs/incidents/2026-12-05-store-restored-from-a-copy.md).

Cause: a revision was taken for a clock that never goes back, in the relay, the watches, the fence and comparisons; nothing read Store-Era.

The store's client now gives out revisions that contain the era, ends watches of an earlier era, treats its leases as expired and drops late answers. All users of kv.h keep their rules. Ruled out: eras in each module, because five places compare revisions.

Evidence: six tests of pf_store_test fail without the change.

--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -40,6 +40,8 @@
   h2o_iovec_t wire_vector;
   struct tm_timer timeout;
   struct tm_timer connect_timeout;
+  const char *kept_field;
+  char *kept_value;
   bool is_head;
   bool sent;
   bool chunked;
@@ -147,6 +149,7 @@
   tm_cancel (call->client->tm, &call->timeout);
   tm_cancel (call->client->tm, &call->connect_timeout);
   g_string_free (call->wire, TRUE);
+  g_free (call->kept_value);
   g_free (call);
 }
 
@@ -211,15 +214,27 @@
   return 0;
 }
 
-static bool
-http_has_header (const h2o_header_t *headers, size_t count, const char *name)
+/* Return the header field NAME, in lower case, or NULL if it is absent.  */
+static const h2o_header_t *
+http_find_header (const h2o_header_t *headers, size_t count, const char *name)
 {
   size_t bytes = strlen (name);
 
   for (size_t i = 0; i < count; i++)
     if (h2o_lcstris (headers[i].name->base, headers[i].name->len, name, bytes))
-      return true;
-  return false;
+      return &headers[i];
+  return NULL;
+}
+
+/* Return a copy of the value of the header field NAME, or NULL if it is
+   absent.  */
+static char *
+http_copy_header (const h2o_header_t *headers, size_t count, const char *name)
+{
+  const h2o_header_t *header = http_find_header (headers, count, name);
+
+  return header == NULL ? NULL
+                        : g_strndup (header->value.base, header->value.len);
 }
 
 /* Return whether the response has a length, chunks or no body.  */
@@ -228,17 +243,7 @@
                 size_t count, int status)
 {
   return status == 204 || status == 304 || call->chunked
-         || http_has_header (headers, count, "content-length");
-}
-
-static char *
-http_content_type (const h2o_header_t *headers, size_t count)
-{
-  for (size_t i = 0; i < count; i++)
-    if (h2o_lcstris (headers[i].name->base, headers[i].name->len,
-                     H2O_STRLIT ("content-type")))
-      return g_strndup (headers[i].value.base, headers[i].value.len);
-  return g_strdup ("");
+         || http_find_header (headers, count, "content-length") != NULL;
 }
 
 static h2o_http1client_body_cb
@@ -254,16 +259,20 @@
   (void)message;
   if (header_bytes > 0)
     call->client->received_bytes += (uint64_t)header_bytes;
-  call->chunked = http_has_header (headers, count, "transfer-encoding");
+  call->chunked
+      = http_find_header (headers, count, "transfer-encoding") != NULL;
   call->unframed = !http_is_framed (call, headers, count, status);
   if (error != NULL && !ended)
     {
       http_finish (call, HTTP_INCOMPLETE);
       return NULL;
     }
-  type = http_content_type (headers, count);
+  if (call->kept_field != NULL)
+    call->kept_value = http_copy_header (headers, count, call->kept_field);
+  type = http_copy_header (headers, count, "content-type");
   call->in_callback = true;
-  call->handlers.on_head (call->arg, (uint16_t)status, type);
+  call->handlers.on_head (call->arg, (uint16_t)status,
+                          type == NULL ? "" : type);
   call->in_callback = false;
   g_free (type);
   if (call->cancelled || ended)
@@ -347,6 +356,7 @@
   call->handlers = *handlers;
   call->arg = arg;
   call->is_head = strcmp (request->method, "HEAD") == 0;
+  call->kept_field = request->kept_field;
   call->wire = http_write_request (request);
   if (pool == NULL)
     {
@@ -377,6 +387,14 @@
   return call;
 }
 
+/* Return the value of the header field that the request of CALL names, or NULL
+   if there is none or no response yet.  Valid as long as CALL.  */
+const char *
+http_kept_value (const struct http_call *call)
+{
+  return call->kept_value;
+}
+
 /* Cancel CALL without further callbacks and close its connection, which the
    endpoint notices.  Allowed in a callback of the same call, but not after
    on_done.  */
@@ -394,12 +412,14 @@
 http_fetch_done (struct http_fetch_state *state, enum http_outcome outcome,
                  bool sent)
 {
-  struct http_response response = { .outcome = outcome,
-                                    .sent = sent,
-                                    .status = state->status,
-                                    .content_type = state->content_type,
-                                    .body = state->body->str,
-                                    .body_bytes = state->body->len };
+  struct http_response response
+      = { .outcome = outcome,
+          .sent = sent,
+          .status = state->status,
+          .content_type = state->content_type,
+          .kept_value = http_kept_value (state->call),
+          .body = state->body->str,
+          .body_bytes = state->body->len };
 
   state->done (state->arg, &response);
   g_string_free (state->body, TRUE);
--- a/libcowslip/kv.c
+++ b/libcowslip/kv.c
@@ -1,5 +1,13 @@
 #include "kv.h"
 
+/* Return the era of STORE's history.  */
+int64_t
+kv_era (const struct kv_store *store)
+{
+  return store->methods->era == NULL ? 0
+                                     : store->methods->era (store->context);
+}
+
 /* Run TXN on STORE and call DONE once with ARG.  */
 void
 kv_txn (const struct kv_store *store, const struct kv_txn *txn, kv_done done,
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -99,6 +99,10 @@
   /* When the service last answered WATCH, in tm_now_us; 0: not yet.  NULL: a
      watch that does not report is assumed to be connected.  */
   uint64_t (*watch_answered_us) (void *context, const void *watch);
+  /* Rises when the service was restored from a copy and has lost changes that
+     it had confirmed.  Revisions rise all the same; leases from before have
+     expired, and watches end.  NULL: the service loses nothing.  */
+  int64_t (*era) (void *context);
 };
 
 struct kv_store
@@ -107,6 +111,7 @@
   void *context;
 };
 
+int64_t kv_era (const struct kv_store *store);
 void kv_txn (const struct kv_store *store, const struct kv_txn *txn,
              kv_done done, void *arg);
 void kv_get (const struct kv_store *store, const char *key, kv_done done,
--- a/libcowslip/rly_store.c
+++ b/libcowslip/rly_store.c
@@ -139,6 +139,12 @@
   stream->watched = false;
 }
 
+static int64_t
+rly_era (void *context)
+{
+  return kv_era (&((const struct rly *)context)->config.kv);
+}
+
 /* Return the store whose watches are relayed, valid as long as RLY.  */
 struct kv_store
 rly_store (struct rly *rly)
@@ -150,6 +156,7 @@
     .lease_revoke = rly_lease_revoke,
     .watch = rly_watch,
     .unwatch = rly_unwatch,
+    .era = rly_era,
   };
 
   return (struct kv_store){ &methods, rly };
--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -23,6 +23,7 @@
 {
   int status;
   const char *body;
+  const char *era; /* NULL: none */
 };
 
 #define NO_RESPONSE (-1)
@@ -76,8 +77,11 @@
   for (size_t i = 0; i < count; i++)
     {
       g_snprintf (texts[i], sizeof texts[i],
-                  "HTTP/1.1 %d X\r\nContent-Length: %zu\r\n\r\n%s",
+                  "HTTP/1.1 %d X\r\n%s%s%sContent-Length: %zu\r\n\r\n%s",
                   responses[i].status,
+                  responses[i].era == NULL ? "" : "Store-Era: ",
+                  responses[i].era == NULL ? "" : responses[i].era,
+                  responses[i].era == NULL ? "" : "\r\n",
                   responses[i].body == NULL ? 0 : strlen (responses[i].body),
                   responses[i].body == NULL ? "" : responses[i].body);
       scripts[i] = (struct wire_script){
@@ -126,11 +130,13 @@
 test_get (void)
 {
   static const struct response found
-      = { 200, "{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":4,"
-               "\"Lease\":0,\"CurrentRev\":9, \"x\":0}" };
-  static const struct response absent = { 404, "{}" };
-  static const struct response connection_closed = { 0, NULL };
-  static const struct response unavailable = { 503, "{}" };
+      = { 200,
+          "{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":4,"
+          "\"Lease\":0,\"CurrentRev\":9, \"x\":0}",
+          NULL };
+  static const struct response absent = { 404, "{}", NULL };
+  static const struct response connection_closed = { 0, NULL, NULL };
+  static const struct response unavailable = { 503, "{}", NULL };
 
   set_responses (&found, 1);
   kv_get (&kv, "k", on_done, NULL);
@@ -160,10 +166,14 @@
 test_pages (void)
 {
   static const struct response pages[]
-      = { { 200, "{\"items\":[{\"Key\":\"p/1\",\"Value\":\"YQ==\","
-                 "\"Revision\":1}],\"HasMore\":true,\"CurrentRev\":5}" },
-          { 200, "{\"items\":[{\"Key\":\"p/2\",\"Value\":\"Yg==\","
-                 "\"Revision\":2}],\"HasMore\":false,\"CurrentRev\":6}" } };
+      = { { 200,
+            "{\"items\":[{\"Key\":\"p/1\",\"Value\":\"YQ==\","
+            "\"Revision\":1}],\"HasMore\":true,\"CurrentRev\":5}",
+            NULL },
+          { 200,
+            "{\"items\":[{\"Key\":\"p/2\",\"Value\":\"Yg==\","
+            "\"Revision\":2}],\"HasMore\":false,\"CurrentRev\":6}",
+            NULL } };
 
   set_responses (pages, 2);
   kv_get_prefix (&kv, "p/", on_done, NULL);
@@ -180,9 +190,11 @@
 test_txn (void)
 {
   static const struct response conflict
-      = { 412, "{\"items\":[{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":"
-               "4,\"Lease\":3}]}  " };
-  static const struct response written = { 200, "{\"Revision\":8}" };
+      = { 412,
+          "{\"items\":[{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":"
+          "4,\"Lease\":3}]}  ",
+          NULL };
+  static const struct response written = { 200, "{\"Revision\":8}", NULL };
   struct kv_compare absent = { "k", 0 };
   struct kv_op put
       = { .kind = KV_PUT, .key = "k", .value = "v", .value_bytes = 1 };
@@ -206,8 +218,8 @@
 test_lease (void)
 {
   static const struct response granted
-      = { 200, "{\"Lease\":77,\"TtlMs\":2000} " };
-  static const struct response ended = { 404, "{}" };
+      = { 200, "{\"Lease\":77,\"TtlMs\":2000} ", NULL };
+  static const struct response ended = { 404, "{}", NULL };
 
   set_responses (&granted, 1);
   kv.methods->lease_grant (kv.context, 2, on_lease, NULL);
@@ -249,9 +261,9 @@
 test_watch_resumes_after_last_event (void)
 {
   static const struct response scripts[]
-      = { { 200, "{\"events\":[],\"CurrentRev\":28}  " },
-          { 200, EVENT },
-          { 410, "{}" } };
+      = { { 200, "{\"events\":[],\"CurrentRev\":28}  ", NULL },
+          { 200, EVENT, NULL },
+          { 410, "{}", NULL } };
   void *watch;
 
   set_responses (scripts, 3);
@@ -271,9 +283,11 @@
 static void
 test_watch_reopens (void)
 {
-  static const struct response scripts[] = {
-    { 0, NULL }, { 0, NULL }, { 0, NULL }, { 200, EVENT }, { 410, "{}" }
-  };
+  static const struct response scripts[] = { { 0, NULL, NULL },
+                                             { 0, NULL, NULL },
+                                             { 0, NULL, NULL },
+                                             { 200, EVENT, NULL },
+                                             { 410, "{}", NULL } };
 
   set_responses (scripts, 5);
   (void)kv.methods->watch (kv.context, "k", 5, on_change, on_ended, NULL);
@@ -286,8 +300,9 @@
 static void
 test_watch_answered (void)
 {
-  static const struct response scripts[]
-      = { { NO_RESPONSE, NULL }, { 200, EVENT }, { 410, "{}" } };
+  static const struct response scripts[] = { { NO_RESPONSE, NULL, NULL },
+                                             { 200, EVENT, NULL },
+                                             { 410, "{}", NULL } };
   uint64_t start_us = tm_now_us (clock_driver.service);
   void *watch;
 
@@ -312,12 +327,12 @@
 test_watch_after_outage (void)
 {
   static const struct response scripts[]
-      = { { 200, "{\"events\":[],\"CurrentRev\":5}" },
-          { NO_RESPONSE, NULL },
-          { 503, "{}" },
-          { 200, "{\"Lease\":77,\"TtlMs\":2000}" },
-          { 200, EVENT },
-          { 410, "{}" } };
+      = { { 200, "{\"events\":[],\"CurrentRev\":5}", NULL },
+          { NO_RESPONSE, NULL, NULL },
+          { 503, "{}", NULL },
+          { 200, "{\"Lease\":77,\"TtlMs\":2000}", NULL },
+          { 200, EVENT, NULL },
+          { 410, "{}", NULL } };
 
   set_responses (scripts, 6);
   (void)kv.methods->watch (kv.context, "k", 5, on_change, on_ended, NULL);
@@ -338,10 +353,10 @@
 test_watch_dead_connection (void)
 {
   static const struct response scripts[]
-      = { { 200, "{\"events\":[],\"CurrentRev\":5}" },
-          { NO_RESPONSE, NULL },
-          { 200, EVENT },
-          { 410, "{}" } };
+      = { { 200, "{\"events\":[],\"CurrentRev\":5}", NULL },
+          { NO_RESPONSE, NULL, NULL },
+          { 200, EVENT, NULL },
+          { 410, "{}", NULL } };
   uint64_t silent_us;
 
   set_responses (scripts, 4);
@@ -357,6 +372,168 @@
   run_until (&observed.ended, 1);
 }
 
+#define ITEM(revision, current)                                               \
+  "{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":" revision                  \
+  ",\"Lease\":0,\"CurrentRev\":" current "}"
+
+static void
+get_in_era (const char *era, const char *body)
+{
+  const struct response response = { 200, body, era };
+
+  set_responses (&response, 1);
+  kv_get (&kv, "k", on_done, NULL);
+  run_until (&observed.done, 1);
+}
+
+/* Guards against a change that is taken for an old one, because the store
+   gives out revisions again after its restoration.  */
+static void
+test_restored_revisions (void)
+{
+  int64_t before;
+
+  get_in_era ("3", ITEM ("4", "90"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  before = observed.revision;
+  get_in_era ("4", ITEM ("5", "6"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  CU_ASSERT_TRUE (observed.revision > before);
+  CU_ASSERT_EQUAL (kv_era (&kv), 4);
+  /* A late answer from before says nothing about the present keys.  */
+  get_in_era ("3", ITEM ("4", "91"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
+}
+
+/* Guards against changes that a watch misses, because the revision after which
+   it continues was given out again before its next call.  */
+static void
+test_restored_watch (void)
+{
+  static const struct response idle
+      = { 200, "{\"events\":[],\"CurrentRev\":6}", "4" };
+  static const struct response restored
+      = { 200,
+          "{\"events\":[{\"Key\":\"k\",\"Value\":\"YQ==\",\"Revision\":99}]"
+          ",\"CurrentRev\":99}",
+          "5" };
+  struct response scripts[] = { idle, restored };
+  int64_t position;
+
+  get_in_era ("4", ITEM ("5", "6"));
+  position = observed.revision + 1;
+  set_responses (scripts, 2);
+  (void)kv.methods->watch (kv.context, "k", position, on_change, on_ended,
+                           NULL);
+  run_until (&observed.ended, 1);
+  CU_ASSERT_EQUAL (observed.changes, 0);
+  CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 2);
+}
+
+/* The same when another call learns of the restoration, and for a watch from a
+   revision of an earlier era.  */
+static void
+test_restored_between_watches (void)
+{
+  static const struct response scripts[]
+      = { { 200, "{\"events\":[],\"CurrentRev\":6}", "5" },
+          { 200, ITEM ("5", "6"), "6" } };
+  int64_t position;
+
+  get_in_era ("5", ITEM ("5", "6"));
+  position = observed.revision + 1;
+  set_responses (scripts, 2);
+  (void)kv.methods->watch (kv.context, "k", position, on_change, on_ended,
+                           NULL);
+  while (wire_endpoint_requests (peer) < 1)
+    uv_run (loop, UV_RUN_ONCE);
+  kv_get (&kv, "k", on_done, NULL);
+  run_until (&observed.ended, 1);
+  (void)kv.methods->watch (kv.context, "k", position, on_change, on_ended,
+                           NULL);
+  run_until (&observed.ended, 2);
+}
+
+/* Guards against renewing another instance's lease, which got the number of
+   one that was lost.  */
+static void
+test_restored_lease (void)
+{
+  static const struct response granted
+      = { 200, "{\"Lease\":77,\"TtlMs\":2000}", "6" };
+  static const struct response renewed = { 200, "{}", "7" };
+  static const struct response not_sent = { 200, "{}", "7" };
+  int64_t lease;
+
+  set_responses (&granted, 1);
+  kv.methods->lease_grant (kv.context, 2, on_lease, NULL);
+  run_until (&observed.done, 1);
+  lease = observed.lease;
+  set_responses (&renewed, 1);
+  kv.methods->lease_renew (kv.context, lease, on_lease, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_CONFLICT);
+  CU_ASSERT_EQUAL (observed.lease, lease);
+  set_responses (&not_sent, 1);
+  kv.methods->lease_renew (kv.context, lease, on_lease, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_CONFLICT);
+  CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 0);
+  set_responses (&granted, 1);
+  kv.methods->lease_revoke (kv.context, lease);
+  get_in_era ("7", ITEM ("5", "6"));
+  CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 1);
+}
+
+/* Guards against a write whose comparison holds for another change with the
+   same revision.  */
+static void
+test_restored_comparison (void)
+{
+  static const struct response written = { 200, "{\"Revision\":8}", "8" };
+  static const struct response not_sent = { 200, "{\"Revision\":9}", "8" };
+  struct kv_compare unchanged = { "k", 0 };
+  struct kv_op put
+      = { .kind = KV_PUT, .key = "k", .value = "v", .value_bytes = 1 };
+  struct kv_txn txn = { .compares = &unchanged,
+                        .compare_count = 1,
+                        .then_ops = &put,
+                        .then_count = 1 };
+
+  get_in_era ("7", ITEM ("6", "6"));
+  unchanged.revision = observed.revision;
+  set_responses (&written, 1);
+  kv_txn (&kv, &txn, on_done, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
+  CU_ASSERT_PTR_NOT_NULL (strstr (wire_endpoint_head (peer)->target, "txn"));
+  set_responses (&not_sent, 1);
+  kv_txn (&kv, &txn, on_done, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_CONFLICT);
+  CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 0);
+}
+
+/* Guards against a list that begins in one history and ends in another.  */
+static void
+test_restored_pages (void)
+{
+  static const struct response pages[]
+      = { { 200,
+            "{\"items\":[{\"Key\":\"p/1\",\"Value\":\"YQ==\","
+            "\"Revision\":1}],\"HasMore\":true,\"CurrentRev\":5}",
+            "8" },
+          { 200,
+            "{\"items\":[{\"Key\":\"p/2\",\"Value\":\"Yg==\","
+            "\"Revision\":2}],\"HasMore\":false,\"CurrentRev\":4}",
+            "9" } };
+
+  set_responses (pages, 2);
+  kv_get_prefix (&kv, "p/", on_done, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
+}
+
 int
 main (void)
 {
@@ -371,6 +548,13 @@
           { "watch answered", test_watch_answered },
           { "watch after an outage", test_watch_after_outage },
           { "watch with a dead connection", test_watch_dead_connection },
+          { "revisions after a restoration", test_restored_revisions },
+          { "watch answered after a restoration", test_restored_watch },
+          { "restoration between calls of a watch",
+            test_restored_between_watches },
+          { "lease after a restoration", test_restored_lease },
+          { "comparison after a restoration", test_restored_comparison },
+          { "pages before and after a restoration", test_restored_pages },
           { NULL, NULL } };
 
   return unit_main ("pf_store", tests);
