Keep orders of leaders apart across a restoration of the store

The term record holds the era in which it was written. If that is not the present one, any instance may have led, and the one that is elected sends no orders until 3 s after it learned of the restoration, or started. A leader stops at once, leases are granted anew. A leader record of this process that is not under its lease is removed: its write may have taken effect after the restoration, under a lease of another instance with the same number, which would be renewed for ever.

Cost: no loads for 3 s after a restoration.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -53,16 +53,19 @@
   ldr->callbacks.lost (ldr->arg);
 }
 
-/* Return a new value for the term record: FIRST, which is an instance name or
-   LDR_RESIGNED, followed by the former leaders.  The caller frees it.  */
+/* Return a new value for the term record: the era of the store, then FIRST,
+   which is an instance name or LDR_RESIGNED, followed by the former leaders.
+   The caller frees it.  */
 char *
-ldr_past_leaders (const struct ldr *ldr, const char *first)
+ldr_encode_term (const struct ldr *ldr, const char *first)
 {
-  GString *text = g_string_new (first);
+  GString *text = g_string_new (NULL);
   char **names = g_strsplit (
       ldr->past_leaders == NULL ? "" : ldr->past_leaders, " ", -1);
   uint32_t count = 1;
 
+  g_string_printf (text, "%c%" G_GINT64_FORMAT " %s", LDR_ERA_MARK, ldr->era,
+                   first);
   for (char **name = names; *name != NULL && count < LDR_PAST_LEADERS_MAX;
        name++)
     if (**name != '\0' && !g_str_equal (*name, first)
@@ -75,14 +78,24 @@
   return g_string_free (text, FALSE);
 }
 
+/* Return how many milliseconds are left until the reelection delay after
+   SINCE_US has passed.  */
+static uint32_t
+ldr_reelection_ms (const struct ldr *ldr, uint64_t since_us)
+{
+  uint64_t end_us = since_us + ldr->config.reelection_delay_ms * LDR_US_PER_MS;
+  uint64_t now_us = tm_now_us (ldr->config.tm);
+
+  return now_us >= end_us ? 0 : (uint32_t)((end_us - now_us) / LDR_US_PER_MS);
+}
+
 /* Return the time in milliseconds after its election for which this instance
    must not send orders yet.  */
 uint32_t
 ldr_order_delay_ms (const struct ldr *ldr)
 {
-  uint64_t now_us = tm_now_us (ldr->config.tm);
-  uint64_t reelection_delay_us
-      = ldr->config.reelection_delay_ms * LDR_US_PER_MS;
+  /* A newly started process does not know when its predecessor last sent an
+     order, so its own start time is used.  */
   uint64_t stopped_us
       = ldr->lost_at_us != 0 ? ldr->lost_at_us : ldr->started_us;
   char **names;
@@ -90,25 +103,27 @@
   bool was_leader;
   uint32_t order_delay_ms = 0;
 
-  if (ldr->past_leaders == NULL)
+  if (ldr->past_leaders == NULL && ldr->era_began_us == 0)
     return 0; /* first term */
+  /* Any instance, also the predecessor of this process, may have led in the
+     part of the store's history that is lost.  */
+  if (ldr->past_leaders == NULL || ldr->term_era != ldr->era)
+    return MAX (LDR_CONFIRMED_MS,
+                ldr_reelection_ms (ldr, MAX (stopped_us, ldr->era_began_us)));
   names = g_strsplit (ldr->past_leaders, " ", -1);
   resigned = g_strcmp0 (names[0], LDR_RESIGNED) == 0;
   was_leader
-      = g_strv_contains ((const char *const *)names, ldr->config.instance);
+      = ldr->lost_at_us != 0
+        || g_strv_contains ((const char *const *)names, ldr->config.instance);
   /* If the latest leader was this instance, its previous process has ended and
      no delay is needed.  */
   if (g_strcmp0 (names[0], ldr->config.instance) != 0)
     {
       order_delay_ms = resigned ? 0 : LDR_CONFIRMED_MS;
-      /* Keep orders of alternating leaders apart.  A newly started process
-         does not know when its predecessor last sent an order, so its own
-         start time is used.  */
-      if (was_leader && now_us - stopped_us < reelection_delay_us)
+      /* Keep orders of alternating leaders apart.  */
+      if (was_leader)
         order_delay_ms
-            = MAX (order_delay_ms,
-                   (uint32_t)((stopped_us + reelection_delay_us - now_us)
-                              / LDR_US_PER_MS));
+            = MAX (order_delay_ms, ldr_reelection_ms (ldr, stopped_us));
     }
   g_strfreev (names);
   return order_delay_ms;
@@ -165,6 +180,23 @@
   ldr->synced = false;
 }
 
+/* Note a restoration of the store from a copy.  What this instance wrote since
+   is lost, and so are its leases.  */
+static void
+ldr_update_era (struct ldr *ldr)
+{
+  int64_t era = kv_era (&ldr->config.kv);
+
+  if (!ldr->has_read || era == ldr->era)
+    return;
+  ldr->era = era;
+  ldr->era_began_us = tm_now_us (ldr->config.tm);
+  ldr->member_lease.id = 0;
+  ldr->leader_lease.id = 0;
+  ldr->registered = false;
+  ldr_update_role (ldr);
+}
+
 static void
 ldr_read_done (void *arg, const struct kv_result *result)
 {
@@ -179,6 +211,9 @@
       return;
     }
   ldr->failures = 0;
+  ldr_update_era (ldr);
+  ldr->era = kv_era (&ldr->config.kv);
+  ldr->has_read = true;
   ldr_table_clear (ldr);
   for (size_t i = 0; i < result->pair_count; i++)
     ldr_table_apply (ldr, result->pairs[i].key, result->pairs[i].value,
@@ -245,6 +280,7 @@
 
   tm_after (ldr->config.tm, &ldr->tick, LDR_TICK_MS * LDR_US_PER_MS, ldr_tick,
             ldr);
+  ldr_update_era (ldr);
   if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_at_us
       && now_us >= ldr->first_read_us)
     ldr_read (ldr);
@@ -324,7 +360,8 @@
 
   *fence = ldr->fence;
   return ldr->leading && !ldr->resigned && now_us >= ldr->may_order_from_us
-         && now_us < ldr->confirmed_until_us;
+         && now_us < ldr->confirmed_until_us
+         && kv_era (&ldr->config.kv) == ldr->era;
 }
 
 /* Return whether this instance is the leader according to the cached
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -8,6 +8,8 @@
 #define LDR_US_PER_MS UINT64_C (1000)
 /* First entry of the term record if the latest leader resigned.  */
 #define LDR_RESIGNED "-"
+/* Precedes the era of the store in the term record.  */
+#define LDR_ERA_MARK '@'
 /* Instance names kept in the term record.  Successive terms start at least a
    second apart, so these cover the required gap between orders of two
    leaders.  */
@@ -49,12 +51,18 @@
   GPtrArray *members; /* struct ldr_member, sorted by name */
   struct ldr_record leader;
   int64_t term_revision; /* 0: there was never a leader */
-  char *past_leaders; /* latest first, space-separated; see ldr_past_leaders */
+  int64_t term_era;      /* of the store when the term record was written */
+  char *past_leaders; /* latest first, space-separated; see ldr_encode_term */
   bool has_peer_key;
   uint32_t peak_members; /* most members ever registered at once */
   int64_t peak_revision;
   bool registered; /* own member record exists under the current lease */
 
+  /* Known for good, whatever the store has lost.  */
+  int64_t era;           /* of the store at the last read */
+  uint64_t era_began_us; /* when a later era was noticed; 0: never */
+  bool has_read;
+
   struct ldr_lease member_lease;
   struct ldr_lease leader_lease; /* held while leading or campaigning */
   bool writing;
@@ -103,6 +111,6 @@
 void ldr_registered (struct ldr *ldr);
 bool ldr_call_ended (struct ldr *ldr);
 uint32_t ldr_order_delay_ms (const struct ldr *ldr);
-char *ldr_past_leaders (const struct ldr *ldr, const char *first);
+char *ldr_encode_term (const struct ldr *ldr, const char *first);
 
 #endif
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -32,6 +32,7 @@
   g_free (ldr->leader.instance);
   ldr->leader = (struct ldr_record){ 0 };
   ldr->term_revision = 0;
+  ldr->term_era = 0;
   g_free (ldr->past_leaders);
   ldr->past_leaders = NULL;
   ldr->registered = false;
@@ -173,8 +174,18 @@
   if (revision < ldr->term_revision)
     return;
   ldr->term_revision = revision;
+  ldr->term_era = 0;
   g_free (ldr->past_leaders);
   ldr->past_leaders = value == NULL ? NULL : g_strndup (value, bytes);
+  if (ldr->past_leaders != NULL && *ldr->past_leaders == LDR_ERA_MARK)
+    {
+      char *names;
+
+      ldr->term_era = g_ascii_strtoll (ldr->past_leaders + 1, &names, 10);
+      names = g_strdup (g_strchug (names));
+      g_free (ldr->past_leaders);
+      ldr->past_leaders = names;
+    }
 }
 
 static void
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -136,7 +136,7 @@
 ldr_campaign (struct ldr *ldr)
 {
   char *text = ldr_encode (ldr);
-  char *holders = ldr_past_leaders (ldr, ldr->config.instance);
+  char *holders = ldr_encode_term (ldr, ldr->config.instance);
   /* The term record is compared as well, because it determines the delay
      before the first order.  A first term needs none: no engine can have
      received orders from another leader.  */
@@ -214,6 +214,35 @@
   g_free (text);
 }
 
+static void
+ldr_orphan_removed (void *arg, const struct kv_result *result)
+{
+  struct ldr *ldr = arg;
+
+  if (ldr_call_ended (ldr))
+    ldr_write_ended (ldr, result->outcome);
+}
+
+/* Return whether the leader record is this process's and not under its lease:
+   the write took effect after that lease was lost, perhaps under another
+   one that got the same number and is still renewed.  */
+static bool
+ldr_is_orphan (const struct ldr *ldr)
+{
+  return !ldr->leading && ldr->leader.instance != NULL
+         && g_str_equal (ldr->leader.instance, ldr->config.instance)
+         && ldr->leader.incarnation == ldr->config.incarnation;
+}
+
+static void
+ldr_remove_orphan (struct ldr *ldr)
+{
+  struct kv_compare unchanged = { ldr_leader_key, ldr->leader.revision };
+  struct kv_op op = { .kind = KV_DELETE, .key = ldr_leader_key };
+
+  ldr_write_txn (ldr, &unchanged, 1, &op, 1, ldr_orphan_removed);
+}
+
 static bool
 ldr_may_campaign (const struct ldr *ldr, uint64_t now_us)
 {
@@ -244,6 +273,8 @@
     return;
   if (!ldr->registered)
     ldr_write_member (ldr);
+  else if (ldr_is_orphan (ldr))
+    ldr_remove_orphan (ldr);
   else if (ldr_may_campaign (ldr, now_us))
     {
       if (ldr->leader_lease.id != 0 && now_us < ldr->confirmed_until_us)
@@ -275,7 +306,7 @@
 ldr_write_resign (struct ldr *ldr)
 {
   char *key = ldr_member_key (ldr);
-  char *holders = ldr_past_leaders (ldr, LDR_RESIGNED);
+  char *holders = ldr_encode_term (ldr, LDR_RESIGNED);
   struct kv_compare leader_unchanged = { ldr_leader_key, (int64_t)ldr->fence };
   /* LDR_RESIGNED in the term record lets the successor start without
      delay.  */
--- a/regress/fake_kv.c
+++ b/regress/fake_kv.c
@@ -285,8 +285,8 @@
 {
   struct fake_kv *kv = context;
 
-  (void)ended;
-  return fake_data_watch (&kv->data, prefix, from_revision, changed, arg);
+  return fake_data_watch (&kv->data, prefix, from_revision, changed, ended,
+                          arg);
 }
 
 static void
@@ -297,6 +297,12 @@
   fake_data_unwatch (&kv->data, watch);
 }
 
+static int64_t
+fake_era (void *context)
+{
+  return ((const struct fake_kv *)context)->data.era;
+}
+
 /* Return the store interface of KV, valid until KV is freed.  */
 struct kv_store
 fake_kv_store (struct fake_kv *kv)
@@ -308,6 +314,7 @@
     .lease_revoke = fake_lease_revoke,
     .watch = fake_watch,
     .unwatch = fake_unwatch,
+    .era = fake_era,
   };
 
   return (struct kv_store){ &methods, kv };
@@ -355,6 +362,20 @@
   fake_data_expire (&kv->data, lease);
 }
 
+/* Copy what KV holds.  */
+void
+fake_kv_copy (struct fake_kv *kv)
+{
+  fake_data_copy (&kv->data);
+}
+
+/* Lose all changes since fake_kv_copy, as a service that is restored.  */
+void
+fake_kv_restore (struct fake_kv *kv)
+{
+  fake_data_restore (&kv->data);
+}
+
 /* Write VALUE to KEY immediately, as another client would.  */
 void
 fake_kv_put (struct fake_kv *kv, const char *key, const char *value)
--- a/regress/fake_kv.h
+++ b/regress/fake_kv.h
@@ -31,6 +31,8 @@
                             uint32_t count);
 void fake_kv_cancel_calls (struct fake_kv *kv, const void *arg);
 void fake_kv_expire (struct fake_kv *kv, int64_t lease);
+void fake_kv_copy (struct fake_kv *kv);
+void fake_kv_restore (struct fake_kv *kv);
 void fake_kv_put (struct fake_kv *kv, const char *key, const char *value);
 const char *fake_kv_value (const struct fake_kv *kv, const char *key);
 int64_t fake_kv_revision (const struct fake_kv *kv, const char *key);
--- a/regress/fake_kv_data.c
+++ b/regress/fake_kv_data.c
@@ -3,6 +3,8 @@
 #include "fake_kv_data.h"
 
 #define FAKE_US_PER_S 1000000
+/* Revisions and leases hold the era above this many bits.  */
+#define FAKE_NUMBER_BITS 40
 
 struct fake_lease
 {
@@ -12,10 +14,17 @@
   uint64_t ttl_us;
 };
 
+struct fake_copied_lease
+{
+  int64_t id;
+  uint32_t ttl_s;
+};
+
 struct fake_watch
 {
   char *prefix;
   kv_changed changed;
+  kv_watch_ended on_ended; /* NULL: not called */
   void *arg;
   guint next; /* index in the log */
   bool ended;
@@ -80,6 +89,11 @@
 fake_data_clear (struct fake_data *data)
 {
   tm_cancel (data->tm, &data->wakeup);
+  if (data->copied_pairs != NULL)
+    {
+      g_array_free (data->copied_pairs, TRUE);
+      g_array_free (data->copied_leases, TRUE);
+    }
   g_ptr_array_free (data->watches, TRUE);
   g_ptr_array_free (data->log, TRUE);
   g_hash_table_destroy (data->leases);
@@ -314,12 +328,14 @@
    FROM_REVISION or, if that is 0, with the next change.  */
 void *
 fake_data_watch (struct fake_data *data, const char *prefix,
-                 int64_t from_revision, kv_changed changed, void *arg)
+                 int64_t from_revision, kv_changed changed,
+                 kv_watch_ended ended, void *arg)
 {
   struct fake_watch *watch = g_new0 (struct fake_watch, 1);
 
   watch->prefix = g_strdup (prefix);
   watch->changed = changed;
+  watch->on_ended = ended;
   watch->arg = arg;
   watch->next = data->log->len;
   while (from_revision > 0 && watch->next > 0
@@ -338,3 +354,95 @@
   ((struct fake_watch *)watch)->ended = true;
   fake_data_schedule_watches (data);
 }
+
+/* Copy the keys, leases and counters for fake_data_restore.  */
+void
+fake_data_copy (struct fake_data *data)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_assert (data->copied_pairs == NULL);
+  data->copied_pairs = fake_pairs_new ();
+  fake_data_get (data, "", true, data->copied_pairs);
+  data->copied_leases
+      = g_array_new (FALSE, FALSE, sizeof (struct fake_copied_lease));
+  g_hash_table_iter_init (&iter, data->leases);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct fake_lease *lease = value;
+      struct fake_copied_lease copy
+          = { lease->id, (uint32_t)(lease->ttl_us / FAKE_US_PER_S) };
+
+      g_array_append_val (data->copied_leases, copy);
+    }
+  data->copied_revision = data->revision;
+  data->copied_next_lease = data->next_lease;
+}
+
+/* Return NUMBER, a revision or lease of an earlier era, in the current one. */
+static int64_t
+fake_renumber (const struct fake_data *data, int64_t number)
+{
+  int64_t low = number & ((INT64_C (1) << FAKE_NUMBER_BITS) - 1);
+
+  return low == 0 ? 0 : (data->era << FAKE_NUMBER_BITS) | low;
+}
+
+static void
+fake_restore_leases (struct fake_data *data)
+{
+  g_hash_table_remove_all (data->leases);
+  for (guint i = 0; i < data->copied_leases->len; i++)
+    {
+      const struct fake_copied_lease *copy
+          = &g_array_index (data->copied_leases, struct fake_copied_lease, i);
+
+      data->next_lease = fake_renumber (data, copy->id);
+      (void)fake_data_grant (data, copy->ttl_s);
+    }
+  data->next_lease = fake_renumber (data, data->copied_next_lease);
+}
+
+static void
+fake_restore_pairs (struct fake_data *data)
+{
+  GArray *lost = fake_pairs_new ();
+
+  fake_data_get (data, "", true, lost);
+  for (guint i = 0; i < lost->len; i++)
+    g_tree_remove (data->pairs, g_array_index (lost, struct kv_pair, i).key);
+  g_array_free (lost, TRUE);
+  for (guint i = 0; i < data->copied_pairs->len; i++)
+    {
+      struct kv_pair pair = fake_pair_copy (
+          &g_array_index (data->copied_pairs, struct kv_pair, i));
+
+      pair.revision = fake_renumber (data, pair.revision);
+      pair.lease = fake_renumber (data, pair.lease);
+      g_tree_replace (data->pairs, pair.key, g_memdup2 (&pair, sizeof pair));
+    }
+}
+
+/* Return to the copy, which begins a new era.  Leases that it holds run anew,
+   under numbers that nobody has; watches end.  */
+void
+fake_data_restore (struct fake_data *data)
+{
+  GPtrArray *watches = data->watches;
+
+  data->era++;
+  fake_restore_leases (data);
+  fake_restore_pairs (data);
+  data->revision = fake_renumber (data, data->copied_revision);
+  g_ptr_array_set_size (data->log, 0);
+  data->watches = g_ptr_array_new_with_free_func (fake_watch_free);
+  for (guint i = 0; i < watches->len; i++)
+    {
+      const struct fake_watch *watch = g_ptr_array_index (watches, i);
+
+      if (!watch->ended && watch->on_ended != NULL)
+        watch->on_ended (watch->arg);
+    }
+  g_ptr_array_free (watches, TRUE);
+}
--- a/regress/fake_kv_data.h
+++ b/regress/fake_kv_data.h
@@ -23,6 +23,12 @@
   GPtrArray *watches;     /* struct fake_watch */
   struct tm_timer wakeup; /* lets the watches read the log */
   bool paused;            /* watches report nothing */
+  int64_t era;            /* contained in revisions and leases */
+  /* The copy that a restoration brings back.  */
+  GArray *copied_pairs;  /* struct kv_pair; NULL: no copy */
+  GArray *copied_leases; /* struct fake_copied_lease */
+  int64_t copied_revision;
+  int64_t copied_next_lease;
 };
 
 void fake_data_init (struct fake_data *data, struct tm_service *tm);
@@ -40,8 +46,11 @@
 bool fake_data_renew (struct fake_data *data, int64_t lease);
 void fake_data_expire (struct fake_data *data, int64_t lease);
 void *fake_data_watch (struct fake_data *data, const char *prefix,
-                       int64_t from_revision, kv_changed changed, void *arg);
+                       int64_t from_revision, kv_changed changed,
+                       kv_watch_ended ended, void *arg);
 void fake_data_unwatch (struct fake_data *data, void *watch);
 void fake_data_schedule_watches (struct fake_data *data);
+void fake_data_copy (struct fake_data *data);
+void fake_data_restore (struct fake_data *data);
 
 #endif
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -11,6 +11,10 @@
      deaf I | hear I               the watches of I deliver no events
      expire I                      the store expires the leases of I early
      remove                        delete only the leader's record
+     copy                          of what the store holds
+     restore                       the store from that copy
+     forget KEY                    delete cowslip/KEY
+     value KEY                     print whether cowslip/KEY exists
      advance MS
      may                           print which instances may order engines
      confirmed                     print the confirmed leader
@@ -30,6 +34,7 @@
   GQueue grants;  /* struct grant, in the order of their replies */
   bool partitioned;
   bool watches_silent;
+  uint8_t key;        /* first byte of the key in use; 0: none */
   kv_changed changed; /* callbacks of the election */
   kv_watch_ended ended;
   void *arg;
@@ -148,9 +153,20 @@
   base_kv.methods->unwatch (base_kv.context, watch);
 }
 
-static const struct kv_methods methods
-    = { script_txn,   script_grant,   script_renew, script_revoke,
-        script_watch, script_unwatch, NULL };
+static int64_t
+script_era (void *context)
+{
+  (void)context;
+  return kv_era (&base_kv);
+}
+
+static const struct kv_methods methods = { .txn = script_txn,
+                                           .lease_grant = script_grant,
+                                           .lease_renew = script_renew,
+                                           .lease_revoke = script_revoke,
+                                           .watch = script_watch,
+                                           .unwatch = script_unwatch,
+                                           .era = script_era };
 
 static void
 print_event (const struct instance *instance, const char *what)
@@ -167,19 +183,33 @@
 }
 
 static void
-remove_record (void)
+remove_record (const char *name)
 {
-  struct kv_op op = { .kind = KV_DELETE, .key = "cowslip/leader" };
+  char *key = g_strdup_printf ("cowslip/%s", name);
+  struct kv_op op = { .kind = KV_DELETE, .key = key };
   struct kv_txn txn = { .then_ops = &op, .then_count = 1 };
 
   base_kv.methods->txn (base_kv.context, &txn, on_record_removed, NULL);
+  g_free (key);
 }
 
+static void
+print_value (const char *name)
+{
+  char *key = g_strdup_printf ("cowslip/%s", name);
+
+  printf ("%s\n", fake_kv_value (store, key) == NULL ? "absent" : "present");
+  g_free (key);
+}
+
+/* Engines refuse nothing: fences that do not rise are reported here.  */
 static void
 on_gained (void *arg, uint64_t fence)
 {
-  (void)fence;
-  print_event (arg, "leads");
+  static uint64_t highest;
+
+  print_event (arg, fence > highest ? "leads" : "leads with an old fence");
+  highest = MAX (highest, fence);
 }
 
 static void
@@ -188,12 +218,16 @@
   print_event (arg, "no longer leads");
 }
 
+/* Each instance proposes a key of bytes with its own number.  */
 static void
 on_key (void *arg, const unsigned char *key, size_t bytes)
 {
-  (void)arg;
-  (void)key;
-  (void)bytes;
+  struct instance *instance = arg;
+
+  g_assert (bytes == LDR_KEY_BYTES);
+  if (instance->key != 0)
+    printf ("%s uses the key of i%u\n", instance->name, key[0]);
+  instance->key = key[0];
 }
 
 static void
@@ -216,6 +250,8 @@
                                .reelection_delay_ms = REELECTION_DELAY_MS };
 
   instance->partitioned = false;
+  instance->key = 0;
+  memset (config.key, (int)(instance - instances) + 1, sizeof config.key);
   instance->ldr = ldr_new (&config, &callbacks, instance);
 }
 
@@ -294,7 +330,15 @@
   if (strcmp (command, "advance") == 0)
     tm_advance (tm, tm_now_us (tm) + strtoull (word, NULL, 10) * US_PER_MS);
   else if (strcmp (command, "remove") == 0)
-    remove_record ();
+    remove_record ("leader");
+  else if (strcmp (command, "forget") == 0)
+    remove_record (word);
+  else if (strcmp (command, "value") == 0)
+    print_value (word);
+  else if (strcmp (command, "copy") == 0)
+    fake_kv_copy (store);
+  else if (strcmp (command, "restore") == 0)
+    fake_kv_restore (store);
   else if (strcmp (command, "may") == 0)
     print_permissions ();
   else if (strcmp (command, "confirmed") == 0)
