Write the key between instances again after the store has lost it

After a restoration from a copy that is older than the key between instances, an instance that starts stored a key of its own, and the others refused its calls and it theirs; the highest number of members, by which the retry budget is divided, was lost too.

Instances that know the key write it again if the store has none, and replace theirs by the one that it holds (rpc_set_key). The leader writes the number of members again if the record is lower than what it knows.

--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -96,6 +96,13 @@
                                .key_bytes = bytes };
   GError *error = NULL;
 
+  if (gw->rpc != NULL)
+    {
+      lg_write (LG_PEER_KEY_CHANGED, "era=%" G_GINT64_FORMAT,
+                kv_era (&gw->kv));
+      rpc_set_key (gw->rpc, key, bytes);
+      return;
+    }
   gw->rpc = rpc_node_new (gw->loop, gw->tm, gw->counters, &config, &error);
   if (gw->rpc == NULL)
     {
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -64,8 +64,8 @@
 {
   void (*gained) (void *arg, uint64_t fence);
   void (*lost) (void *arg);
-  /* Called when the key that authenticates RPCs between instances is
-     known.  */
+  /* Called when the key that authenticates RPCs between instances is known,
+     and when the store holds another one after it has lost that.  */
   void (*key) (void *arg, const unsigned char *key, size_t bytes);
   void (*members) (void *arg); /* members or leader changed */
   /* All keys with the prefix were read, or one has changed: lets other parts
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -53,15 +53,19 @@
   int64_t term_revision; /* 0: there was never a leader */
   int64_t term_era;      /* of the store when the term record was written */
   char *past_leaders; /* latest first, space-separated; see ldr_encode_term */
-  bool has_peer_key;
-  uint32_t peak_members; /* most members ever registered at once */
-  int64_t peak_revision;
+  int64_t peer_key_revision; /* 0: no record */
+  bool peer_key_stored;      /* the record holds the key in use */
+  int64_t peak_revision;     /* 0: no record */
+  uint32_t peak_stored;
   bool registered; /* own member record exists under the current lease */
 
   /* Known for good, whatever the store has lost.  */
   int64_t era;           /* of the store at the last read */
   uint64_t era_began_us; /* when a later era was noticed; 0: never */
   bool has_read;
+  bool has_peer_key;
+  unsigned char peer_key[LDR_KEY_BYTES];
+  uint32_t peak_members; /* most members ever registered at once */
 
   struct ldr_lease member_lease;
   struct ldr_lease leader_lease; /* held while leading or campaigning */
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -35,6 +35,10 @@
   ldr->term_era = 0;
   g_free (ldr->past_leaders);
   ldr->past_leaders = NULL;
+  ldr->peer_key_revision = 0;
+  ldr->peer_key_stored = false;
+  ldr->peak_revision = 0;
+  ldr->peak_stored = 0;
   ldr->registered = false;
 }
 
@@ -188,21 +192,35 @@
     }
 }
 
+/* Use KEY unless it is in use already.  */
 static void
-ldr_apply_peer_key (struct ldr *ldr, const char *value, size_t bytes)
+ldr_set_peer_key (struct ldr *ldr, const guchar *key)
+{
+  if (ldr->has_peer_key && memcmp (ldr->peer_key, key, LDR_KEY_BYTES) == 0)
+    return;
+  ldr->has_peer_key = true;
+  memcpy (ldr->peer_key, key, LDR_KEY_BYTES);
+  ldr->callbacks.key (ldr->arg, key, LDR_KEY_BYTES);
+}
+
+static void
+ldr_apply_peer_key (struct ldr *ldr, const char *value, size_t bytes,
+                    int64_t revision)
 {
   gsize length = 0;
   char *text;
   guchar *key;
 
-  if (value == NULL || ldr->has_peer_key)
+  ldr->peer_key_revision = value == NULL ? 0 : revision;
+  ldr->peer_key_stored = false;
+  if (value == NULL)
     return;
   text = g_strndup (value, bytes);
   key = g_base64_decode (text, &length);
   if (length == LDR_KEY_BYTES)
     {
-      ldr->has_peer_key = true;
-      ldr->callbacks.key (ldr->arg, key, length);
+      ldr->peer_key_stored = true;
+      ldr_set_peer_key (ldr, key);
     }
   explicit_bzero (key, length);
   g_free (key);
@@ -210,12 +228,14 @@
 }
 
 static void
-ldr_apply_peak_members (struct ldr *ldr, const char *value, size_t bytes)
+ldr_apply_peak_members (struct ldr *ldr, const char *value, size_t bytes,
+                        int64_t revision)
 {
-  char *text = g_strndup (value, bytes);
+  char *text = value == NULL ? g_strdup ("0") : g_strndup (value, bytes);
 
-  ldr->peak_members
-      = MAX (ldr->peak_members, (uint32_t)strtoul (text, NULL, 10));
+  ldr->peak_revision = value == NULL ? 0 : revision;
+  ldr->peak_stored = (uint32_t)strtoul (text, NULL, 10);
+  ldr->peak_members = MAX (ldr->peak_members, ldr->peak_stored);
   g_free (text);
 }
 
@@ -233,11 +253,7 @@
   else if (g_str_equal (key, ldr_term_key))
     ldr_apply_term (ldr, value, bytes, revision);
   else if (g_str_equal (key, ldr_peak_members_key))
-    {
-      ldr->peak_revision = revision;
-      if (value != NULL)
-        ldr_apply_peak_members (ldr, value, bytes);
-    }
+    ldr_apply_peak_members (ldr, value, bytes, revision);
   else if (g_str_equal (key, ldr_peer_key_key))
-    ldr_apply_peer_key (ldr, value, bytes);
+    ldr_apply_peer_key (ldr, value, bytes, revision);
 }
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -51,17 +51,20 @@
   /* If another instance wrote the key first, the watch delivers that one.  */
 }
 
+/* Store the key in use, or propose one, unless another instance has stored
+   one.  */
 static void
 ldr_write_peer_key (struct ldr *ldr)
 {
-  char *text = g_base64_encode (ldr->config.key, sizeof ldr->config.key);
-  struct kv_compare absent = { ldr_peer_key_key, 0 };
+  char *text = g_base64_encode (
+      ldr->has_peer_key ? ldr->peer_key : ldr->config.key, LDR_KEY_BYTES);
+  struct kv_compare unchanged = { ldr_peer_key_key, ldr->peer_key_revision };
   struct kv_op put = { .kind = KV_PUT,
                        .key = ldr_peer_key_key,
                        .value = text,
                        .value_bytes = strlen (text) };
 
-  ldr_write_txn (ldr, &absent, 1, &put, 1, ldr_peer_key_done);
+  ldr_write_txn (ldr, &unchanged, 1, &put, 1, ldr_peer_key_done);
   g_free (text);
 }
 
@@ -198,11 +201,12 @@
     ldr_write_ended (ldr, result->outcome);
 }
 
-/* Store the number of members if it exceeds the recorded peak.  */
+/* Store the highest number of members, now or known from before.  */
 static void
 ldr_write_peak_members (struct ldr *ldr)
 {
-  char *text = g_strdup_printf ("%u", ldr->members->len);
+  char *text
+      = g_strdup_printf ("%u", MAX (ldr->members->len, ldr->peak_members));
   struct kv_compare peak_unchanged
       = { ldr_peak_members_key, ldr->peak_revision };
   struct kv_op put = { .kind = KV_PUT,
@@ -264,7 +268,7 @@
         ldr_write_member (ldr);
       return;
     }
-  if (!ldr->has_peer_key)
+  if (!ldr->peer_key_stored)
     {
       ldr_write_peer_key (ldr);
       return;
@@ -282,7 +286,8 @@
       else
         ldr_lease_grant_leader (ldr);
     }
-  else if (ldr->leading && ldr->members->len > ldr->peak_members)
+  else if (ldr->leading
+           && MAX (ldr->members->len, ldr->peak_members) > ldr->peak_stored)
     ldr_write_peak_members (ldr);
 }
 
--- a/libcowslip/rpc.c
+++ b/libcowslip/rpc.c
@@ -28,6 +28,14 @@
   return NULL;
 }
 
+/* Authenticate all records with KEY from now on.  Records under way under the
+   former key are refused, and calls to a peer that still has it, too.  */
+void
+rpc_set_key (struct rpc_node *node, const void *key, size_t key_bytes)
+{
+  rpc_auth_set_key (node->auth, key, key_bytes);
+}
+
 /* Free NODE.  Calls in progress are not reported; received calls must have
    been replied to.  The loop must run once more to close the handles.  */
 void
--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -77,6 +77,7 @@
                                struct ctr_set *counters,
                                const struct rpc_config *config,
                                GError **error);
+void rpc_set_key (struct rpc_node *node, const void *key, size_t key_bytes);
 void rpc_node_free (struct rpc_node *node);
 void rpc_register (struct rpc_node *node,
                    const struct rpc_procedure *procedure, void *arg);
--- a/libcowslip/rpc_auth.c
+++ b/libcowslip/rpc_auth.c
@@ -18,16 +18,24 @@
 rpc_auth_new (const void *key, size_t key_bytes)
 {
   struct rpc_auth *auth = g_new0 (struct rpc_auth, 1);
+
+  auth->method = EVP_MAC_fetch (NULL, "HMAC", NULL);
+  auth->keyed = EVP_MAC_CTX_new (auth->method);
+  rpc_auth_set_key (auth, key, key_bytes);
+  return auth;
+}
+
+/* Use KEY from now on.  */
+void
+rpc_auth_set_key (struct rpc_auth *auth, const void *key, size_t key_bytes)
+{
   char digest[] = "SHA256";
   OSSL_PARAM params[]
       = { OSSL_PARAM_construct_utf8_string ("digest", digest, 0),
           OSSL_PARAM_construct_end () };
 
-  auth->method = EVP_MAC_fetch (NULL, "HMAC", NULL);
-  auth->keyed = EVP_MAC_CTX_new (auth->method);
   if (EVP_MAC_init (auth->keyed, key, key_bytes, params) != 1)
     g_error ("HMAC-SHA256 is not available");
-  return auth;
 }
 
 void
--- a/libcowslip/rpc_auth.h
+++ b/libcowslip/rpc_auth.h
@@ -31,6 +31,8 @@
 struct rpc_auth;
 
 struct rpc_auth *rpc_auth_new (const void *key, size_t key_bytes);
+void rpc_auth_set_key (struct rpc_auth *auth, const void *key,
+                       size_t key_bytes);
 void rpc_auth_free (struct rpc_auth *auth);
 /* CALL_MAC binds a reply to its call; NULL for a call.  */
 void rpc_auth_mac (const struct rpc_auth *auth, const uint8_t *call_mac,
--- a/regress/rpc_test.c
+++ b/regress/rpc_test.c
@@ -226,6 +226,24 @@
   rig_stop (&rig);
 }
 
+/* Guards against a node that keeps a key which its peers have replaced.  */
+static void
+test_changed_key (void)
+{
+  struct rig rig;
+
+  rig_start (&rig);
+  CU_ASSERT_EQUAL (call (&rig, PROC_ADD, 5000), RPC_OK);
+  rpc_set_key (rig.server, OTHER_KEY, 32);
+  CU_ASSERT_NOT_EQUAL (call (&rig, PROC_ADD, 1000), RPC_OK);
+  CU_ASSERT_EQUAL (rig.handled, 1);
+  rpc_set_key (rig.client, OTHER_KEY, 32);
+  while (call (&rig, PROC_ADD, 5000) == RPC_CONNECTION_LOST)
+    ;
+  CU_ASSERT_EQUAL (rig.outcome, RPC_OK);
+  rig_stop (&rig);
+}
+
 static int
 raw_connect (const struct rig *rig)
 {
@@ -605,6 +623,7 @@
       = { { "calls", test_calls },
           { "restart", test_restart },
           { "wrong_key", test_wrong_key },
+          { "changed key", test_changed_key },
           { "malformed", test_malformed },
           { "replay", test_replay },
           { "one_way", test_one_way },
