--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -2,7 +2,6 @@
 
 #include "flt_impl.h"
 
-#define FLT_US_PER_MS UINT64_C (1000)
 /* Backoff after a failure, doubled with each further failure.  The first one
    is short because most failures are the reset of a single connection.  */
 #define FLT_BACKOFF_MIN_MS 250
@@ -17,10 +16,6 @@
    writes its entry each 1.2 s, and it is relayed only if it has changed.  */
 #define FLT_UNCONFIRMED_TTL_MS 3000
 
-/* Weight of a new load report in the mean of the service.  An instance of a
-   large fleet receives about one a second.  */
-#define FLT_MEAN_LOAD_WEIGHT 0.1
-
 /* Requests for a model or adapter that an engine reported absent are not sent
    there for this long, unless a notice says that it was loaded.  The next
    entry, about 1 s later, has the current state.  */
@@ -43,14 +38,6 @@
   uint64_t received_us;
 };
 
-struct flt_fleet
-{
-  struct tm_service *tm;
-  GHashTable *by_id; /* struct flt_endpoint */
-  GPtrArray *all;    /* the same, in the order in which they were added */
-  GHashTable *loads; /* service -> double: mean of the reported loads */
-};
-
 static void
 flt_notice_clear (gpointer data)
 {
@@ -362,45 +349,6 @@
     }
 }
 
-/* Return the mean load, running and waiting requests, that the endpoints of
-   SERVICE have reported to this instance; 0: none yet.  */
-double
-flt_mean_load (const struct flt_fleet *fleet, const char *service)
-{
-  const double *mean = g_hash_table_lookup (fleet->loads, service);
-
-  return mean == NULL ? 0 : *mean;
-}
-
-static void
-flt_update_mean_load (struct flt_fleet *fleet, const char *service,
-                      double load)
-{
-  double *mean = g_hash_table_lookup (fleet->loads, service);
-
-  if (mean == NULL)
-    {
-      mean = g_new0 (double, 1);
-      *mean = load;
-      g_hash_table_insert (fleet->loads, g_strdup (service), mean);
-    }
-  *mean += FLT_MEAN_LOAD_WEIGHT * (load - *mean);
-}
-
-/* Store the load that ENDPOINT reported with a response.  PACE_PERCENT 0
-   counts as 100.  */
-void
-flt_set_load (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
-              uint32_t running, uint32_t waiting, uint32_t pace_percent)
-{
-  endpoint->running = running;
-  endpoint->waiting = waiting;
-  endpoint->pace_percent = pace_percent == 0 ? 100 : pace_percent;
-  endpoint->load_reported_us = tm_now_us (fleet->tm);
-  flt_update_mean_load (fleet, endpoint->entry.service,
-                        (double)running + waiting);
-}
-
 static void
 flt_merge_adapter (struct flt_model *model, enum flt_notice_kind kind,
                    const char *adapter)
