Do not use an engine again that is known to leave

After the store has come back from an older copy, requests could go to an engine that leaves, later than DrainMs after its announcement.

Cause: flt_put_entry replaced the state of an endpoint by that of any entry that was read, and the copy shows the engine as it was before it began to leave, until the engine writes its entry again.

An engine does not come back from draining without a new process, so the state is kept until the entry shows another start ('born') or address. Where the start is unknown the entry is followed as before.

Evidence: flt_test 'leaving is final' failed before (the endpoint was chosen, and the time that it had left was lost) and passes now.

--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -201,12 +201,14 @@
 }
 
 /* Add or update the endpoint of ENTRY, which is consumed.  Return the
-   endpoint.  */
+   endpoint.  A process that leaves does not come back: an entry that shows
+   it in service again is older.  */
 struct flt_endpoint *
 flt_put_entry (struct flt_fleet *fleet, struct flt_entry *entry)
 {
   struct flt_endpoint *endpoint = flt_find (fleet, entry->id);
   struct flt_entry *current;
+  bool restarted;
   char *address;
   char *service;
 
@@ -216,12 +218,16 @@
   endpoint->expired = false;
   endpoint->expires_us = 0;
   endpoint->listed = true;
-  if (current->started_ms != entry->started_ms
-      || !g_str_equal (current->address, entry->address))
+  restarted = current->started_ms != entry->started_ms
+              || !g_str_equal (current->address, entry->address);
+  if (restarted)
     flt_reset_endpoint (endpoint);
   flt_announce (fleet, endpoint, &entry->weights);
-  current->leaving = entry->leaving;
-  current->leaves_in_ms = entry->leaves_in_ms;
+  if (restarted || entry->leaving || current->started_ms == 0)
+    {
+      current->leaving = entry->leaving;
+      current->leaves_in_ms = entry->leaves_in_ms;
+    }
   current->slots = entry->slots;
   current->started_ms = entry->started_ms;
   address = current->address;
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -192,6 +192,26 @@
   CU_ASSERT_STRING_EQUAL (choose ("m"), "e1");
 }
 
+/* Guards against requests to an endpoint that leaves, when the store comes
+   back from a copy in which it does not leave yet.  */
+static void
+test_leaving_is_final (void)
+{
+  struct flt_endpoint *endpoint;
+
+  reset ();
+  endpoint = announce ("e1", "z1", NULL, 1);
+  endpoint->entry.leaving = true;
+  endpoint->entry.leaves_in_ms = 700;
+  (void)announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  CU_ASSERT_EQUAL (endpoint->entry.leaves_in_ms, 700);
+  /* Its process has started again.  */
+  (void)announce ("e1", "z1", NULL, 2);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  CU_ASSERT_EQUAL (endpoint->entry.leaves_in_ms, 0);
+}
+
 /* Guards against overload of one endpoint: the choice depends on the zone, the
    load and recent failures.  */
 static void
@@ -232,6 +252,7 @@
           { "news", test_notices },
           { "wrong notice", test_wrong_notice },
           { "absent", test_absent },
+          { "leaving is final", test_leaving_is_final },
           { "choice", test_choice },
           { NULL, NULL } };
 
