Do not use removed engines that an older copy of the store lists

After the store has come back from an older copy, requests could go to an engine that had left, which goes on to accept them for seconds.

Cause: an entry that is listed was always taken to be newer than its removal. Once the store has lost changes that is not so.

If the store has lost changes since (kv_era of the revisions), an entry of the same process is withheld until the store reports it as a change after the last full list, or until it has stayed listed for 5 s: the entry of a process that is gone is removed before. A process that was known to leave stays withheld. Within one era, and after an outage in which most entries expired, entries are used at once as before.

kv_era takes bits 40 and up of a revision, which the adapter of the store must set; without that nothing changes. Seq was no way to tell: the relay leaves it out, and the store's entry keeps its revision if only Seq changes.

Evidence: flt_test 'removed ...', 'missing ...' and 'left before a loss of changes' fail if flt_removal_withhold returns false, and pass now; 'expired before a loss of changes' guards the other side.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -47,6 +47,18 @@
   return key + strlen (gw->protocol->keys.endpoint_prefix);
 }
 
+static void
+gw_fleet_log_announced (const struct flt_entry *entry)
+{
+  lg_write (LG_ENDPOINT_ANNOUNCED,
+            "endpoint=%s service=%s address=%s zone=%s slots=%u models=%u "
+            "in_memory=%u on_disk=%u leaving=%d revision=%" G_GINT64_FORMAT,
+            entry->id, entry->service, entry->address, entry->zone,
+            entry->slots, entry->weights.models->len,
+            entry->weights.in_memory->len, entry->weights.on_disk->len,
+            entry->leaving, entry->revision);
+}
+
 static void
 gw_fleet_update_entry (struct gw *gw, const char *key, const char *value,
                        size_t bytes, int64_t revision)
@@ -55,8 +67,9 @@
   GError *error = NULL;
   struct flt_entry *entry
       = gw->protocol->read_entry (id, value, bytes, &error);
-  struct flt_endpoint *existing = flt_find (gw->fleet, id);
-  bool leaving;
+  const struct flt_endpoint *endpoint = flt_find (gw->fleet, id);
+  bool known = endpoint != NULL;
+  bool was_leaving = known && endpoint->entry.leaving;
 
   if (entry == NULL)
     {
@@ -65,19 +78,17 @@
       g_error_free (error);
       return;
     }
-  leaving = entry->leaving;
-  if (existing == NULL)
-    lg_write (LG_ENDPOINT_ANNOUNCED,
-              "endpoint=%s service=%s address=%s zone=%s slots=%u models=%u "
-              "in_memory=%u on_disk=%u leaving=%d revision=%" G_GINT64_FORMAT,
-              id, entry->service, entry->address, entry->zone, entry->slots,
-              entry->weights.models->len, entry->weights.in_memory->len,
-              entry->weights.on_disk->len, leaving, revision);
-  else if (leaving && !existing->entry.leaving)
+  entry->revision = revision;
+  endpoint = flt_put_entry (gw->fleet, entry);
+  if (endpoint == NULL)
+    lg_write (LG_ENTRY_WITHHELD, "endpoint=%s revision=%" G_GINT64_FORMAT, id,
+              revision);
+  else if (!known)
+    gw_fleet_log_announced (&endpoint->entry);
+  else if (endpoint->entry.leaving && !was_leaving)
     lg_write (LG_ENDPOINT_LEAVING,
               "endpoint=%s left_ms=%u revision=%" G_GINT64_FORMAT, id,
-              entry->leaves_in_ms, revision);
-  (void)flt_put_entry (gw->fleet, entry);
+              endpoint->entry.leaves_in_ms, revision);
 }
 
 static void
@@ -121,7 +132,7 @@
       return;
     }
   kv_backoff_reset (&gw->fleet_backoff);
-  flt_list_begin (gw->fleet);
+  flt_list_begin (gw->fleet, result->revision);
   for (size_t i = 0; i < result->pair_count; i++)
     gw_fleet_update_entry (gw, result->pairs[i].key, result->pairs[i].value,
                            result->pairs[i].value_bytes,
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -83,6 +83,7 @@
   fleet->all = g_ptr_array_new ();
   fleet->loads
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fleet->removals = flt_removals_new ();
   return fleet;
 }
 
@@ -95,6 +96,7 @@
   g_ptr_array_free (fleet->all, TRUE);
   g_hash_table_destroy (fleet->by_id);
   g_hash_table_destroy (fleet->loads);
+  g_hash_table_destroy (fleet->removals);
   g_free (fleet);
 }
 
@@ -201,8 +203,9 @@
 }
 
 /* Add or update the endpoint of ENTRY, which is consumed.  Return the
-   endpoint.  A process that leaves does not come back: an entry that shows
-   it in service again is older.  */
+   endpoint, or NULL if it may have been removed since ENTRY was written.  A
+   process that leaves does not come back: an entry that shows it in service
+   again is older.  */
 struct flt_endpoint *
 flt_put_entry (struct flt_fleet *fleet, struct flt_entry *entry)
 {
@@ -212,6 +215,9 @@
   char *address;
   char *service;
 
+  if (flt_removal_withhold (fleet, entry))
+    return NULL;
+  flt_removal_forget (fleet, entry->id);
   if (endpoint == NULL)
     return flt_new_endpoint (fleet, entry);
   current = &endpoint->entry;
@@ -229,6 +235,7 @@
       current->leaves_in_ms = entry->leaves_in_ms;
     }
   current->slots = entry->slots;
+  current->revision = entry->revision;
   current->started_ms = entry->started_ms;
   address = current->address;
   service = current->service;
@@ -247,8 +254,10 @@
 {
   struct flt_endpoint *endpoint = flt_find (fleet, id);
 
+  flt_removal_repeat (fleet, id);
   if (endpoint == NULL || endpoint->expires_us != 0)
     return;
+  flt_removal_add (fleet, endpoint);
   endpoint->listed = false;
   endpoint->expires_us = tm_now_us (fleet->tm) + grace_ms * FLT_US_PER_MS;
 }
@@ -276,16 +285,21 @@
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
 
-      if (endpoint->expires_us != 0 && !endpoint->expired)
-        endpoint->expires_us = MAX (endpoint->expires_us, expires_us);
+      if (endpoint->expires_us == 0 || endpoint->expired)
+        continue;
+      endpoint->expires_us = MAX (endpoint->expires_us, expires_us);
+      flt_removal_forget (fleet, endpoint->entry.id);
     }
   return true;
 }
 
-/* Begin a full list of entries, each passed to flt_put_entry.  */
+/* Begin a full list of the entries in the store at REVISION, each passed to
+   flt_put_entry.  */
 void
-flt_list_begin (struct flt_fleet *fleet)
+flt_list_begin (struct flt_fleet *fleet, int64_t revision)
 {
+  fleet->list_revision = revision;
+  flt_removals_list_begin (fleet);
   for (guint i = 0; i < fleet->all->len; i++)
     ((struct flt_endpoint *)g_ptr_array_index (fleet->all, i))->listed = false;
 }
@@ -301,17 +315,22 @@
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
 
-      if (!endpoint->listed && endpoint->expires_us == 0)
-        endpoint->expires_us = expires_us;
+      if (endpoint->listed || endpoint->expires_us != 0)
+        continue;
+      flt_removal_add (fleet, endpoint);
+      endpoint->expires_us = expires_us;
     }
+  flt_removals_list_end (fleet);
 }
 
 /* Expire unlisted endpoints whose grace period has passed, and remove expired
-   ones without requests in flight.  Drop notices that were not confirmed.  */
+   ones without requests in flight.  Drop notices that were not confirmed, and
+   use entries that were withheld for long enough.  */
 void
 flt_sweep (struct flt_fleet *fleet)
 {
   uint64_t now_us = tm_now_us (fleet->tm);
+  struct flt_entry *withheld;
 
   for (guint i = fleet->all->len; i-- > 0;)
     {
@@ -324,6 +343,8 @@
       else if (flt_drop_notices (fleet, endpoint, FLT_UNCONFIRMED_TTL_MS))
         flt_merge_notices (endpoint);
     }
+  while ((withheld = flt_removals_sweep (fleet)) != NULL)
+    (void)flt_put_entry (fleet, withheld);
 }
 
 /* Store the report WEIGHTS of ENDPOINT and take ownership of it.  A report
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -44,6 +44,7 @@
   uint64_t started_ms; /* Unix time; 0: unknown */
   bool leaving;
   uint32_t leaves_in_ms; /* if LEAVING; 0: unknown */
+  int64_t revision;      /* of the store when it was written; 0: unknown */
   struct flt_weights weights;
 };
 
@@ -107,7 +108,7 @@
 void flt_remove_entry (struct flt_fleet *fleet, const char *id,
                        uint32_t grace_ms);
 bool flt_extend_grace (struct flt_fleet *fleet, uint32_t grace_ms);
-void flt_list_begin (struct flt_fleet *fleet);
+void flt_list_begin (struct flt_fleet *fleet, int64_t revision);
 void flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms);
 void flt_sweep (struct flt_fleet *fleet);
 struct flt_endpoint *flt_find (const struct flt_fleet *fleet, const char *id);
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -10,11 +10,26 @@
 struct flt_fleet
 {
   struct tm_service *tm;
-  GHashTable *by_id; /* struct flt_endpoint */
-  GPtrArray *all;    /* the same, in the order in which they were added */
-  GHashTable *loads; /* service -> double: mean of the reported loads */
+  GHashTable *by_id;     /* struct flt_endpoint */
+  GPtrArray *all;        /* the same, in the order in which they were added */
+  GHashTable *loads;     /* service -> double: mean of the reported loads */
+  GHashTable *removals;  /* id -> struct flt_removal */
+  int64_t list_revision; /* of the store, at the last full list */
 };
 
 void flt_entry_clear (struct flt_entry *entry);
 
+/* flt_removed.c */
+GHashTable *flt_removals_new (void);
+void flt_removal_add (struct flt_fleet *fleet,
+                      const struct flt_endpoint *endpoint);
+void flt_removal_forget (struct flt_fleet *fleet, const char *id);
+void flt_removal_repeat (struct flt_fleet *fleet, const char *id);
+bool flt_removal_withhold (struct flt_fleet *fleet, struct flt_entry *entry);
+bool flt_may_be_older (const struct flt_fleet *fleet,
+                       const struct flt_entry *entry, int64_t known_revision);
+void flt_removals_list_begin (struct flt_fleet *fleet);
+void flt_removals_list_end (struct flt_fleet *fleet);
+struct flt_entry *flt_removals_sweep (struct flt_fleet *fleet);
+
 #endif
--- a/libcowslip/kv.c
+++ b/libcowslip/kv.c
@@ -8,6 +8,13 @@
                                      : store->methods->era (store->context);
 }
 
+/* Return the era in which the service gave out REVISION.  */
+int64_t
+kv_revision_era (int64_t revision)
+{
+  return revision <= 0 ? 0 : revision >> KV_ERA_SHIFT;
+}
+
 /* Run TXN on STORE and call DONE once with ARG.  */
 void
 kv_txn (const struct kv_store *store, const struct kv_txn *txn, kv_done done,
--- a/libcowslip/kv.h
+++ b/libcowslip/kv.h
@@ -5,6 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Revisions contain the era of the service above this many bits, see the era
+   method.  */
+#define KV_ERA_SHIFT 40
+
 /* Interface to a key-value service with transactions, leases and watches.
    Tests and other platforms substitute their own implementation.  */
 
@@ -112,6 +116,7 @@
 };
 
 int64_t kv_era (const struct kv_store *store);
+int64_t kv_revision_era (int64_t revision);
 void kv_txn (const struct kv_store *store, const struct kv_txn *txn,
              kv_done done, void *arg);
 void kv_get (const struct kv_store *store, const char *key, kv_done done,
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "flt.h"
+#include "kv.h"
 #include "pck.h"
 #include "unit.h"
 
@@ -23,11 +24,13 @@
 }
 
 static struct flt_endpoint *
-announce (const char *id, const char *zone, const char *model,
-          uint64_t started_ms)
+announce_at (const char *id, const char *zone, const char *model,
+             uint64_t started_ms, int64_t revision)
 {
   struct flt_entry *entry = flt_entry_new ();
 
+  entry->revision = revision;
+
   entry->id = g_strdup (id);
   entry->service = g_strdup ("s");
   entry->address = g_strdup ("1.2.3.4:5");
@@ -39,6 +42,13 @@
   return flt_put_entry (fleet, entry);
 }
 
+static struct flt_endpoint *
+announce (const char *id, const char *zone, const char *model,
+          uint64_t started_ms)
+{
+  return announce_at (id, zone, model, started_ms, 0);
+}
+
 static const char *
 choose (const char *model)
 {
@@ -109,7 +119,7 @@
   reset ();
   (void)announce ("e1", "z1", NULL, 1);
   (void)announce ("e2", "z1", NULL, 1);
-  flt_list_begin (fleet);
+  flt_list_begin (fleet, 0);
   (void)announce ("e2", "z1", NULL, 1);
   flt_list_end (fleet, 2000);
   advance_ms (1900);
@@ -212,6 +222,111 @@
   CU_ASSERT_EQUAL (endpoint->entry.leaves_in_ms, 0);
 }
 
+/* List the entry of the endpoint e1, unless REVISION is 0, in the store at
+   LIST_REVISION.  */
+static void
+list (uint64_t started_ms, int64_t revision, int64_t list_revision)
+{
+  flt_list_begin (fleet, list_revision);
+  if (revision != 0)
+    (void)announce_at ("e1", "z1", NULL, started_ms, revision);
+  flt_list_end (fleet, 0);
+  advance_ms (1);
+}
+
+/* Guards against requests to an endpoint whose entry was removed, when the
+   store comes back from a copy that still has it.  */
+static void
+test_removed_before_a_loss (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  (void)announce_at ("e1", "z1", NULL, 1, 10);
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  list (1, era + 10, era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* A relayed change from before the list.  */
+  (void)announce_at ("e1", "z1", NULL, 1, era + 11);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* Its process has written it again.  */
+  (void)announce_at ("e1", "z1", NULL, 1, era + 13);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  /* It is removed again and lost again.  */
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  list (1, 2 * era + 10, 2 * era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* Another process.  */
+  list (2, 2 * era + 13, 2 * era + 13);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+}
+
+/* Guards against the use of an endpoint that was missing from a list, before
+   its relayed entry is known to be new, and against its loss for ever.  */
+static void
+test_missing_before_a_loss (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  (void)announce_at ("e1", "z1", NULL, 1, 10);
+  list (0, 0, 20);
+  (void)announce_at ("e1", "z1", NULL, 1, era + 10);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  advance_ms (4000);
+  list (1, era + 10, era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* A process that was gone would have been removed.  */
+  advance_ms (1000);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+}
+
+/* The same for an entry that is removed while it is withheld, and for an
+   endpoint that was known to leave.  */
+static void
+test_left_before_a_loss (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  (void)announce_at ("e1", "z1", NULL, 1, 10);
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  list (1, era + 10, era + 12);
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (6000);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  announce_at ("e1", "z1", NULL, 2, era + 14)->entry.leaving = true;
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  list (2, 2 * era + 10, 2 * era + 12);
+  advance_ms (6000);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+}
+
+/* Guards against the loss of endpoints whose entries expired in an outage and
+   come back after it.  */
+static void
+test_expired_before_a_loss (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  (void)announce_at ("e1", "z1", NULL, 1, 10);
+  flt_remove_entry (fleet, "e1", 0);
+  CU_ASSERT_TRUE (flt_extend_grace (fleet, 2000));
+  advance_ms (3000);
+  list (1, era + 10, era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  /* Without a loss a listed entry is newer than its removal.  */
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  list (1, era + 14, era + 14);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+}
+
 /* Guards against overload of one endpoint: the choice depends on the zone, the
    load and recent failures.  */
 static void
@@ -253,6 +368,10 @@
           { "wrong notice", test_wrong_notice },
           { "absent", test_absent },
           { "leaving is final", test_leaving_is_final },
+          { "removed before a loss of changes", test_removed_before_a_loss },
+          { "missing before a loss of changes", test_missing_before_a_loss },
+          { "left before a loss of changes", test_left_before_a_loss },
+          { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
           { NULL, NULL } };
 
