Keep blocked traits whose records the store has lost

Callers: requests that are known to crash engines could reach engines again after the store had come back from an older copy (BUDGET).

Cause: a record that was saved and is missing from a full list was taken for removed, which means that requests with the trait are answered. Each instance then forgot the crashes, and nothing was left to save again.

The table of saved records keeps their revisions now. If the list has keys of a later era, or none at all, the missing record was lost: the trait stays blocked and the leader writes the record again.

Evidence: deadly_part_test 'record lost' failed before (trait no longer blocked, record not written again) and passes now; it also checks that a record that is missing without a loss is still taken for removed and not written again.

--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -230,5 +230,5 @@
 
   gw->blame.table = blm_new (gw->tm, &callbacks, gw);
   gw->blame.saved
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
 }
--- a/cowslipcoved/gw_blame_store.c
+++ b/cowslipcoved/gw_blame_store.c
@@ -49,22 +49,28 @@
   return g_hash_table_contains (gw->blame.saved, &trait);
 }
 
+/* The store has a record of TRAIT, written at REVISION.  */
 static void
-gw_blame_set_saved (struct gw *gw, uint64_t trait, bool saved)
+gw_blame_set_saved (struct gw *gw, uint64_t trait, int64_t revision)
 {
-  if (saved)
-    g_hash_table_add (gw->blame.saved, g_memdup2 (&trait, sizeof trait));
-  else
-    g_hash_table_remove (gw->blame.saved, &trait);
+  g_hash_table_replace (gw->blame.saved, g_memdup2 (&trait, sizeof trait),
+                        g_memdup2 (&revision, sizeof revision));
+}
+
+static void
+gw_blame_set_unsaved (struct gw *gw, uint64_t trait)
+{
+  g_hash_table_remove (gw->blame.saved, &trait);
 }
 
 static void
-gw_blame_load (struct gw *gw, uint64_t trait, const char *value, size_t bytes)
+gw_blame_load (struct gw *gw, uint64_t trait, const char *value, size_t bytes,
+               int64_t revision)
 {
   uint64_t unix_ms = (uint64_t)g_get_real_time () / GW_US_PER_MS;
   GError *error = NULL;
 
-  gw_blame_set_saved (gw, trait, true);
+  gw_blame_set_saved (gw, trait, revision);
   if (!blm_record_apply (gw->blame.table, trait, value, bytes, unix_ms,
                          &error))
     {
@@ -81,7 +87,7 @@
 static void
 gw_blame_unload (struct gw *gw, uint64_t trait)
 {
-  gw_blame_set_saved (gw, trait, false);
+  gw_blame_set_unsaved (gw, trait);
   (void)blm_clear (gw->blame.table, trait, 0);
 }
 
@@ -95,7 +101,8 @@
   if (!gw_blame_parse_key (change->key, &trait))
     return;
   if (change->value != NULL)
-    gw_blame_load (gw, trait, change->value, change->value_bytes);
+    gw_blame_load (gw, trait, change->value, change->value_bytes,
+                   change->revision);
   else
     gw_blame_unload (gw, trait);
 }
@@ -111,28 +118,54 @@
   return false;
 }
 
+/* Return whether the store has lost changes between REVISION and the list of
+   all keys in PAIRS.  It always has some keys unless all were lost.  */
+static bool
+gw_blame_has_lost (const struct kv_pair *pairs, size_t count, int64_t revision)
+{
+  for (size_t i = 0; i < count; i++)
+    if (kv_revision_era (pairs[i].revision) > kv_revision_era (revision))
+      return true;
+  return count == 0;
+}
+
+/* Handle that the record of TRAIT, written at REVISION, is not in the list
+   PAIRS.  */
+static void
+gw_blame_missing (struct gw *gw, uint64_t trait, int64_t revision,
+                  const struct kv_pair *pairs, size_t count)
+{
+  if (!gw_blame_has_lost (pairs, count, revision))
+    gw_blame_unload (gw, trait);
+  else
+    {
+      gw_blame_set_unsaved (gw, trait);
+      gw_blame_save_start (gw);
+    }
+}
+
 /* All keys of the store were read: PAIRS.  */
 void
 gw_blame_keys_read (void *arg, const struct kv_pair *pairs, size_t count)
 {
   struct gw *gw = arg;
   GList *saved = g_hash_table_get_keys (gw->blame.saved);
-  GArray *removed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   uint64_t trait;
 
   for (const GList *item = saved; item != NULL; item = item->next)
     {
+      const int64_t *revision
+          = g_hash_table_lookup (gw->blame.saved, item->data);
+
       trait = *(const uint64_t *)item->data;
       if (!gw_blame_list_has (pairs, count, trait))
-        g_array_append_val (removed, trait);
+        gw_blame_missing (gw, trait, *revision, pairs, count);
     }
   g_list_free (saved);
-  for (guint i = 0; i < removed->len; i++)
-    gw_blame_unload (gw, g_array_index (removed, uint64_t, i));
-  g_array_unref (removed);
   for (size_t i = 0; i < count; i++)
     if (gw_blame_parse_key (pairs[i].key, &trait))
-      gw_blame_load (gw, trait, pairs[i].value, pairs[i].value_bytes);
+      gw_blame_load (gw, trait, pairs[i].value, pairs[i].value_bytes,
+                     pairs[i].revision);
 }
 
 /* What one transaction writes and removes.  */
@@ -163,8 +196,10 @@
 
   gw->blame.saving = false;
   for (size_t i = 0; result->outcome == KV_OK && i < changes->count; i++)
-    gw_blame_set_saved (gw, changes->traits[i],
-                        changes->ops[i].kind == KV_PUT);
+    if (changes->ops[i].kind == KV_PUT)
+      gw_blame_set_saved (gw, changes->traits[i], result->revision);
+    else
+      gw_blame_set_unsaved (gw, changes->traits[i]);
   lg_write (LG_TRAITS_SAVED, "changes=%zu outcome=%d records=%u",
             changes->count, result->outcome,
             g_hash_table_size (gw->blame.saved));
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -35,7 +35,7 @@
 struct gw_blame
 {
   struct blm_table *table;
-  GHashTable *saved; /* set of uint64_t: traits that have a record */
+  GHashTable *saved; /* trait -> int64_t: revision of its record */
   struct tm_timer save_timer;
   bool saving;
 };
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -351,6 +351,115 @@
   CU_ASSERT_FALSE (blm_is_blocked (second.blame.table, event.trait));
 }
 
+/* Block TRAIT and wait until the store has a record of it.  Return the key of
+   the record, to be freed with g_free.  */
+static char *
+block_and_save (uint64_t trait)
+{
+  char *key
+      = g_strdup_printf ("cowslip/blocked/%016" G_GINT64_MODIFIER "x", trait);
+  cs_crash event = { .trait = trait };
+
+  for (uint32_t i = 0; i < WHOLE_SENDS_MAX; i++)
+    {
+      event.crash = i;
+      event.place = i;
+      event.request = i;
+      event.age_ms = (WHOLE_SENDS_MAX - i) * CRASH_PAUSE_MS;
+      gw_blame_add (&gwf_gw, &event);
+    }
+  while (!gw_blame_is_saved (&gwf_gw, trait))
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  return key;
+}
+
+/* A list of the keys in the store that all instances get.  */
+struct listing
+{
+  const char *left_out; /* key */
+  int64_t era;          /* of all revisions */
+  bool done;
+};
+
+static void
+on_listed (void *arg, const struct kv_result *result)
+{
+  struct listing *listing = arg;
+  struct gw *const instances[] = { &gwf_gw, &second, &third };
+  struct kv_pair *pairs = g_new0 (struct kv_pair, result->pair_count + 1);
+  size_t count = 0;
+
+  for (size_t i = 0; i < result->pair_count; i++)
+    if (!g_str_equal (result->pairs[i].key, listing->left_out))
+      {
+        pairs[count] = result->pairs[i];
+        pairs[count++].revision
+            += listing->era * (INT64_C (1) << KV_ERA_SHIFT);
+      }
+  for (size_t i = 0; i < G_N_ELEMENTS (instances); i++)
+    if (instances[i]->loop != NULL)
+      gw_blame_keys_read (instances[i], pairs, count);
+  g_free (pairs);
+  listing->done = true;
+}
+
+/* Let all instances read a list of the keys, in ERA, that lacks LEFT_OUT.  */
+static void
+list_without (const char *left_out, int64_t era)
+{
+  struct listing listing = { left_out, era, false };
+
+  kv_get_prefix (&gwf_gw.store, ldr_key_prefix (), on_listed, &listing);
+  while (!listing.done)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+}
+
+static void
+on_removed (void *arg, const struct kv_result *result)
+{
+  *(bool *)arg = result->outcome == KV_OK;
+}
+
+static void
+remove_key (const char *key)
+{
+  struct kv_op op = { .kind = KV_DELETE, .key = key };
+  struct kv_txn txn = { .then_ops = &op, .then_count = 1 };
+  bool removed = false;
+
+  kv_txn (&gwf_gw.store, &txn, on_removed, &removed);
+  while (!removed)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+}
+
+/* Guards against taking a record for removed that the store has lost, and
+   against writing one again that was removed.  */
+static void
+test_record_lost (void)
+{
+  char *lost;
+  char *removed;
+  int64_t revision;
+
+  start_second ();
+  removed = block_and_save (10);
+  list_without (removed, 0);
+  CU_ASSERT_FALSE (blm_is_blocked (gwf_gw.blame.table, 10));
+  remove_key (removed);
+  lost = block_and_save (9);
+  revision = fake_kv_revision (gwf_kv, lost);
+  list_without (lost, 1);
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, 9));
+  wait_ms (REPEAT_MS);
+  CU_ASSERT_TRUE (fake_kv_revision (gwf_kv, lost) > revision);
+  CU_ASSERT_EQUAL (fake_kv_revision (gwf_kv, removed), 0);
+  /* All keys are lost.  */
+  gw_blame_keys_read (&gwf_gw, NULL, 0);
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, 9));
+  g_free (lost);
+  g_free (removed);
+}
+
 /* Guards against traits without number in the store and in messages, such as
    those of requests to a service whose only endpoint crashes by itself.  */
 static void
@@ -390,6 +499,7 @@
           { "restart", test_restart },
           { "store away", test_store_away },
           { "process that lives", test_alive },
+          { "record lost", test_record_lost },
           { "many traits", test_many },
           { NULL, NULL } };
 
