Ignore records of blocked traits that were removed and come back

Callers: sound requests would be refused for up to 60 s, until the first trial, after the store had come back from an older copy.

Cause: crashes from before a success are ignored only while the success is remembered, which was 10 s. The copy may have a record that was removed longer ago.

A success is remembered for 60 s now. The leader then finds a record of a trait that is not blocked and removes it, as before.

Evidence: blm/restored printed '7 blocked after 3 crashes' and 'blocked by 7' before for a record of 15 s after the success, and 'clear' now; crashes after the success still block. An instance that has restarted since the success does not remember it and waits for a trial.

--- a/libcowslip/blm.c
+++ b/libcowslip/blm.c
@@ -21,8 +21,9 @@
 /* After this many trials the time between them no longer doubles: a trait that
    still crashes endpoints must have a trial before it is forgotten.  */
 #define BLM_TRIALS_MAX 3
-/* Reports of crashes before a success may arrive this much later.  */
-#define BLM_LATE_REPORT_US INT64_C (10000000)
+/* Reports of crashes before a success may arrive this much later: records in
+   the store come back if it is restored from an older copy.  */
+#define BLM_LATE_REPORT_US INT64_C (60000000)
 #define BLM_EVENTS_MAX     BLM_CRASHES_MAX
 /* An answer shows that its process lives only if it was sent this long after
    the crash: until then the entry of a process that has died is in use, and
