Ignore entries of earlier processes from an older copy

An engine that had started again under its Id and then began to leave would get requests again after the store had come back from an older copy, and the leader would forget the order that is in progress there.

Cause: any other start in an entry was taken for a restart, which resets what is known of the engine, also whether it leaves. The copy shows the start before.

If the store has lost changes since the known entry, a listed entry with an earlier start is ignored, and the endpoint stays listed until the engine has written its entry again. A change that is reported after the list is followed: the clock of the engine's host may have been set back.

Evidence: flt_test 'earlier start' failed before (engine chosen, report dropped) and passes now.

--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -202,6 +202,17 @@
   endpoint->unloading = NULL;
 }
 
+/* Return whether ENTRY, which the store lists after it has lost changes, is of
+   an earlier process than ENDPOINT.  */
+static bool
+flt_is_earlier_start (const struct flt_fleet *fleet,
+                      const struct flt_endpoint *endpoint,
+                      const struct flt_entry *entry)
+{
+  return entry->started_ms < endpoint->entry.started_ms
+         && flt_may_be_older (fleet, entry, endpoint->entry.revision);
+}
+
 /* Add or update the endpoint of ENTRY, which is consumed.  Return the
    endpoint, or NULL if it may have been removed since ENTRY was written.  A
    process that leaves does not come back: an entry that shows it in service
@@ -224,6 +235,11 @@
   endpoint->expired = false;
   endpoint->expires_us = 0;
   endpoint->listed = true;
+  if (flt_is_earlier_start (fleet, endpoint, entry))
+    {
+      flt_entry_free (entry);
+      return endpoint;
+    }
   restarted = current->started_ms != entry->started_ms
               || !g_str_equal (current->address, entry->address);
   if (restarted)
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -306,6 +306,31 @@
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
 }
 
+/* Guards against taking a process for restarted, and no longer leaving, whose
+   earlier start is in the copy.  */
+static void
+test_earlier_start (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+  struct flt_endpoint *endpoint;
+  struct flt_weights weights;
+
+  reset ();
+  endpoint = announce_at ("e1", "z1", NULL, 2, 10);
+  endpoint->entry.leaving = true;
+  flt_weights_init (&weights);
+  flt_set_report (fleet, endpoint, &weights);
+  list (1, era + 8, era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  CU_ASSERT_PTR_EQUAL (flt_find (fleet, "e1"), endpoint);
+  CU_ASSERT_TRUE (endpoint->listed);
+  CU_ASSERT_TRUE (endpoint->has_report);
+  /* Its clock was set back before it started again.  */
+  (void)announce_at ("e1", "z1", NULL, 1, era + 13);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  CU_ASSERT_FALSE (endpoint->has_report);
+}
+
 /* Guards against the loss of endpoints whose entries expired in an outage and
    come back after it.  */
 static void
@@ -371,6 +396,7 @@
           { "removed before a loss of changes", test_removed_before_a_loss },
           { "missing before a loss of changes", test_missing_before_a_loss },
           { "left before a loss of changes", test_left_before_a_loss },
+          { "earlier start", test_earlier_start },
           { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
           { NULL, NULL } };
