Use engines that are newer than the store's copy until they are listed

Cause: an engine that a full list lacks counts as removed, and is used for 500 ms more, unless more than half of all engines are missing.

If the store has lost changes since the list before, they are used for 2 s more, the time in which entries are written again after an outage, and as before only where no other can serve.

Evidence: flt_test 'newer than the copy' fails if the list is taken for one without a loss, and passes now.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -3,8 +3,8 @@
 #include "gw_impl.h"
 #include "lg.h"
 
-/* Entries that expired during an outage of the store are written again within
-   about 2 s after its end.  */
+/* Entries that expired during an outage of the store, or that an older copy
+   lacks, are written again within about 2 s after its end.  */
 #define GW_FLEET_REANNOUNCE_MS 2000
 /* An outage of the store counts as recent for this long after a failed
    call.  */
@@ -137,7 +137,7 @@
     gw_fleet_update_entry (gw, result->pairs[i].key, result->pairs[i].value,
                            result->pairs[i].value_bytes,
                            result->pairs[i].revision);
-  flt_list_end (gw->fleet, gw_fleet_grace_ms (gw));
+  flt_list_end (gw->fleet, gw_fleet_grace_ms (gw), GW_FLEET_REANNOUNCE_MS);
   gw_fleet_retain_expired (gw);
   gw->fleet_loaded = true;
   gw_release_held (gw);
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "flt_impl.h"
+#include "kv.h"
 
 /* Backoff after a failure, doubled with each further failure.  The first one
    is short because most failures are the reset of a single connection.  */
@@ -314,6 +315,8 @@
 void
 flt_list_begin (struct flt_fleet *fleet, int64_t revision)
 {
+  fleet->list_lost
+      = kv_revision_era (revision) > kv_revision_era (fleet->list_revision);
   fleet->list_revision = revision;
   flt_removals_list_begin (fleet);
   for (guint i = 0; i < fleet->all->len; i++)
@@ -321,11 +324,14 @@
 }
 
 /* End the list.  Endpoints that were not in it are still used for GRACE_MS
-   where no other can serve.  */
+   where no other can serve, or for LOSS_GRACE_MS if the store has lost changes
+   since the list before: they may be newer than its copy.  */
 void
-flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms)
+flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms,
+              uint32_t loss_grace_ms)
 {
-  uint64_t expires_us = tm_now_us (fleet->tm) + grace_ms * FLT_US_PER_MS;
+  uint32_t used_ms = fleet->list_lost ? loss_grace_ms : grace_ms;
+  uint64_t expires_us = tm_now_us (fleet->tm) + used_ms * FLT_US_PER_MS;
 
   for (guint i = 0; i < fleet->all->len; i++)
     {
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -109,7 +109,8 @@
                        uint32_t grace_ms);
 bool flt_extend_grace (struct flt_fleet *fleet, uint32_t grace_ms);
 void flt_list_begin (struct flt_fleet *fleet, int64_t revision);
-void flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms);
+void flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms,
+                   uint32_t loss_grace_ms);
 void flt_sweep (struct flt_fleet *fleet);
 struct flt_endpoint *flt_find (const struct flt_fleet *fleet, const char *id);
 GPtrArray *flt_all (struct flt_fleet *fleet);
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -15,6 +15,7 @@
   GHashTable *loads;     /* service -> double: mean of the reported loads */
   GHashTable *removals;  /* id -> struct flt_removal */
   int64_t list_revision; /* of the store, at the last full list */
+  bool list_lost;        /* changes were lost before it */
 };
 
 void flt_entry_clear (struct flt_entry *entry);
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -121,7 +121,7 @@
   (void)announce ("e2", "z1", NULL, 1);
   flt_list_begin (fleet, 0);
   (void)announce ("e2", "z1", NULL, 1);
-  flt_list_end (fleet, 2000);
+  flt_list_end (fleet, 2000, 0);
   advance_ms (1900);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
   advance_ms (200);
@@ -230,7 +230,7 @@
   flt_list_begin (fleet, list_revision);
   if (revision != 0)
     (void)announce_at ("e1", "z1", NULL, started_ms, revision);
-  flt_list_end (fleet, 0);
+  flt_list_end (fleet, 0, 2000);
   advance_ms (1);
 }
 
@@ -331,6 +331,26 @@
   CU_ASSERT_FALSE (endpoint->has_report);
 }
 
+/* Guards against the loss of an endpoint that is newer than the copy, until
+   its process has written the entry again.  */
+static void
+test_newer_than_copy (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  list (1, 10, 12);
+  list (0, 0, era + 8);
+  advance_ms (1500);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  (void)announce_at ("e1", "z1", NULL, 1, era + 9);
+  advance_ms (1000);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  /* Without a loss it has left.  */
+  list (0, 0, era + 12);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+}
+
 /* Guards against the loss of endpoints whose entries expired in an outage and
    come back after it.  */
 static void
@@ -396,6 +416,7 @@
           { "removed before a loss of changes", test_removed_before_a_loss },
           { "missing before a loss of changes", test_missing_before_a_loss },
           { "left before a loss of changes", test_left_before_a_loss },
+          { "newer than the copy", test_newer_than_copy },
           { "earlier start", test_earlier_start },
           { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
