Stop sending to an endpoint that says that it leaves

Callers saw nothing of it yet: on the platform an endpoint that leaves now sets Server-Leaving in all its responses, and a request that reaches it later than DrainMs after such a response was passed on breaks DRAIN, whether the instance is in touch or not.

Cause: only the entry in the store counted. It is late while the store is away or slow, is missing where an endpoint leaves without a notice, and may be taken back by a store that comes back from an older copy.

The head of each response, to requests, orders and report requests, is now read for the sign, refusals included. flt keeps it by id and start, apart from the entry, so that neither a later entry nor one that is removed and written again undoes it; another start is not concerned. The sign of another endpoint at the same address is not taken. The instance tells its group and the leader, whose placement leaves out endpoints that leave already. The response is passed on unchanged: the field concerns no single connection. http_fetch passes on the header fields of its response.

Ruled out: using an endpoint that leaves until DrainMs has passed where no other can serve. The rule would allow it, but the time at which the endpoint ends is not known from a response. Reports are still read, because they show the end of an order in progress.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -207,6 +207,8 @@
   request->framing = h1_head_framing (head);
   request->head_us = tm_now_us (request->gw->tm);
   gw_update_load (request, head);
+  gw_read_signs (request->gw, request->endpoint->entry.id, request->started_ms,
+                 head);
   gw_blame_alive (request);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
@@ -467,6 +469,7 @@
   request->attempt_end = "-";
   request->state_us = tm_now_us (gw->tm);
   request->endpoint = endpoint;
+  request->started_ms = endpoint->entry.started_ms;
   endpoint->in_flight++;
   gw_set_outstanding (request, true);
   request->sends++;
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -160,6 +160,7 @@
   /* The current attempt.  */
   struct h1_call *call;
   struct flt_endpoint *endpoint;
+  uint64_t started_ms;      /* start of ENDPOINT when it was sent there */
   struct h1_head response;  /* buffered until bytes of the body arrive */
   bool outstanding;         /* counted among ENDPOINT's outstanding requests */
   uint16_t response_status; /* 0: no head received */
@@ -266,6 +267,8 @@
 void gw_peers_notify_residency (struct gw *gw, const cs_residency_news *news);
 void gw_peers_send (struct gw *gw, const char *address, uint32_t procedure,
                     xdrproc_t encode, void *args);
+void gw_peers_tell_group (struct gw *gw, uint32_t procedure, xdrproc_t encode,
+                          void *args);
 uint32_t gw_instance_count (const struct gw *gw);
 
 /* gw_relay.c */
@@ -293,6 +296,11 @@
 bool gw_path_check (struct gw *gw, const char *zone, const char *except,
                     gw_path_done done, void *arg);
 
+/* gw_signs.c */
+void gw_read_signs (struct gw *gw, const char *id, uint64_t started_ms,
+                    const struct h1_head *head);
+void gw_signs_register (struct gw *gw);
+
 /* gw_blame.c */
 void gw_blame_start (struct gw *gw);
 const GArray *gw_request_traits (struct gw_request *request);
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -26,6 +26,7 @@
   struct gw *gw;
   uint64_t order;
   char *endpoint;
+  uint64_t started_ms; /* of the endpoint */
   char *body;
 };
 
@@ -45,6 +46,7 @@
   struct flt_endpoint *endpoint = flt_find (gw->fleet, call->endpoint);
   enum prt_order_result result = PRT_NO_RESPONSE;
 
+  gw_read_signs (gw, call->endpoint, call->started_ms, response->head);
   if (response->outcome == HTTP_COMPLETE)
     result = gw->protocol->read_order (response->status);
   else if (!response->sent)
@@ -87,6 +89,7 @@
   call->gw = gw;
   call->order = order->id;
   call->endpoint = g_strdup (order->endpoint);
+  call->started_ms = endpoint->entry.started_ms;
   call->body = gw->protocol->write_order (&body);
   request.body = call->body;
   request.body_bytes = strlen (call->body);
@@ -125,6 +128,7 @@
   struct flt_endpoint *endpoint = flt_find (gw->fleet, call->endpoint);
   bool valid = false;
 
+  gw_read_signs (gw, call->endpoint, call->started_ms, response->head);
   if (endpoint != NULL && response->outcome == HTTP_COMPLETE
       && response->status == 200)
     {
@@ -180,6 +184,7 @@
   call = g_new0 (struct gw_engine_call, 1);
   call->gw = gw;
   call->endpoint = g_strdup (id);
+  call->started_ms = endpoint->entry.started_ms;
   request.address = endpoint->entry.address;
   (void)http_fetch (gw->client, &request, gw_report_done, call);
 }
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -115,6 +115,7 @@
   rpc_register (gw->rpc, &news, gw);
   rpc_register (gw->rpc, &relay, gw);
   gw_blame_register (gw);
+  gw_signs_register (gw);
 }
 
 /* Register this instance and join the leader election.  */
@@ -158,6 +159,26 @@
   rpc_send_one_way (gw->rpc, &call);
 }
 
+/* Send a one-way message to the other instances of the group and to the
+   leader.  */
+void
+gw_peers_tell_group (struct gw *gw, uint32_t procedure, xdrproc_t encode,
+                     void *args)
+{
+  const GPtrArray *members = ldr_members (gw->ldr);
+  const char *leader = ldr_leader (gw->ldr);
+
+  for (guint i = 0; gw->rpc != NULL && i < members->len; i++)
+    {
+      const struct ldr_member *member = g_ptr_array_index (members, i);
+
+      if (!g_str_equal (member->instance, gw->settings->instance)
+          && (gw_in_group (gw, member)
+              || g_strcmp0 (member->instance, leader) == 0))
+        gw_peers_send (gw, member->address, procedure, encode, args);
+    }
+}
+
 /* Send REPORT to the leader, which may be this instance.  */
 void
 gw_peers_report (struct gw *gw, const cs_residency_report *report)
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -85,6 +85,7 @@
   fleet->loads
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->removals = flt_removals_new ();
+  flt_signs_init (fleet);
   return fleet;
 }
 
@@ -98,6 +99,7 @@
   g_hash_table_destroy (fleet->by_id);
   g_hash_table_destroy (fleet->loads);
   g_hash_table_destroy (fleet->removals);
+  flt_signs_clear (fleet);
   g_free (fleet);
 }
 
@@ -230,6 +232,7 @@
   if (flt_removal_withhold (fleet, entry))
     return NULL;
   flt_removal_forget (fleet, entry->id);
+  flt_apply_signs (fleet, entry);
   if (endpoint == NULL)
     return flt_new_endpoint (fleet, entry);
   current = &endpoint->entry;
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -131,6 +131,8 @@
 void flt_record_failure (struct flt_fleet *fleet,
                          struct flt_endpoint *endpoint, bool unreachable);
 void flt_record_success (struct flt_endpoint *endpoint);
+bool flt_mark_leaving (struct flt_fleet *fleet, const char *id,
+                       uint64_t started_ms);
 bool flt_usable (const struct flt_fleet *fleet,
                  const struct flt_endpoint *endpoint);
 
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -16,6 +16,7 @@
   GHashTable *removals;  /* id -> struct flt_removal */
   int64_t list_revision; /* of the store, at the last full list */
   bool list_lost;        /* changes were lost before it */
+  GHashTable *signs;     /* struct flt_signs */
 };
 
 void flt_entry_clear (struct flt_entry *entry);
@@ -33,4 +34,9 @@
 void flt_removals_list_end (struct flt_fleet *fleet);
 struct flt_entry *flt_removals_sweep (struct flt_fleet *fleet);
 
+/* flt_signs.c */
+void flt_signs_init (struct flt_fleet *fleet);
+void flt_signs_clear (struct flt_fleet *fleet);
+void flt_apply_signs (const struct flt_fleet *fleet, struct flt_entry *entry);
+
 #endif
--- /dev/null
+++ b/libcowslip/flt_signs.c
@@ -0,0 +1,130 @@
+#include "flt_impl.h"
+
+/* What endpoints have said of themselves in responses.  It holds for one start
+   of an endpoint, whatever its entry in the store says, and also if the entry
+   is removed and written again.  */
+
+/* Signs of endpoints without an entry are forgotten after this time.  An
+   endpoint that leaves ends within seconds.  */
+#define FLT_SIGNS_TTL_MS (10U * 60 * 1000)
+
+struct flt_signs
+{
+  char *id;
+  uint64_t started_ms;
+  uint64_t updated_us;
+  bool leaving;
+};
+
+static guint
+flt_signs_hash (gconstpointer key)
+{
+  const struct flt_signs *signs = key;
+
+  return g_str_hash (signs->id) ^ g_int64_hash (&signs->started_ms);
+}
+
+static gboolean
+flt_signs_equal (gconstpointer a, gconstpointer b)
+{
+  const struct flt_signs *x = a;
+  const struct flt_signs *y = b;
+
+  return x->started_ms == y->started_ms && g_str_equal (x->id, y->id);
+}
+
+static void
+flt_signs_free (gpointer data)
+{
+  struct flt_signs *signs = data;
+
+  g_free (signs->id);
+  g_free (signs);
+}
+
+/* Initialize the signs of FLEET.  */
+void
+flt_signs_init (struct flt_fleet *fleet)
+{
+  fleet->signs = g_hash_table_new_full (flt_signs_hash, flt_signs_equal,
+                                        flt_signs_free, NULL);
+}
+
+/* Free the signs of FLEET.  */
+void
+flt_signs_clear (struct flt_fleet *fleet)
+{
+  g_hash_table_destroy (fleet->signs);
+}
+
+static struct flt_signs *
+flt_find_signs (const struct flt_fleet *fleet, const char *id,
+                uint64_t started_ms)
+{
+  struct flt_signs key = { .id = (char *)id, .started_ms = started_ms };
+
+  return g_hash_table_lookup (fleet->signs, &key);
+}
+
+static gboolean
+flt_signs_expired (gpointer key, gpointer value, gpointer data)
+{
+  const struct flt_fleet *fleet = data;
+  const struct flt_signs *signs = value;
+  const struct flt_endpoint *endpoint = flt_find (fleet, signs->id);
+
+  (void)key;
+  return (endpoint == NULL || endpoint->entry.started_ms != signs->started_ms)
+         && tm_now_us (fleet->tm) - signs->updated_us
+                >= FLT_SIGNS_TTL_MS * FLT_US_PER_MS;
+}
+
+/* Return the signs of the endpoint ID that started at STARTED_MS, created if
+   there are none.  */
+static struct flt_signs *
+flt_update_signs (struct flt_fleet *fleet, const char *id, uint64_t started_ms)
+{
+  struct flt_signs *signs = flt_find_signs (fleet, id, started_ms);
+
+  if (signs == NULL)
+    {
+      (void)g_hash_table_foreach_remove (fleet->signs, flt_signs_expired,
+                                         fleet);
+      signs = g_new0 (struct flt_signs, 1);
+      signs->id = g_strdup (id);
+      signs->started_ms = started_ms;
+      g_hash_table_add (fleet->signs, signs);
+    }
+  signs->updated_us = tm_now_us (fleet->tm);
+  return signs;
+}
+
+/* Record that the endpoint ID that started at STARTED_MS has said that it
+   leaves.  Return whether that was not known.  */
+bool
+flt_mark_leaving (struct flt_fleet *fleet, const char *id, uint64_t started_ms)
+{
+  struct flt_signs *signs = flt_update_signs (fleet, id, started_ms);
+  struct flt_endpoint *endpoint = flt_find (fleet, id);
+  bool known = signs->leaving;
+
+  signs->leaving = true;
+  if (endpoint != NULL && endpoint->entry.started_ms == started_ms)
+    {
+      known |= endpoint->entry.leaving;
+      endpoint->entry.leaving = true;
+    }
+  return !known;
+}
+
+/* Amend ENTRY, which was read from the store, by the signs of its endpoint.
+ */
+void
+flt_apply_signs (const struct flt_fleet *fleet, struct flt_entry *entry)
+{
+  const struct flt_signs *signs
+      = flt_find_signs (fleet, entry->id, entry->started_ms);
+
+  if (signs != NULL && signs->leaving)
+    entry->leaving = true;
+}
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -36,12 +36,11 @@
   h2o_http1client_t *connection;
   struct http_handlers handlers;
   void *arg;
+  struct h1_head *response_head; /* NULL: header fields are not needed */
   GString *wire;
   h2o_iovec_t wire_vector;
   struct tm_timer timeout;
   struct tm_timer connect_timeout;
-  const char *kept_field;
-  char *kept_value;
   bool is_head;
   bool sent;
   bool chunked;
@@ -56,6 +55,7 @@
   void *arg;
   struct http_call *call;
   uint16_t status;
+  struct h1_head head;
   char content_type[HTTP_CONTENT_TYPE_BYTES];
   GString *body;
 };
@@ -149,7 +149,6 @@
   tm_cancel (call->client->tm, &call->timeout);
   tm_cancel (call->client->tm, &call->connect_timeout);
   g_string_free (call->wire, TRUE);
-  g_free (call->kept_value);
   g_free (call);
 }
 
@@ -246,6 +245,22 @@
          || http_find_header (headers, count, "content-length") != NULL;
 }
 
+/* Append HEADERS to HEAD, unless that is NULL.  */
+static void
+http_save_fields (struct h1_head *head, const h2o_header_t *headers,
+                  size_t count)
+{
+  for (size_t i = 0; head != NULL && i < count; i++)
+    {
+      char *name = g_strndup (headers[i].name->base, headers[i].name->len);
+      char *value = g_strndup (headers[i].value.base, headers[i].value.len);
+
+      h1_head_add (head, name, value);
+      g_free (value);
+      g_free (name);
+    }
+}
+
 static h2o_http1client_body_cb
 http_head_cb (h2o_http1client_t *connection, const char *error, int minor,
               int status, h2o_iovec_t message, h2o_header_t *headers,
@@ -267,8 +282,7 @@
       http_finish (call, HTTP_INCOMPLETE);
       return NULL;
     }
-  if (call->kept_field != NULL)
-    call->kept_value = http_copy_header (headers, count, call->kept_field);
+  http_save_fields (call->response_head, headers, count);
   type = http_copy_header (headers, count, "content-type");
   call->in_callback = true;
   call->handlers.on_head (call->arg, (uint16_t)status,
@@ -355,8 +369,8 @@
   call->client = client;
   call->handlers = *handlers;
   call->arg = arg;
+  call->response_head = request->response_head;
   call->is_head = strcmp (request->method, "HEAD") == 0;
-  call->kept_field = request->kept_field;
   call->wire = http_write_request (request);
   if (pool == NULL)
     {
@@ -387,14 +401,6 @@
   return call;
 }
 
-/* Return the value of the header field that the request of CALL names, or NULL
-   if there is none or no response yet.  Valid as long as CALL.  */
-const char *
-http_kept_value (const struct http_call *call)
-{
-  return call->kept_value;
-}
-
 /* Cancel CALL without further callbacks and close its connection, which the
    endpoint notices.  Allowed in a callback of the same call, but not after
    on_done.  */
@@ -412,16 +418,16 @@
 http_fetch_done (struct http_fetch_state *state, enum http_outcome outcome,
                  bool sent)
 {
-  struct http_response response
-      = { .outcome = outcome,
-          .sent = sent,
-          .status = state->status,
-          .content_type = state->content_type,
-          .kept_value = http_kept_value (state->call),
-          .body = state->body->str,
-          .body_bytes = state->body->len };
+  struct http_response response = { .outcome = outcome,
+                                    .sent = sent,
+                                    .status = state->status,
+                                    .head = &state->head,
+                                    .content_type = state->content_type,
+                                    .body = state->body->str,
+                                    .body_bytes = state->body->len };
 
   state->done (state->arg, &response);
+  h1_head_clear (&state->head);
   g_string_free (state->body, TRUE);
   g_free (state);
 }
@@ -466,11 +472,14 @@
   static const struct http_handlers handlers
       = { http_fetch_head, http_fetch_body, http_fetch_end };
   struct http_fetch_state *state = g_new0 (struct http_fetch_state, 1);
+  struct http_request fetch = *request;
 
   state->done = done;
   state->arg = arg;
   state->body = g_string_new (NULL);
-  state->call = http_start (client, request, &handlers, state);
+  h1_head_init (&state->head);
+  fetch.response_head = &state->head;
+  state->call = http_start (client, &fetch, &handlers, state);
   return state->call;
 }
 
--- a/libcowslip/http_client.h
+++ b/libcowslip/http_client.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "h1_head.h"
 #include "tm.h"
 
 /* HTTP/1.1 client on a libuv loop, with a connection pool per address.  */
@@ -42,9 +43,9 @@
   size_t body_bytes;
   uint32_t timeout_ms; /* 0: no timeout */
   bool new_connection; /* open a new connection instead of using the pool */
-  /* Header field of the response whose value is kept; NULL: none.  Must remain
-     valid.  */
-  const char *kept_field;
+  /* The header fields of the response are appended to it before on_head;
+     NULL: not needed.  It must stay valid until the call ends.  */
+  struct h1_head *response_head;
 };
 
 struct http_handlers
@@ -60,8 +61,8 @@
   enum http_outcome outcome;
   bool sent;
   uint16_t status;
+  const struct h1_head *head; /* header fields only */
   const char *content_type;
-  const char *kept_value; /* of the request's kept_field; NULL: absent */
   const char *body;
   size_t body_bytes;
 };
@@ -77,7 +78,6 @@
 struct http_call *http_fetch (struct http_client *client,
                               const struct http_request *request,
                               http_response_cb done, void *arg);
-const char *http_kept_value (const struct http_call *call);
 void http_cancel (struct http_call *call);
 uint64_t http_client_sent_bytes (const struct http_client *client);
 uint64_t http_client_received_bytes (const struct http_client *client);
--- a/libcowslip/prt.h
+++ b/libcowslip/prt.h
@@ -25,7 +25,8 @@
   const char *prefix;  /* prefixes of the prompt: ID:TOKENS,... */
   const char *priority;
   const char *last_event_id;
-  const char *load; /* RUNNING,WAITING,SLOTS,PACE; PACE is optional */
+  const char *load;    /* RUNNING,WAITING,SLOTS,PACE; PACE is optional */
+  const char *leaving; /* "1": the endpoint leaves */
   /* Fields that only the gateway may set, terminated by NULL.  */
   const char *const *reserved;
 };
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -336,6 +336,12 @@
 };
 typedef struct cs_crash_report cs_crash_report;
 
+struct cs_endpoint_leaving {
+	cs_name endpoint;
+	u_quad_t started_ms;
+};
+typedef struct cs_endpoint_leaving cs_endpoint_leaving;
+
 #define COWSLIP_PROGRAM 0x20c05110
 #define COWSLIP_VERSION 1
 
@@ -379,6 +385,9 @@
 #define COWSLIP_CRASHES 14
 extern  void * cowslip_crashes_1(cs_crash_report *, CLIENT *);
 extern  void * cowslip_crashes_1_svc(cs_crash_report *, struct svc_req *);
+#define COWSLIP_ENDPOINT_LEAVING 15
+extern  void * cowslip_endpoint_leaving_1(cs_endpoint_leaving *, CLIENT *);
+extern  void * cowslip_endpoint_leaving_1_svc(cs_endpoint_leaving *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -421,6 +430,9 @@
 #define COWSLIP_CRASHES 14
 extern  void * cowslip_crashes_1();
 extern  void * cowslip_crashes_1_svc();
+#define COWSLIP_ENDPOINT_LEAVING 15
+extern  void * cowslip_endpoint_leaving_1();
+extern  void * cowslip_endpoint_leaving_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -462,6 +474,7 @@
 extern  bool_t xdr_cs_crash (XDR *, cs_crash*);
 extern  bool_t xdr_cs_sound (XDR *, cs_sound*);
 extern  bool_t xdr_cs_crash_report (XDR *, cs_crash_report*);
+extern  bool_t xdr_cs_endpoint_leaving (XDR *, cs_endpoint_leaving*);
 
 #else /* K&R C */
 extern bool_t xdr_cs_name ();
@@ -499,6 +512,7 @@
 extern bool_t xdr_cs_crash ();
 extern bool_t xdr_cs_sound ();
 extern bool_t xdr_cs_crash_report ();
+extern bool_t xdr_cs_endpoint_leaving ();
 
 #endif /* K&R C */
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -281,6 +281,13 @@
   unsigned hyper retracted<COWSLIP_LIST_MAX>; /* the process lives */
 };
 
+/* An endpoint has said that it leaves.  */
+struct cs_endpoint_leaving
+{
+  cs_name endpoint;
+  unsigned hyper started_ms;
+};
+
 program COWSLIP_PROGRAM
 {
   version COWSLIP_VERSION
@@ -302,5 +309,6 @@
     void COWSLIP_RELAY (cs_relay) = 13;
     /* One-way; to the instances of the group and the leader, and back.  */
     void COWSLIP_CRASHES (cs_crash_report) = 14;
+    void COWSLIP_ENDPOINT_LEAVING (cs_endpoint_leaving) = 15;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -618,3 +618,15 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cs_endpoint_leaving (XDR *xdrs, cs_endpoint_leaving *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	return TRUE;
+}
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -10,6 +10,8 @@
  */
 
 #define US_PER_MS 1000ULL
+/* Time after which signs of endpoints without an entry are forgotten.  */
+#define SIGNS_TTL_MS 600000
 
 static struct tm_service *tm;
 static struct flt_fleet *fleet;
@@ -402,6 +404,40 @@
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
 }
 
+/* Guards against requests to an endpoint that has said that it leaves, also
+   after its entry was removed and written again, and against the loss of the
+   endpoint after a restart.  */
+static void
+test_said_leaving (void)
+{
+  reset ();
+  (void)announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_TRUE (flt_mark_leaving (fleet, "e1", 1));
+  CU_ASSERT_FALSE (flt_mark_leaving (fleet, "e1", 1));
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  (void)announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  CU_ASSERT_EQUAL (flt_all (fleet)->len, 0);
+  (void)announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  (void)announce ("e1", "z1", NULL, 2);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  /* Notices about an earlier start, and before the entry is known.  */
+  CU_ASSERT_TRUE (flt_mark_leaving (fleet, "e1", 0));
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  CU_ASSERT_TRUE (flt_mark_leaving (fleet, "e1", 3));
+  (void)announce ("e1", "z1", NULL, 3);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* The sign is kept while the endpoint has an entry.  */
+  advance_ms (SIGNS_TTL_MS);
+  (void)flt_mark_leaving (fleet, "e2", 1);
+  (void)announce ("e1", "z1", NULL, 3);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  CU_ASSERT_TRUE (flt_mark_leaving (fleet, "e1", 0));
+}
+
 int
 main (void)
 {
@@ -420,6 +456,7 @@
           { "earlier start", test_earlier_start },
           { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
+          { "said that it leaves", test_said_leaving },
           { NULL, NULL } };
 
   return unit_main ("flt", tests);
--- a/regress/gw_fixture.c
+++ b/regress/gw_fixture.c
@@ -149,6 +149,50 @@
     uv_run (gwf_gw.loop, UV_RUN_ONCE);
 }
 
+/* Add a service whose engines load a model, and wait until it is in force.  */
+void
+gwf_add_engine_service (void)
+{
+  char **parts = g_strsplit (gwf_config_text, "\"Version\":1", 2);
+  char *text;
+
+  text = g_strconcat (parts[0], "\"Version\":2", parts[1], NULL);
+  g_strfreev (parts);
+  parts = g_strsplit (text, "\"Services\":[", 2);
+  g_free (text);
+  text = g_strconcat (
+      parts[0],
+      "\"Services\":[{\"Name\":\"llm\",\"MaxConns\":9,\"Engine\":{"
+      "\"Slots\":8,\"WeightsMb\":9,\"Models\":[{\"Name\":\"m\","
+      "\"WeightsMb\":5,\"LoadTimeS\":6,\"Adapters\":0,"
+      "\"AdapterSizeMb\":1}]}},",
+      parts[1], NULL);
+  g_strfreev (parts);
+  fake_kv_put (gwf_kv, "op/config", text);
+  while (gwf_gw.config->version != 2)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  g_free (text);
+}
+
+/* Announce the engine ID, which has no model, at the address of endpoint
+   INDEX, and wait until the gateway knows it.  */
+void
+gwf_announce_engine (const char *id, uint32_t index)
+{
+  char *key = g_strdup_printf ("servers/%s", id);
+  char *text = g_strdup_printf (
+      "{\"Service\":\"llm\",\"Address\":\"127.0.0.1:%u\",\"Zone\":\"z1\","
+      "\"Version\":\"v\",\"Slots\":8,\"State\":\"ready\",\"ColdLeftMs\":0,"
+      "\"Seq\":1,\"Models\":[],\"born\":%" G_GUINT64_FORMAT "}",
+      wire_endpoint_port (gwf_endpoints[index]), ++started_ms);
+
+  fake_kv_put (gwf_kv, key, text);
+  while (flt_find (gwf_gw.fleet, id) == NULL)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  g_free (text);
+  g_free (key);
+}
+
 /* Let endpoint INDEX respond with SCRIPT.  If SCRIPT or its bytes are NULL,
    the endpoint does not respond.  */
 void
--- a/regress/gw_fixture.h
+++ b/regress/gw_fixture.h
@@ -44,6 +44,8 @@
 void gwf_set_script (uint32_t index, const struct wire_script *script);
 void gwf_reset_endpoints (void);
 void gwf_restart_endpoint (uint32_t index);
+void gwf_add_engine_service (void);
+void gwf_announce_engine (const char *id, uint32_t index);
 char *gwf_request_text (const char *path);
 char *gwf_patient_request_text (const char *path, uint32_t deadline_ms);
 bool gwf_call_is_done (const struct wire_caller *caller, uint32_t responses);
--- a/regress/names_run.sh
+++ b/regress/names_run.sh
@@ -5,6 +5,7 @@
 cd "$(dirname "$0")/.." || exit 1
 names='X-Cowslipcove-|kv-txn|kv-watch|kv-range|kv-lease|op/config|/api/report'
 names="$names|/api/order|servers/|PathPrefix|MaxAttempts|TimeoutMs|WeightsMb"
+names="$names|Server-Leaving"
 if grep -nE "$names" libcowslip/*.[ch] cowslipcoved/*.[ch] cowslipctl/*.[ch] \
     cowslipload/*.[ch] standin/*/*.[ch] proto/cowslip.x; then
 	echo "names of the platform occur outside platform/"
