Send nothing to an endpoint within the time of its Retry-After

Callers saw their requests go to an endpoint that had just refused others, wait there or here in vain, and come back with a Retry-After that had nothing to do with the endpoint.

Cause: the field was only passed on.

Each 503 response, to requests, orders and report requests, is now read for it. flt keeps the pause by id and start with the other signs: a response that completes, a new entry or one that is removed and written again does not end it, a restart does. It is 10 minutes at most, so that one wrong response does not cost the endpoint for good. pck leaves out endpoints that pause. A request that only those could serve waits if the first one is back in time and is refused at once otherwise, as endpoints_paused with the rest of the pause as Retry-After. Placement takes a pause of up to 2 s as time for which the engine is busy; an engine with a longer one is unavailable to it, the leader is told of it, and the requests wait for a load elsewhere. Orders and report requests wait for the end of the pause.

Ruled out: following the field in 429, to which the pages give no such meaning; telling all instances of a pause, because the endpoint refuses one; and treating an engine with a short pause as failed, which would load its models again from the weight store.

Not covered: a load from the weight store that is in progress on an engine with a long pause counts against the limit of such loads until the pause ends, because its report is not read.

--- a/cowslipcoved/gw_answer.c
+++ b/cowslipcoved/gw_answer.c
@@ -32,21 +32,32 @@
             unfinished->unread_bytes, unfinished->unsent_bytes);
 }
 
+/* Return the Retry-After of REQUEST, which is refused for REASON, in
+   seconds.  */
+static double
+gw_retry_after_s (const struct gw_request *request, enum rsn_refusal reason)
+{
+  double after_s
+      = gw_remaining_ms (request) * GW_RETRY_AFTER_SHARE / GW_MS_PER_S;
+
+  if (reason == RSN_POISON)
+    return GW_POISON_RETRY_AFTER_S;
+  if (reason == RSN_ENDPOINTS_PAUSED)
+    after_s = gw_pause_ms (request) / GW_MS_PER_S;
+  return MAX (GW_RETRY_AFTER_MIN_S, after_s);
+}
+
 static void
 gw_send_error (struct gw_request *request, enum rsn_refusal reason,
                uint16_t status)
 {
   struct gw *gw = request->gw;
   struct h1_exchange *exchange = request->exchange;
-  double after_s = reason == RSN_POISON
-                       ? GW_POISON_RETRY_AFTER_S
-                       : MAX (GW_RETRY_AFTER_MIN_S, gw_remaining_ms (request)
-                                                        * GW_RETRY_AFTER_SHARE
-                                                        / GW_MS_PER_S);
   char retry_after[32];
   struct h1_field field = { "Retry-After", retry_after };
 
-  (void)snprintf (retry_after, sizeof retry_after, "%.2f", after_s);
+  (void)snprintf (retry_after, sizeof retry_after, "%.2f",
+                  gw_retry_after_s (request, reason));
   ctr_count_refusal (gw->counters, reason);
   if (request->response_started)
     {
--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -208,7 +208,7 @@
   request->head_us = tm_now_us (request->gw->tm);
   gw_update_load (request, head);
   gw_read_signs (request->gw, request->endpoint->entry.id, request->started_ms,
-                 head);
+                 head->status, head);
   gw_blame_alive (request);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -253,6 +253,7 @@
 /* gw_queue.c */
 void gw_enqueue (struct gw_request *request);
 void gw_dequeue (struct gw_request *request);
+uint32_t gw_pause_ms (const struct gw_request *request);
 void gw_dispatch_queued (struct gw *gw);
 
 /* gw_demand.c */
@@ -298,7 +299,7 @@
 
 /* gw_signs.c */
 void gw_read_signs (struct gw *gw, const char *id, uint64_t started_ms,
-                    const struct h1_head *head);
+                    uint16_t status, const struct h1_head *head);
 void gw_signs_register (struct gw *gw);
 
 /* gw_blame.c */
--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -46,7 +46,8 @@
   struct flt_endpoint *endpoint = flt_find (gw->fleet, call->endpoint);
   enum prt_order_result result = PRT_NO_RESPONSE;
 
-  gw_read_signs (gw, call->endpoint, call->started_ms, response->head);
+  gw_read_signs (gw, call->endpoint, call->started_ms, response->status,
+                 response->head);
   if (response->outcome == HTTP_COMPLETE)
     result = gw->protocol->read_order (response->status);
   else if (!response->sent)
@@ -112,7 +113,8 @@
   uint64_t fence;
 
   /* The process may have been suspended since the decision.  */
-  if (endpoint == NULL || !ldr_may_order (gw->ldr, &fence))
+  if (endpoint == NULL || flt_pause_ms (gw->fleet, endpoint) > 0
+      || !ldr_may_order (gw->ldr, &fence))
     {
       res_order_result (gw->res, order->id, PRT_REFUSED);
       return;
@@ -128,7 +130,8 @@
   struct flt_endpoint *endpoint = flt_find (gw->fleet, call->endpoint);
   bool valid = false;
 
-  gw_read_signs (gw, call->endpoint, call->started_ms, response->head);
+  gw_read_signs (gw, call->endpoint, call->started_ms, response->status,
+                 response->head);
   if (endpoint != NULL && response->outcome == HTTP_COMPLETE
       && response->status == 200)
     {
--- a/cowslipcoved/gw_queue.c
+++ b/cowslipcoved/gw_queue.c
@@ -14,6 +14,25 @@
                                          : request->model_demand;
 }
 
+/* Return the time until an endpoint takes REQUEST if all that could serve it
+   want no requests now, in milliseconds; otherwise 0.  */
+uint32_t
+gw_pause_ms (const struct gw_request *request)
+{
+  const struct pck_criteria query = gw_endpoint_query (request);
+
+  return pck_pause_ms (request->gw->fleet, &query);
+}
+
+/* Return the reason for refusing REQUEST because no endpoint takes it.  */
+static enum rsn_refusal
+gw_queue_reason (const struct gw_request *request)
+{
+  if (gw_pause_ms (request) > 0)
+    return RSN_ENDPOINTS_PAUSED;
+  return request->model == NULL ? RSN_NO_ENDPOINT : RSN_COLD_TOO_LATE;
+}
+
 static enum wtq_action
 gw_queue_decide (const struct gw_request *request)
 {
@@ -27,7 +46,8 @@
     .total_ms
     = (uint32_t)((request->deadline_us - request->arrived_us) / GW_US_PER_MS),
     .waited_ms = (uint32_t)((now_us - request->state_us + request->waited_us)
-                            / GW_US_PER_MS)
+                            / GW_US_PER_MS),
+    .paused_ms = gw_pause_ms (request)
   };
 
   input.model_configured
@@ -71,8 +91,7 @@
   if (request->runs > 0)
     gw_fail (request, RSN_ENDPOINT_FAILED);
   else
-    gw_refuse (request,
-               request->model == NULL ? RSN_NO_ENDPOINT : RSN_COLD_TOO_LATE);
+    gw_refuse (request, gw_queue_reason (request));
 }
 
 /* Remove REQUEST from the queue, if it is queued.  */
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -184,6 +184,7 @@
   flt_weights_init (&endpoint->reported);
   flt_weights_init (&endpoint->announced);
   flt_weights_copy_models (&endpoint->announced, &endpoint->entry.weights);
+  flt_restore_pause (fleet, endpoint);
   g_free (entry);
   g_hash_table_insert (fleet->by_id, endpoint->entry.id, endpoint);
   g_ptr_array_add (fleet->all, endpoint);
@@ -264,6 +265,7 @@
   entry->address = address;
   entry->service = service;
   flt_entry_free (entry);
+  flt_restore_pause (fleet, endpoint);
   return endpoint;
 }
 
@@ -586,9 +588,11 @@
   endpoint->backoff_until_us = 0;
 }
 
-/* Return whether new requests may be sent to ENDPOINT.  */
+/* Return whether ENDPOINT stays and has not just failed.  It may still want no
+   requests.  */
 bool
-flt_usable (const struct flt_fleet *fleet, const struct flt_endpoint *endpoint)
+flt_in_service (const struct flt_fleet *fleet,
+                const struct flt_endpoint *endpoint)
 {
   return !endpoint->expired && !endpoint->entry.leaving
          && tm_now_us (fleet->tm) >= endpoint->backoff_until_us;
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -48,6 +48,9 @@
   struct flt_weights weights;
 };
 
+/* A longer pause of an engine is worth loading elsewhere what it holds.  */
+#define FLT_PAUSE_SHORT_MS 2000
+
 struct flt_endpoint
 {
   struct flt_entry entry;
@@ -65,7 +68,8 @@
   uint64_t expires_us; /* end of the grace period; 0: not set */
   bool listed;         /* has an entry in the store */
   uint64_t backoff_until_us;
-  uint32_t failures; /* consecutive */
+  uint64_t paused_until_us; /* it wants no requests of this instance */
+  uint32_t failures;        /* consecutive */
   uint32_t in_flight;
   uint32_t outstanding;     /* of these, requests without a response yet */
   uint64_t last_receive_us; /* last bytes of any response */
@@ -133,6 +137,13 @@
 void flt_record_success (struct flt_endpoint *endpoint);
 bool flt_mark_leaving (struct flt_fleet *fleet, const char *id,
                        uint64_t started_ms);
+uint32_t flt_pause (struct flt_fleet *fleet, const char *id,
+                    uint64_t started_ms, double pause_s);
+uint32_t flt_pause_ms (const struct flt_fleet *fleet,
+                       const struct flt_endpoint *endpoint);
+bool flt_has_pauses (const struct flt_fleet *fleet);
+bool flt_in_service (const struct flt_fleet *fleet,
+                     const struct flt_endpoint *endpoint);
 bool flt_usable (const struct flt_fleet *fleet,
                  const struct flt_endpoint *endpoint);
 
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -10,13 +10,14 @@
 struct flt_fleet
 {
   struct tm_service *tm;
-  GHashTable *by_id;     /* struct flt_endpoint */
-  GPtrArray *all;        /* the same, in the order in which they were added */
-  GHashTable *loads;     /* service -> double: mean of the reported loads */
-  GHashTable *removals;  /* id -> struct flt_removal */
-  int64_t list_revision; /* of the store, at the last full list */
-  bool list_lost;        /* changes were lost before it */
-  GHashTable *signs;     /* struct flt_signs */
+  GHashTable *by_id;      /* struct flt_endpoint */
+  GPtrArray *all;         /* the same, in the order in which they were added */
+  GHashTable *loads;      /* service -> double: mean of the reported loads */
+  GHashTable *removals;   /* id -> struct flt_removal */
+  int64_t list_revision;  /* of the store, at the last full list */
+  bool list_lost;         /* changes were lost before it */
+  GHashTable *signs;      /* struct flt_signs */
+  uint64_t pauses_end_us; /* end of the last pause */
 };
 
 void flt_entry_clear (struct flt_entry *entry);
@@ -38,5 +39,7 @@
 void flt_signs_init (struct flt_fleet *fleet);
 void flt_signs_clear (struct flt_fleet *fleet);
 void flt_apply_signs (const struct flt_fleet *fleet, struct flt_entry *entry);
+void flt_restore_pause (const struct flt_fleet *fleet,
+                        struct flt_endpoint *endpoint);
 
 #endif
--- a/libcowslip/flt_signs.c
+++ b/libcowslip/flt_signs.c
@@ -8,12 +8,18 @@
    endpoint that leaves ends within seconds.  */
 #define FLT_SIGNS_TTL_MS (10U * 60 * 1000)
 
+/* Longest pause.  An endpoint that asks for more must not be lost to this
+   instance because of one wrong response; it can ask again.  */
+#define FLT_PAUSE_MAX_S 600.0
+#define FLT_US_PER_S    1e6
+
 struct flt_signs
 {
   char *id;
   uint64_t started_ms;
   uint64_t updated_us;
   bool leaving;
+  uint64_t paused_until_us;
 };
 
 static guint
@@ -128,3 +134,63 @@
   if (signs != NULL && signs->leaving)
     entry->leaving = true;
 }
+
+/* Record that the endpoint ID that started at STARTED_MS wants no requests of
+   this instance for PAUSE_S.  Return the pause that applies, in
+   milliseconds.  */
+uint32_t
+flt_pause (struct flt_fleet *fleet, const char *id, uint64_t started_ms,
+           double pause_s)
+{
+  struct flt_signs *signs = flt_update_signs (fleet, id, started_ms);
+  struct flt_endpoint *endpoint = flt_find (fleet, id);
+  double bounded_s = MIN (pause_s, FLT_PAUSE_MAX_S);
+  uint64_t until_us
+      = tm_now_us (fleet->tm) + (uint64_t)(bounded_s * FLT_US_PER_S);
+
+  signs->paused_until_us = MAX (signs->paused_until_us, until_us);
+  fleet->pauses_end_us = MAX (fleet->pauses_end_us, until_us);
+  if (endpoint != NULL)
+    flt_restore_pause (fleet, endpoint);
+  return (uint32_t)(bounded_s * FLT_US_PER_S / FLT_US_PER_MS);
+}
+
+/* Set the pause of ENDPOINT, whose entry was read, to what it has asked for
+   since it started.  */
+void
+flt_restore_pause (const struct flt_fleet *fleet,
+                   struct flt_endpoint *endpoint)
+{
+  const struct flt_signs *signs
+      = flt_find_signs (fleet, endpoint->entry.id, endpoint->entry.started_ms);
+
+  endpoint->paused_until_us = signs == NULL ? 0 : signs->paused_until_us;
+}
+
+/* Return for how long ENDPOINT still wants no requests, in milliseconds.  */
+uint32_t
+flt_pause_ms (const struct flt_fleet *fleet,
+              const struct flt_endpoint *endpoint)
+{
+  uint64_t now_us = tm_now_us (fleet->tm);
+
+  if (now_us >= endpoint->paused_until_us)
+    return 0;
+  return (uint32_t)((endpoint->paused_until_us - now_us + FLT_US_PER_MS - 1)
+                    / FLT_US_PER_MS);
+}
+
+/* Return whether an endpoint of FLEET may want no requests now.  */
+bool
+flt_has_pauses (const struct flt_fleet *fleet)
+{
+  return tm_now_us (fleet->tm) < fleet->pauses_end_us;
+}
+
+/* Return whether new requests may be sent to ENDPOINT.  */
+bool
+flt_usable (const struct flt_fleet *fleet, const struct flt_endpoint *endpoint)
+{
+  return flt_in_service (fleet, endpoint)
+         && flt_pause_ms (fleet, endpoint) == 0;
+}
--- a/libcowslip/pck.c
+++ b/libcowslip/pck.c
@@ -98,18 +98,51 @@
   return (double)(hash >> 11) / (double)(UINT64_C (1) << 53);
 }
 
+/* Return whether ENDPOINT has what CRITERIA ask for.  */
 static bool
-pck_may_serve (const struct flt_fleet *fleet,
+pck_can_serve (const struct flt_fleet *fleet,
                const struct flt_endpoint *endpoint,
                const struct pck_criteria *criteria)
 {
-  if (!g_str_equal (endpoint->entry.service, criteria->service)
-      || !flt_usable (fleet, endpoint))
+  if (!g_str_equal (endpoint->entry.service, criteria->service))
     return false;
   return criteria->model == NULL
          || flt_holds (fleet, endpoint, criteria->model, criteria->adapter);
 }
 
+static bool
+pck_may_serve (const struct flt_fleet *fleet,
+               const struct flt_endpoint *endpoint,
+               const struct pck_criteria *criteria)
+{
+  return flt_usable (fleet, endpoint)
+         && pck_can_serve (fleet, endpoint, criteria);
+}
+
+/* Return the time until the first endpoint that meets CRITERIA takes requests
+   again if all of them want none, in milliseconds; otherwise 0.  */
+uint32_t
+pck_pause_ms (struct flt_fleet *fleet, const struct pck_criteria *criteria)
+{
+  GPtrArray *all = flt_all (fleet);
+  uint32_t shortest_ms = 0;
+
+  for (guint i = 0; flt_has_pauses (fleet) && i < all->len; i++)
+    {
+      const struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
+      uint32_t pause_ms = flt_pause_ms (fleet, endpoint);
+
+      if (endpoint->expired || endpoint->entry.leaving
+          || !pck_can_serve (fleet, endpoint, criteria))
+        continue;
+      if (pause_ms == 0)
+        return 0;
+      if (shortest_ms == 0 || pause_ms < shortest_ms)
+        shortest_ms = pause_ms;
+    }
+  return shortest_ms;
+}
+
 /* Return the least loaded endpoint that meets CRITERIA, with a preference for
    the own zone and for a cached prefix, or NULL if there is none.  */
 struct flt_endpoint *
--- a/libcowslip/pck.h
+++ b/libcowslip/pck.h
@@ -23,6 +23,8 @@
   gsl_rng *random; /* NULL: the choice does not vary */
 };
 
+uint32_t pck_pause_ms (struct flt_fleet *fleet,
+                       const struct pck_criteria *criteria);
 struct flt_endpoint *pck_choose (struct flt_fleet *fleet,
                                  struct tm_service *tm,
                                  const struct pck_criteria *criteria);
--- a/libcowslip/res_engine.c
+++ b/libcowslip/res_engine.c
@@ -101,7 +101,8 @@
   return endpoint->has_report && engine->adapter_order == 0
          && engine->phase != RES_SENT && engine->phase != RES_UNCONFIRMED
          && engine->phase != RES_INHERITED
-         && res_now (table) >= engine->not_before_us;
+         && res_now (table) >= engine->not_before_us
+         && flt_pause_ms (table->fleet, endpoint) == 0;
 }
 
 /* Order ENGINE to load or unload MODEL.  Instances are notified of an unload
@@ -143,7 +144,8 @@
 
   if (engine->phase != RES_EXECUTING || engine->kind != PRT_UNLOAD
       || engine->reserved == NULL || engine->early_attempted
-      || engine->adapter_order != 0 || res_now (table) < engine->expected_us)
+      || engine->adapter_order != 0 || res_now (table) < engine->expected_us
+      || flt_pause_ms (table->fleet, endpoint) > 0)
     return false;
   wanted = rte_model (service, engine->reserved);
   victim = rte_model (service, engine->model);
@@ -282,10 +284,18 @@
                              NULL);
 }
 
-/* Read the report of ENGINE.  */
+/* Read the report of ENGINE, after its pause if it wants no requests now.  */
 void
 res_refresh (struct res_table *table, struct res_engine *engine)
 {
+  struct flt_endpoint *endpoint = res_endpoint (table, engine);
+
+  if (endpoint != NULL && flt_pause_ms (table->fleet, endpoint) > 0)
+    {
+      endpoint->has_report = false;
+      engine->next_refresh_us = endpoint->paused_until_us;
+      return;
+    }
   engine->refreshing = true;
   table->callbacks.refresh (table->arg, engine->id);
 }
--- a/libcowslip/res_model.c
+++ b/libcowslip/res_model.c
@@ -158,9 +158,10 @@
       = engine->victim == NULL ? 0 : res_replicas (table, engine->victim);
 }
 
-/* Return the estimated time until ENGINE is idle, in milliseconds.  */
+/* Return the estimated time until the order to ENGINE is complete, in
+   milliseconds.  */
 static double
-res_busy_ms (struct res_table *table, const struct res_engine *engine)
+res_order_left_ms (struct res_table *table, const struct res_engine *engine)
 {
   uint64_t now_us = res_now (table);
 
@@ -173,6 +174,16 @@
   return (double)(engine->expected_us - now_us) / RES_US_PER_MS;
 }
 
+/* Return the estimated time until ENGINE, at ENDPOINT, takes an order, in
+   milliseconds.  */
+static double
+res_busy_ms (struct res_table *table, const struct res_engine *engine,
+             const struct flt_endpoint *endpoint)
+{
+  return MAX (res_order_left_ms (table, engine),
+              flt_pause_ms (table->fleet, endpoint));
+}
+
 /* Fill CHOICE with the cost of loading MODEL at ENDPOINT, from the weight
    store or from a copy there.  Return false if that is not possible.  */
 static bool
@@ -195,8 +206,8 @@
   choice->cost_ms = from_store
                         ? model->store_ms
                         : res_load_ms (endpoint, model, &choice->from_store);
-  choice->cost_ms
-      += res_busy_ms (table, engine) + RES_RATE_COST_MS * engine->request_rate;
+  choice->cost_ms += res_busy_ms (table, engine, endpoint)
+                     + RES_RATE_COST_MS * engine->request_rate;
   choice->immediate = engine->phase == RES_IDLE
                       && res_can_order (table, engine, endpoint)
                       && !reserved_for_other;
--- a/libcowslip/res_replica.c
+++ b/libcowslip/res_replica.c
@@ -4,13 +4,15 @@
    320 models, computing them for each pair used all CPU time of a small
    instance.  */
 
-/* Return whether ENDPOINT is a usable engine of SERVICE.  */
+/* Return whether ENDPOINT is an engine of SERVICE that serves requests, at the
+   latest after a short pause.  */
 bool
 res_is_available (struct res_table *table, const struct rte_service *service,
                   const struct flt_endpoint *endpoint)
 {
   return g_str_equal (endpoint->entry.service, service->name)
-         && flt_usable (table->fleet, endpoint);
+         && flt_in_service (table->fleet, endpoint)
+         && flt_pause_ms (table->fleet, endpoint) <= FLT_PAUSE_SHORT_MS;
 }
 
 /* Return the available engines (struct flt_endpoint) that hold MODEL.  */
--- a/libcowslip/wtq.c
+++ b/libcowslip/wtq.c
@@ -1,5 +1,6 @@
 #include <glib.h>
 
+#include "flt.h"
 #include "wtq.h"
 
 /* Maximum wait for an endpoint.  Failed endpoints are retried after 250 ms; a
@@ -48,7 +49,13 @@
     limit_ms = (uint32_t)(input->total_ms * WTQ_COLD_SHARE);
   if (input->cold && input->stream)
     limit_ms = MIN (limit_ms, wtq_stream_wait_ms (input));
-  return input->waited_ms < limit_ms ? WTQ_WAIT : WTQ_REFUSE;
+  if (input->waited_ms >= limit_ms)
+    return WTQ_REFUSE;
+  /* What an engine with a long pause holds is loaded elsewhere.  */
+  if (input->cold && input->paused_ms > FLT_PAUSE_SHORT_MS)
+    return WTQ_WAIT;
+  return input->paused_ms < limit_ms - input->waited_ms ? WTQ_WAIT
+                                                        : WTQ_REFUSE;
 }
 
 /* Return how long a request with REMAINING_MS until its deadline may wait, in
--- a/libcowslip/wtq.h
+++ b/libcowslip/wtq.h
@@ -16,6 +16,7 @@
   uint32_t gap_ms;       /* maximum gap between events; 0: unlimited */
   uint32_t total_ms;     /* between arrival and the caller's deadline */
   uint32_t waited_ms;
+  uint32_t paused_ms; /* until an endpoint takes requests again; 0: unknown */
 };
 
 enum wtq_action
--- a/proto/cowslip.h
+++ b/proto/cowslip.h
@@ -342,6 +342,13 @@
 };
 typedef struct cs_endpoint_leaving cs_endpoint_leaving;
 
+struct cs_endpoint_pause {
+	cs_name endpoint;
+	u_quad_t started_ms;
+	u_int pause_ms;
+};
+typedef struct cs_endpoint_pause cs_endpoint_pause;
+
 #define COWSLIP_PROGRAM 0x20c05110
 #define COWSLIP_VERSION 1
 
@@ -388,6 +395,9 @@
 #define COWSLIP_ENDPOINT_LEAVING 15
 extern  void * cowslip_endpoint_leaving_1(cs_endpoint_leaving *, CLIENT *);
 extern  void * cowslip_endpoint_leaving_1_svc(cs_endpoint_leaving *, struct svc_req *);
+#define COWSLIP_ENDPOINT_PAUSE 16
+extern  void * cowslip_endpoint_pause_1(cs_endpoint_pause *, CLIENT *);
+extern  void * cowslip_endpoint_pause_1_svc(cs_endpoint_pause *, struct svc_req *);
 extern int cowslip_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -433,6 +443,9 @@
 #define COWSLIP_ENDPOINT_LEAVING 15
 extern  void * cowslip_endpoint_leaving_1();
 extern  void * cowslip_endpoint_leaving_1_svc();
+#define COWSLIP_ENDPOINT_PAUSE 16
+extern  void * cowslip_endpoint_pause_1();
+extern  void * cowslip_endpoint_pause_1_svc();
 extern int cowslip_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -475,6 +488,7 @@
 extern  bool_t xdr_cs_sound (XDR *, cs_sound*);
 extern  bool_t xdr_cs_crash_report (XDR *, cs_crash_report*);
 extern  bool_t xdr_cs_endpoint_leaving (XDR *, cs_endpoint_leaving*);
+extern  bool_t xdr_cs_endpoint_pause (XDR *, cs_endpoint_pause*);
 
 #else /* K&R C */
 extern bool_t xdr_cs_name ();
@@ -513,6 +527,7 @@
 extern bool_t xdr_cs_sound ();
 extern bool_t xdr_cs_crash_report ();
 extern bool_t xdr_cs_endpoint_leaving ();
+extern bool_t xdr_cs_endpoint_pause ();
 
 #endif /* K&R C */
 
--- a/proto/cowslip.x
+++ b/proto/cowslip.x
@@ -288,6 +288,14 @@
   unsigned hyper started_ms;
 };
 
+/* An endpoint wants no requests of the sender for some time.  */
+struct cs_endpoint_pause
+{
+  cs_name endpoint;
+  unsigned hyper started_ms;
+  unsigned int pause_ms;
+};
+
 program COWSLIP_PROGRAM
 {
   version COWSLIP_VERSION
@@ -310,5 +318,7 @@
     /* One-way; to the instances of the group and the leader, and back.  */
     void COWSLIP_CRASHES (cs_crash_report) = 14;
     void COWSLIP_ENDPOINT_LEAVING (cs_endpoint_leaving) = 15;
+    /* One-way; to the leader.  */
+    void COWSLIP_ENDPOINT_PAUSE (cs_endpoint_pause) = 16;
   } = 1;
 } = 0x20c05110;
--- a/proto/cowslip_xdr.c
+++ b/proto/cowslip_xdr.c
@@ -630,3 +630,17 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_cs_endpoint_pause (XDR *xdrs, cs_endpoint_pause *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_cs_name (xdrs, &objp->endpoint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->pause_ms))
+		 return FALSE;
+	return TRUE;
+}
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,6 +13,7 @@
 #define US_PER_MS 1000ULL
 /* Time after which signs of endpoints without an entry are forgotten.  */
 #define SIGNS_TTL_MS 600000
+#define PAUSE_MAX_MS 600000
 
 static struct tm_service *tm;
 static struct flt_fleet *fleet;
@@ -438,6 +440,71 @@
   CU_ASSERT_TRUE (flt_mark_leaving (fleet, "e1", 0));
 }
 
+/* Guards against requests to an endpoint that wants none for some time, also
+   if an earlier request completes there or its entry is written again; and
+   against its loss if that time is absurd or it has restarted.  */
+static void
+test_pause (void)
+{
+  struct flt_endpoint *endpoint;
+
+  reset ();
+  endpoint = announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_EQUAL (flt_pause (fleet, "e1", 1, 2.5), 2500);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* A shorter pause does not end the longer one.  */
+  CU_ASSERT_EQUAL (flt_pause (fleet, "e1", 1, 0.5), 500);
+  flt_record_success (endpoint);
+  (void)announce ("e1", "z1", NULL, 1);
+  advance_ms (1000);
+  CU_ASSERT_EQUAL (flt_pause_ms (fleet, endpoint), 1500);
+  flt_remove_entry (fleet, "e1", 0);
+  advance_ms (1);
+  CU_ASSERT_EQUAL (flt_all (fleet)->len, 0);
+  (void)announce ("e1", "z1", NULL, 1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  advance_ms (1499);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  CU_ASSERT_EQUAL (flt_pause (fleet, "e1", 1, 315360000.0), PAUSE_MAX_MS);
+  advance_ms (PAUSE_MAX_MS - 1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  advance_ms (1);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  (void)flt_pause (fleet, "e1", 1, INFINITY);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  (void)announce ("e1", "z1", NULL, 2);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+}
+
+/* Guards against a wait for endpoints of which none takes requests in time,
+   and against refusing a request that one may take.  */
+static void
+test_pause_left (void)
+{
+  struct pck_criteria criteria
+      = { .service = "s", .model = "m", .zone = "z1", .instances = 1 };
+  struct flt_endpoint *second;
+
+  reset ();
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
+  (void)announce ("e1", "z1", "m", 1);
+  (void)announce ("e3", "z1", "n", 1);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
+  (void)flt_pause (fleet, "e1", 1, 3.0);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 3000);
+  second = announce ("e2", "z2", "m", 1);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
+  /* It may take requests again before the first one does.  */
+  flt_record_failure (fleet, second, true);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
+  (void)flt_pause (fleet, "e2", 1, 2.0);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 2000);
+  (void)flt_mark_leaving (fleet, "e2", 1);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 3000);
+  advance_ms (3000);
+  CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
+}
+
 int
 main (void)
 {
@@ -457,6 +524,8 @@
           { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
           { "said that it leaves", test_said_leaving },
+          { "pause", test_pause },
+          { "pause that is left", test_pause_left },
           { NULL, NULL } };
 
   return unit_main ("flt", tests);
--- a/regress/gw_script.c
+++ b/regress/gw_script.c
@@ -12,7 +12,7 @@
 /* Runs the decision functions of the gateway from commands, one a line:
      fwd END [may] [ran] [begun] [resume] runs=N of=N sends=N left=MS [other]
        [earlier]
-     wtq [cold] [known] [stream] target=MS gap=MS total=MS waited=MS
+     wtq [cold] [known] [stream] target=MS gap=MS total=MS waited=MS paused=MS
      begin left=MS age=MS held=N    at an instance that is starting
      drn [stream] left=MS grace=MS
      limits RATIO EXTRA WINDOW-MS INSTANCES | request N | repeat N
@@ -85,7 +85,8 @@
                              .target_ms = get_number ("target"),
                              .gap_ms = get_number ("gap"),
                              .total_ms = get_number ("total"),
-                             .waited_ms = get_number ("waited") };
+                             .waited_ms = get_number ("waited"),
+                             .paused_ms = get_number ("paused") };
 
   printf ("%s\n", wtq_decide (&input) == WTQ_WAIT ? "hold" : "refuse");
 }
