Reject the JSON value null with an error

What callers saw: one entry "null" under servers/ ended every instance that read it, again after each restart, since the entry is still there. The same holds for a report and for a configuration "null".

Cause: json-c represents null as NULL, so jsn_parse returned NULL, which means failure, without setting the error that its callers log.

jsn_parse now sets an error for null, so that NULL always comes with one; no caller accepts null. The callers that parse records of this system's own pass through the same function.

Evidence: odd_entries_test on the code before: segmentation fault in gw_fleet_update_entry (address 0x8, the error's message). Three assertions of pf_test failed: entry, report and configuration. Both pass now, also with SAN=1. Ruled out by the other cases of odd_entries_test, which passed before: 100,000 levels of nesting, ports 0, 65536 and -1, other address families, other types, numbers such as 1e300, bytes that are not UTF-8, a value of 1 MiB.

--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -30,8 +30,8 @@
 }
 
 /* Parse BYTES of TEXT, which may contain comments.  Return a new reference,
-   or NULL and set ERROR, which names the line.  Nesting is limited to 32
-   levels.  */
+   or NULL and set ERROR, which names the line.  The value null is an error;
+   nesting is limited to 32 levels.  */
 struct json_object *
 jsn_parse (const char *text, size_t bytes, GError **error)
 {
@@ -64,6 +64,10 @@
       json_object_put (object);
       return NULL;
     }
+  /* json-c represents null as NULL.  */
+  if (object == NULL)
+    g_set_error (error, JSN_ERROR, JSN_ERROR_SYNTAX, "line %u: null",
+                 jsn_line (text, end));
   return object;
 }
 
--- /dev/null
+++ b/regress/odd_entries_test.c
@@ -0,0 +1,131 @@
+#include <string.h>
+
+#include "gw_fixture.h"
+#include "unit.h"
+
+/* Tests that an instance survives entries, reports and configurations that
+   another program wrote, and goes on following the store.  */
+
+#define LARGE_BYTES  (1U << 20)
+#define NESTED_BYTES 100000
+#define ODD_KEY      "servers/odd"
+#define WAIT_US      2000000
+#define ENTRY(address, state, rest)                                           \
+  "{\"Service\":\"plain\",\"Address\":\"" address "\",\"Zone\":\"z1\","       \
+  "\"Slots\":8,\"State\":\"" state "\"" rest "}"
+#define VALID_ADDRESS "127.0.0.1:9"
+
+static const char *const invalid_entries[] = {
+  "",
+  " ",
+  "null",
+  "true",
+  "7",
+  "-1e999",
+  "NaN",
+  "\"x\"",
+  "[]",
+  "[null]",
+  "{}",
+  "{\"Service\"",
+  "\xff\xfe\xfd",
+  "/* c */",
+  ENTRY ("127.0.0.1:0", "ready", ""),
+  ENTRY ("127.0.0.1:65536", "ready", ""),
+  ENTRY ("127.0.0.1:-1", "ready", ""),
+  ENTRY ("127.0.0.1:99999999999999999999", "ready", ""),
+  ENTRY ("127.0.0.1", "ready", ""),
+  ENTRY ("[::1]:80", "ready", ""),
+  ENTRY ("::1:80", "ready", ""),
+  ENTRY ("", "ready", ""),
+  ENTRY (VALID_ADDRESS, "asleep", ""),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Slots\":-1"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Slots\":1e300"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"born\":1e300"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"born\":-5"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"born\":null"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Zone\":null"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Service\":null"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Models\":null"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Models\":[null]"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Models\":[{\"Name\":null}]"),
+  ENTRY (VALID_ADDRESS, "ready",
+         ",\"Models\":[{\"Name\":\"m\",\"Version\":-1}]"),
+  ENTRY (VALID_ADDRESS, "ready",
+         ",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":{}}]"),
+};
+
+/* Put a valid entry under KEY and wait until the instance knows it.  Return
+   false if it does not within the limit.  */
+static bool
+follows (const char *key, uint64_t born)
+{
+  char *text
+      = g_strdup_printf ("{\"Service\":\"other\",\"Address\":"
+                         "\"127.0.0.1:9\",\"Zone\":\"z1\",\"Slots\":1,"
+                         "\"State\":\"ready\",\"born\":%" G_GUINT64_FORMAT "}",
+                         born);
+  const char *id = key + strlen ("servers/");
+  uint64_t start_us = tm_now_us (gwf_gw.tm);
+  const struct flt_endpoint *endpoint = NULL;
+
+  fake_kv_put (gwf_kv, key, text);
+  g_free (text);
+  while (tm_now_us (gwf_gw.tm) - start_us < WAIT_US)
+    {
+      endpoint = flt_find (gwf_gw.fleet, id);
+      if (endpoint != NULL && endpoint->entry.started_ms == born)
+        return true;
+      uv_run (gwf_gw.loop, UV_RUN_ONCE);
+    }
+  return false;
+}
+
+static void
+check_invalid (const char *text, const char *name)
+{
+  static uint64_t born;
+
+  fake_kv_put (gwf_kv, ODD_KEY, text);
+  if (!follows ("servers/sound", ++born)
+      || flt_find (gwf_gw.fleet, "odd") != NULL)
+    {
+      printf ("\nentry %s\n", name);
+      CU_FAIL ("entry");
+    }
+  flt_remove_entry (gwf_gw.fleet, "odd", 0);
+  flt_sweep (gwf_gw.fleet);
+}
+
+/* Guards against an instance that ends, or stops following the engines, after
+   an entry of another writer, and against the use of such an entry.  */
+static void
+test_invalid_entries (void)
+{
+  char *nested = g_strnfill (NESTED_BYTES, '[');
+  char *large = g_strnfill (LARGE_BYTES, 'x');
+  char *text;
+
+  gwf_start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid_entries); i++)
+    check_invalid (invalid_entries[i], invalid_entries[i]);
+  check_invalid (nested, "deeply nested");
+  text = g_strdup_printf (ENTRY (VALID_ADDRESS, "ready", ",\"x\":%s"), nested);
+  check_invalid (text, "with a deeply nested field");
+  g_free (text);
+  check_invalid (large, "1 MiB");
+  text = g_strdup_printf (ENTRY (VALID_ADDRESS, "%s", ""), large);
+  check_invalid (text, "state of 1 MiB");
+  g_free (text);
+  g_free (large);
+  g_free (nested);
+}
+
+int
+main (void)
+{
+  static const struct unit_test tests[]
+      = { { "invalid entries", test_invalid_entries }, { NULL, NULL } };
+
+  return unit_main ("odd entries", tests);
+}
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -110,6 +110,7 @@
     { "{\"Version\":1,\"Routes\":{},\"Services\":[]," LIMITS "}", "Routes" },
     { "{\"Version\":1", "line 1" },
     { "", "line 1" },
+    { "null", "line 1" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -168,6 +169,7 @@
       = { ENTRY ("asleep", ""),
           "[]",
           "{}",
+          "null",
           "{\"Service\":\"s\"}",
           ENTRY ("ready", ",\"Models\":5"),
           "\xff\xfe",
@@ -256,6 +258,9 @@
   CU_ASSERT_FALSE (
       pf_protocol ()->read_report ("{\"Seq\":1}", 9, &weights, &error));
   g_clear_error (&error);
+  CU_ASSERT_FALSE (pf_protocol ()->read_report ("null", 4, &weights, &error));
+  CU_ASSERT_PTR_NOT_NULL (error);
+  g_clear_error (&error);
   flt_weights_clear (&weights);
 }
 
