Check the range of numbers in entries and configurations

What callers would see: an entry with a number that does not fit, such as Slots or RemainingMs 1e300, was accepted with another value (0 slots, or whatever the undefined conversion yields, which differs between x86-64 and arm64); a configuration with such a time limit or weight replaced the one in force.

Cause: counts were truncated to 32 bits and doubles converted without a check. json-c also accepts NaN and Infinity.

--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -41,6 +41,7 @@
   ENTRY (VALID_ADDRESS, "asleep", ""),
   ENTRY (VALID_ADDRESS, "ready", ",\"Slots\":-1"),
   ENTRY (VALID_ADDRESS, "ready", ",\"Slots\":1e300"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Slots\":4294967296"),
   ENTRY (VALID_ADDRESS, "ready", ",\"born\":1e300"),
   ENTRY (VALID_ADDRESS, "ready", ",\"born\":-5"),
   ENTRY (VALID_ADDRESS, "ready", ",\"born\":null"),
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -26,6 +26,11 @@
   "{\"Name\":\"r\",\"Host\":\"h\",\"PathPrefix\":\"/p/\",\"TimeoutMs\":1000," \
   "\"TargetLatencyMs\":100,\"Priority\":2,\"MaxAttempts\":3," rest "}"
 
+#define CONFIG(route, engine)                                                 \
+  "{\"Version\":1,\"Routes\":[" ROUTE (                                       \
+      route) "],\"Services\":[{\"Name\":\"a\",\"MaxConns\":1,"                \
+             "\"Engine\":" engine "}]," LIMITS "}"
+
 static void
 test_config (void)
 {
@@ -91,8 +96,8 @@
 }
 
 /* Guards against accepting a configuration with a missing field or a field of
-   the wrong type, which would replace the valid configuration in force.  The
-   error must name the field.  */
+   the wrong type or out of range, which would replace the valid configuration
+   in force.  The error must name the field.  */
 static void
 test_invalid_config (void)
 {
@@ -111,6 +116,26 @@
     { "{\"Version\":1", "line 1" },
     { "", "line 1" },
     { "null", "line 1" },
+    { CONFIG ("\"Kind\":\"streaming\",\"Service\":\"a\","
+              "\"GapTargetMs\":1e300",
+              "{}"),
+      "GapTargetMs" },
+    { CONFIG ("\"Kind\":\"streaming\",\"TrafficSplit\":[{\"Service\":"
+              "\"a\",\"Weight\":4294967296}]",
+              "{}"),
+      "Weight" },
+    { CONFIG ("\"Kind\":\"streaming\",\"Service\":\"a\"",
+              "{\"Models\":[],\"Slots\":1,\"WeightsMb\":-1}"),
+      "WeightsMb" },
+    { CONFIG ("\"Kind\":\"streaming\",\"Service\":\"a\"",
+              "{\"Models\":[],\"Slots\":1,\"WeightsMb\":1,"
+              "\"LoadsPerS\":Infinity}"),
+      "LoadsPerS" },
+    { CONFIG ("\"Kind\":\"streaming\",\"Service\":\"a\"",
+              "{\"Models\":[{\"Name\":\"m\",\"WeightsMb\":1,"
+              "\"AdapterSizeMb\":0,\"Adapters\":0,\"LoadTimeS\":1e300}],"
+              "\"Slots\":1,\"WeightsMb\":1}"),
+      "LoadTimeS" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -170,6 +195,12 @@
           "[]",
           "{}",
           "null",
+          ENTRY ("ready", ",\"Slots\":4294967296"),
+          ENTRY ("ready", ",\"Slots\":99999999999999999999"),
+          ENTRY ("draining", ",\"RemainingMs\":1e300"),
+          ENTRY ("draining", ",\"RemainingMs\":-1"),
+          ENTRY ("draining", ",\"RemainingMs\":NaN"),
+          ENTRY ("draining", ",\"RemainingMs\":1e999"),
           "{\"Service\":\"s\"}",
           ENTRY ("ready", ",\"Models\":5"),
           "\xff\xfe",
