--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -54,6 +54,11 @@
          ",\"Models\":[{\"Name\":\"m\",\"Version\":-1}]"),
   ENTRY (VALID_ADDRESS, "ready",
          ",\"Models\":[{\"Name\":\"m\",\"Version\":1,\"Adapters\":{}}]"),
+  ENTRY (VALID_ADDRESS, "ready", ",\"Incoming\":5,\"Models\":[]"),
+  ENTRY (VALID_ADDRESS, "draining", ",\"RemainingMs\":1e300"),
+  ENTRY (VALID_ADDRESS, "draining", ",\"RemainingMs\":-1"),
+  ENTRY (VALID_ADDRESS, "draining", ",\"RemainingMs\":NaN"),
+  ENTRY (VALID_ADDRESS, "draining", ",\"RemainingMs\":\"1\""),
 };
 
 /* Put a valid entry under KEY and wait until the instance knows it.  Return
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -185,27 +185,30 @@
   "{\"Service\":\"s\",\"Address\":\"1.2.3.4:5\",\"Zone\":\"z\",\"Version\":"  \
   "\"v\",\"Slots\":4,\"State\":\"" state "\",\"Seq\":7" rest "}"
 
+static const char *const invalid_entries[]
+    = { ENTRY ("asleep", ""),
+        "[]",
+        "{}",
+        "null",
+        ENTRY ("ready", ",\"Slots\":4294967296"),
+        ENTRY ("ready", ",\"Slots\":99999999999999999999"),
+        ENTRY ("draining", ",\"RemainingMs\":1e300"),
+        ENTRY ("draining", ",\"RemainingMs\":-1"),
+        ENTRY ("draining", ",\"RemainingMs\":NaN"),
+        ENTRY ("draining", ",\"RemainingMs\":1e999"),
+        "{\"Service\":\"s\"}",
+        ENTRY ("ready", ",\"Models\":5"),
+        ENTRY ("ready", ",\"Incoming\":5,\"Models\":[]"),
+        ENTRY ("draining", ",\"RemainingMs\":\"1\""),
+        "\xff\xfe",
+        "{\"Service\":\"s\",\"Address\":\"host\",\"Zone\":\"z\",\"Slots\":4,"
+        "\"State\":\"ready\"}" };
+
 /* Guards against accepting invalid entries as endpoints, and against using the
    Seq of an entry as the number of orders, which only reports give.  */
 static void
 test_entry (void)
 {
-  static const char *const invalid[]
-      = { ENTRY ("asleep", ""),
-          "[]",
-          "{}",
-          "null",
-          ENTRY ("ready", ",\"Slots\":4294967296"),
-          ENTRY ("ready", ",\"Slots\":99999999999999999999"),
-          ENTRY ("draining", ",\"RemainingMs\":1e300"),
-          ENTRY ("draining", ",\"RemainingMs\":-1"),
-          ENTRY ("draining", ",\"RemainingMs\":NaN"),
-          ENTRY ("draining", ",\"RemainingMs\":1e999"),
-          "{\"Service\":\"s\"}",
-          ENTRY ("ready", ",\"Models\":5"),
-          "\xff\xfe",
-          "{\"Service\":\"s\",\"Address\":\"host\",\"Zone\":\"z\",\"Slots\":4,"
-          "\"State\":\"ready\"}" };
   struct flt_entry *entry
       = read_entry (ENTRY ("ready", ",\"born\":12,\"Models\":[{\"Name\":\"m\","
                                     "\"Version\":2,\"Adapters\":[\"a1\"]}],"
@@ -228,8 +231,8 @@
   CU_ASSERT_TRUE (entry->leaving);
   CU_ASSERT_EQUAL (entry->leaves_in_ms, 1600);
   flt_entry_free (entry);
-  for (size_t i = 0; i < G_N_ELEMENTS (invalid); i++)
-    CU_ASSERT_PTR_NULL (read_entry (invalid[i]));
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid_entries); i++)
+    CU_ASSERT_PTR_NULL (read_entry (invalid_entries[i]));
 }
 
 /* An endpoint writes its entry every second; only what routing depends on may
@@ -252,6 +255,7 @@
     { ENTRY ("ready", ",\"Models\":[]"),
       ENTRY ("ready", ",\"Models\":[{\"Name\":\"m\",\"Version\":1}]"), false },
     { "no entry", "[]", false },
+    { "null", ENTRY ("ready", ",\"Incoming\":5,\"Models\":[]"), false },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -267,6 +271,22 @@
     }
 }
 
+/* Guards against relaying an invalid entry as a valid one: the invalid field
+   may be one that is left out.  */
+static void
+test_condense_invalid (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (invalid_entries); i++)
+    {
+      const char *text = invalid_entries[i];
+      GString *out = g_string_new (NULL);
+
+      pf_protocol ()->condense_entry (text, strlen (text), out);
+      CU_ASSERT_PTR_NULL (read_entry (out->str));
+      g_string_free (out, TRUE);
+    }
+}
+
 static void
 test_report (void)
 {
@@ -324,6 +344,7 @@
           { "unknown kind", test_unknown_kind },
           { "entry", test_entry },
           { "condensed entry", test_condense },
+          { "condensed invalid entry", test_condense_invalid },
           { "report", test_report },
           { "order", test_order },
           { NULL, NULL } };
