--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -254,6 +254,9 @@
     { ENTRY ("ready", ",\"born\":1"), ENTRY ("ready", ",\"born\":2"), false },
     { ENTRY ("ready", ",\"Models\":[]"),
       ENTRY ("ready", ",\"Models\":[{\"Name\":\"m\",\"Version\":1}]"), false },
+    { ENTRY ("ready", ""), ENTRY ("ready", ",\"Note\":{\"n\":[1]}"), true },
+    { ENTRY ("ready", ",\"born\":1,\"Models\":[]"),
+      ENTRY ("ready", ",\"Models\":[],\"born\":1"), true },
     { "no entry", "[]", false },
     { "null", ENTRY ("ready", ",\"Incoming\":5,\"Models\":[]"), false },
   };
