Report a rejected address from the loop, not from http_start

What callers would see: the leader ends when it reads the report of an endpoint whose entry has an address like 224.0.0.1:80 or 255.255.255.255:80, and so does the next leader. Any call ends the process in that way while the machine has no route to the address.

Cause: connect() fails at once with ENETUNREACH, h2o then calls back before http_start returns, and http_fetch writes to the state that the callback has freed. The interface promises that nothing is called from within http_start.

Such a failure is now kept until the loop runs, as for an invalid address.

Evidence: the new test of http_test on the code before: segmentation fault, with SAN=1 heap-use-after-free in http_fetch. It passes now, for calls on pooled and on new connections and for calls that are cancelled first. Ruled out: the connections of requests (h1_conn.c) report the failure by their return value.

--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -42,6 +42,7 @@
   struct tm_timer timeout;
   struct tm_timer connect_timeout;
   bool is_head;
+  bool starting; /* in http_start */
   bool sent;
   bool chunked;
   bool unframed; /* the response ends with the connection */
@@ -297,6 +298,8 @@
   return http_body_cb;
 }
 
+static void http_connect_failed (void *arg);
+
 static h2o_http1client_head_cb
 http_connect_cb (h2o_http1client_t *connection, const char *error,
                  h2o_iovec_t **buffers, size_t *count, int *is_head)
@@ -304,6 +307,15 @@
   struct http_call *call = connection->data;
 
   tm_cancel (call->client->tm, &call->connect_timeout);
+  if (error != NULL && call->starting)
+    {
+      /* The kernel has rejected the address; the caller does not have CALL
+         yet.  */
+      call->connection = NULL;
+      tm_after (call->client->tm, &call->connect_timeout, 0,
+                http_connect_failed, call);
+      return NULL;
+    }
   if (error != NULL)
     {
       http_finish (call, HTTP_CONNECT_FAILED);
@@ -384,6 +396,7 @@
   tm_after (client->tm, &call->connect_timeout,
             (uint64_t)HTTP_CONNECT_TIMEOUT_MS * HTTP_US_PER_MS,
             http_connect_failed, call);
+  call->starting = true;
   if (request->new_connection)
     {
       const char *colon = strrchr (request->address, ':');
@@ -398,6 +411,7 @@
   else
     h2o_http1client_connect_with_pool (
         &call->connection, call, &client->context, pool, http_connect_cb);
+  call->starting = false;
   return call;
 }
 
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -278,6 +278,44 @@
   close (listener);
 }
 
+static void
+fetch_done (void *arg, const struct http_response *response)
+{
+  struct result *result = arg;
+
+  result->done++;
+  result->outcome = response->outcome;
+  result->sent = response->sent;
+}
+
+/* Guards against a callback from within http_start, or the use of a call that
+   has ended, if the kernel rejects an address at once.  */
+static void
+test_rejected_address (void)
+{
+  static const char *const addresses[]
+      = { "224.0.0.1:80", "255.255.255.255:80", "127.0.0.1:0", "x" };
+
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (addresses); i++)
+    {
+      struct result result = { 0 };
+      struct http_request request = { .method = "GET",
+                                      .address = addresses[i / 2],
+                                      .path = "/",
+                                      .timeout_ms = TIMEOUT_MS,
+                                      .new_connection = i % 2 == 1 };
+
+      (void)http_fetch (client, &request, fetch_done, &result);
+      CU_ASSERT_EQUAL (result.done, 0);
+      while (result.done == 0)
+        uv_run (&loop, UV_RUN_ONCE);
+      CU_ASSERT_EQUAL (result.outcome, HTTP_CONNECT_FAILED);
+      CU_ASSERT_FALSE (result.sent);
+      http_cancel (http_start (client, &request, &result_handlers, &result));
+      CU_ASSERT_EQUAL (result.done, 1);
+    }
+}
+
 /* Guards against a response to HEAD that is reported as incomplete because it
    has no body.  */
 static void
@@ -495,6 +533,7 @@
       = { { "complete and incomplete responses", test_responses },
           { "connection refused", test_refused },
           { "unreachable", test_unreachable },
+          { "rejected address", test_rejected_address },
           { "HEAD", test_head },
           { "end of a stream", test_stream_end },
           { "cancel", test_cancel },
