Skip a malformed item of a list in the store

What callers would see: with one item that cannot be decoded, no instance gets the list of the endpoints, and all read it again and again. A value of another type counted as the removal of its key, and a key with a NUL as the key before the NUL, after which the next page begins with the same item again.

Cause: a page with a malformed item was malformed as a whole; watches have always skipped such an event.

Items are skipped as events are, with the same log event. Keys with a NUL and values of another type are malformed; null counts as no value. A page without any item to continue from, where another one follows, still fails the read.

--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -186,6 +186,47 @@
       strstr (wire_endpoint_head (peer)->target, "after=p%2F1"));
 }
 
+#define ITEM(key, rest) "{\"Key\":\"" key "\",\"Value\":\"YQ==\"" rest "}"
+#define REVISION        ",\"Revision\":1"
+
+/* Guards against a list that cannot be read, or is read without end, because
+   of one item.  */
+static void
+test_malformed_items (void)
+{
+  static const struct response pages[]
+      = { { 200,
+            "{\"items\":[null,5," ITEM ("p/0", "") "," ITEM (
+                "p/1", REVISION) ",{\"Key\":\"p/2\",\"Value\":5" REVISION
+                                 "}],\"HasMore\":true,"
+                                 "\"CurrentRev\":5}",
+            NULL },
+          { 200,
+            "{\"items\":[" ITEM ("p/3\\u0000x", REVISION) "," ITEM (
+                "p/4", REVISION) "],\"HasMore\":true,"
+                                 "\"CurrentRev\":5}",
+            NULL },
+          { 200,
+            "{\"items\":[{\"Key\":\"p/5\"" REVISION
+            ",\"Value\":\"=?\"}],\"HasMore\":false,"
+            "\"CurrentRev\":5}",
+            NULL } };
+  static const struct response endless
+      = { 200, "{\"items\":[5],\"HasMore\":true,\"CurrentRev\":5}", NULL };
+
+  set_responses (pages, 3);
+  kv_get_prefix (&kv, "p/", on_done, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  CU_ASSERT_EQUAL (observed.pairs, 3);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (wire_endpoint_head (peer)->target, "after=p%2F4"));
+  set_responses (&endless, 1);
+  kv_get_prefix (&kv, "p/", on_done, NULL);
+  run_until (&observed.done, 1);
+  CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
+}
+
 static void
 test_txn (void)
 {
@@ -278,6 +319,28 @@
       strstr (wire_endpoint_head (peer)->target, "after=6&"));
 }
 
+/* Guards against a watch that ends, or repeats its call at once, because of
+   one event, and against taking a value of another type for a removal.  */
+static void
+test_malformed_events (void)
+{
+  static const struct response scripts[]
+      = { { 200,
+            "{\"events\":[null,5,{\"Key\":5},{\"Key\":\"k\"},"
+            "{\"Key\":\"k\",\"Value\":5,\"Revision\":7}," ITEM (
+                "k", ",\"Revision\":8") "],\"CurrentRev\":9}",
+            NULL },
+          { 410, "{}", NULL } };
+
+  set_responses (scripts, 2);
+  (void)kv.methods->watch (kv.context, "k", 5, on_change, on_ended, NULL);
+  run_until (&observed.ended, 1);
+  CU_ASSERT_EQUAL (observed.changes, 1);
+  CU_ASSERT_EQUAL (observed.revision, 8);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (wire_endpoint_head (peer)->target, "after=8&"));
+}
+
 /* Guards against a backoff of many seconds after lost connections.  The watch
    must be reopened three times within the 4 s of this test.  */
 static void
@@ -372,7 +435,7 @@
   run_until (&observed.ended, 1);
 }
 
-#define ITEM(revision, current)                                               \
+#define FOUND(revision, current)                                              \
   "{\"Key\":\"k\",\"Value\":\"YWI=\",\"Revision\":" revision                  \
   ",\"Lease\":0,\"CurrentRev\":" current "}"
 
@@ -393,15 +456,15 @@
 {
   int64_t before;
 
-  get_in_era ("3", ITEM ("4", "90"));
+  get_in_era ("3", FOUND ("4", "90"));
   CU_ASSERT_EQUAL (observed.outcome, KV_OK);
   before = observed.revision;
-  get_in_era ("4", ITEM ("5", "6"));
+  get_in_era ("4", FOUND ("5", "6"));
   CU_ASSERT_EQUAL (observed.outcome, KV_OK);
   CU_ASSERT_TRUE (observed.revision > before);
   CU_ASSERT_EQUAL (kv_era (&kv), 4);
   /* A late answer from before says nothing about the present keys.  */
-  get_in_era ("3", ITEM ("4", "91"));
+  get_in_era ("3", FOUND ("4", "91"));
   CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
 }
 
@@ -420,7 +483,7 @@
   struct response scripts[] = { idle, restored };
   int64_t position;
 
-  get_in_era ("4", ITEM ("5", "6"));
+  get_in_era ("4", FOUND ("5", "6"));
   position = observed.revision + 1;
   set_responses (scripts, 2);
   (void)kv.methods->watch (kv.context, "k", position, on_change, on_ended,
@@ -437,10 +500,10 @@
 {
   static const struct response scripts[]
       = { { 200, "{\"events\":[],\"CurrentRev\":6}", "5" },
-          { 200, ITEM ("5", "6"), "6" } };
+          { 200, FOUND ("5", "6"), "6" } };
   int64_t position;
 
-  get_in_era ("5", ITEM ("5", "6"));
+  get_in_era ("5", FOUND ("5", "6"));
   position = observed.revision + 1;
   set_responses (scripts, 2);
   (void)kv.methods->watch (kv.context, "k", position, on_change, on_ended,
@@ -481,7 +544,7 @@
   CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 0);
   set_responses (&granted, 1);
   kv.methods->lease_revoke (kv.context, lease);
-  get_in_era ("7", ITEM ("5", "6"));
+  get_in_era ("7", FOUND ("5", "6"));
   CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 1);
 }
 
@@ -500,7 +563,7 @@
                         .then_ops = &put,
                         .then_count = 1 };
 
-  get_in_era ("7", ITEM ("6", "6"));
+  get_in_era ("7", FOUND ("6", "6"));
   unchanged.revision = observed.revision;
   set_responses (&written, 1);
   kv_txn (&kv, &txn, on_done, NULL);
@@ -540,10 +603,12 @@
   static const struct unit_test tests[]
       = { { "get", test_get },
           { "pages", test_pages },
+          { "malformed items", test_malformed_items },
           { "transaction", test_txn },
           { "lease", test_lease },
           { "watch resumes after the last event",
             test_watch_resumes_after_last_event },
+          { "malformed events", test_malformed_events },
           { "watch reopens", test_watch_reopens },
           { "watch answered", test_watch_answered },
           { "watch after an outage", test_watch_after_outage },
