--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -8,6 +8,7 @@
 
 #define LARGE_BYTES  (1U << 20)
 #define NESTED_BYTES 100000
+#define ID_CHARS     150
 #define ODD_KEY      "servers/odd"
 #define WAIT_US      2000000
 #define ENTRY(address, state, rest)                                           \
@@ -15,6 +16,8 @@
   "\"Slots\":8,\"State\":\"" state "\"" rest "}"
 #define VALID_ADDRESS "127.0.0.1:9"
 
+static uint64_t born;
+
 static const char *const invalid_entries[] = {
   "",
   " ",
@@ -64,13 +67,13 @@
 /* Put a valid entry under KEY and wait until the instance knows it.  Return
    false if it does not within the limit.  */
 static bool
-follows (const char *key, uint64_t born)
+follows (const char *key, uint64_t started_ms)
 {
   char *text
       = g_strdup_printf ("{\"Service\":\"other\",\"Address\":"
                          "\"127.0.0.1:9\",\"Zone\":\"z1\",\"Slots\":1,"
                          "\"State\":\"ready\",\"born\":%" G_GUINT64_FORMAT "}",
-                         born);
+                         started_ms);
   const char *id = key + strlen ("servers/");
   uint64_t start_us = tm_now_us (gwf_gw.tm);
   const struct flt_endpoint *endpoint = NULL;
@@ -80,7 +83,7 @@
   while (tm_now_us (gwf_gw.tm) - start_us < WAIT_US)
     {
       endpoint = flt_find (gwf_gw.fleet, id);
-      if (endpoint != NULL && endpoint->entry.started_ms == born)
+      if (endpoint != NULL && endpoint->entry.started_ms == started_ms)
         return true;
       uv_run (gwf_gw.loop, UV_RUN_ONCE);
     }
@@ -90,8 +93,6 @@
 static void
 check_invalid (const char *text, const char *name)
 {
-  static uint64_t born;
-
   fake_kv_put (gwf_kv, ODD_KEY, text);
   if (!follows ("servers/sound", ++born)
       || flt_find (gwf_gw.fleet, "odd") != NULL)
@@ -127,11 +128,40 @@
   g_free (nested);
 }
 
+/* Guards against an id that adds a field to the heads of requests, or makes
+   messages between instances invalid.  */
+static void
+test_odd_ids (void)
+{
+  char *text = g_strnfill (ID_CHARS, 'x');
+  char *large = g_strconcat ("servers/", text, NULL);
+  const char *const keys[] = { "servers/",
+                               "servers/a b",
+                               "servers/a\r\nX-Field: 1",
+                               "servers/a\x7f",
+                               "servers/\xff\xfe",
+                               "servers/\xc3\xa9",
+                               large };
+
+  gwf_start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      fake_kv_put (gwf_kv, keys[i], ENTRY (VALID_ADDRESS, "ready", ""));
+      CU_ASSERT_TRUE (follows ("servers/sound", ++born));
+      CU_ASSERT_PTR_NULL (
+          flt_find (gwf_gw.fleet, keys[i] + strlen ("servers/")));
+    }
+  g_free (large);
+  g_free (text);
+}
+
 int
 main (void)
 {
   static const struct unit_test tests[]
-      = { { "invalid entries", test_invalid_entries }, { NULL, NULL } };
+      = { { "invalid entries", test_invalid_entries },
+          { "odd ids", test_odd_ids },
+          { NULL, NULL } };
 
   return unit_main ("odd entries", tests);
 }
