Send a request again to the same endpoint on a new connection

What callers would see: "not run" (503) for a request that runs, or a second run of it, if an endpoint that refused the request sends the refusal once more after the request has come again: both bear the same id.

Cause: a request that waits after refusals is sent to the same endpoint again, on the connection that was kept. Responses are attributed by the id of the request, which both attempts share. The same holds for requests of callers that send no id.

Such attempts open a new connection, on which the first response can only be theirs. Requests without an id are no longer compared with the id "-", which skipped a response with an empty one. The pool takes idle_max_ms 0 as documented; a connection released in the same microsecond was reused.

Evidence: both tests of stale_refusal_test counted one connection on the code before, and two now, also with SAN=1. gw_answers_test and gw_http_test pass unchanged. Ruled out: a second copy that arrives while the connection is idle closes it.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -441,6 +441,14 @@
     }
 }
 
+static bool
+gw_has_id (const struct gw_request *request)
+{
+  return h1_head_get (h1_exchange_head (request->exchange),
+                      request->gw->protocol->fields.request_id)
+         != NULL;
+}
+
 /* Send REQUEST to ENDPOINT.  Return false if no connection can be opened.  */
 bool
 gw_send (struct gw_request *request, struct flt_endpoint *endpoint)
@@ -450,11 +458,20 @@
   struct h1_request send = { .peer = endpoint->entry.id,
                              .address = endpoint->entry.address,
                              .head = &head,
-                             .match_name = gw->protocol->fields.request_id,
-                             .match_value = request->id,
                              .connect_timeout_ms = GW_CONNECT_TIMEOUT_MS,
                              .idle_max_ms = GW_CONNECTION_IDLE_MAX_MS };
 
+  if (gw_has_id (request))
+    {
+      send.match_name = gw->protocol->fields.request_id;
+      send.match_value = request->id;
+    }
+  /* Elsewhere a response to an earlier request, or to an earlier attempt of
+     this one, cannot be told from the response to this attempt.  */
+  if (!gw_has_id (request)
+      || flt_list_has (request->tried, endpoint->entry.id))
+    send.idle_max_ms = 0;
+
   send.body = h1_exchange_body (request->exchange, &send.body_bytes);
   gw_build_request_head (request, endpoint, &head);
   request->call = h1_call_start (gw->pool, &send, &gw_call_events, request);
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -353,7 +353,7 @@
   struct h1_channel *channel
       = queue == NULL ? NULL : g_queue_peek_head (queue);
 
-  if (channel == NULL
+  if (channel == NULL || idle_max_ms == 0
       || tm_now_us (pool->tm) - channel->idle_since_us
              > idle_max_ms * H1_US_PER_MS)
     return NULL;
