Skip responses without an id on a connection used before

A response to an earlier request without an id was passed on to the caller as its own.

Cause: only a response with another id was skipped; one without an id counted as a match. Engines name the request in each response.

On a connection that has served a request, a response without the id is now skipped like one with another id, and the wait for the answer goes on. The first response on a new connection cannot belong to another request, so there it counts as before. If nothing follows, a request that may run once ends with 504 or 502, which promise nothing. Event 534 and responses_unmatched_total show what was skipped.

--- a/cowslipcoved/gw_status.c
+++ b/cowslipcoved/gw_status.c
@@ -36,6 +36,8 @@
                  h1_server_connections (gw->callers));
   ctr_set_gauge (gw->counters, "endpoint_connects_total",
                  (int64_t)h1_pool_connect_count (gw->pool));
+  ctr_set_gauge (gw->counters, "responses_unmatched_total",
+                 (int64_t)h1_pool_unmatched_count (gw->pool));
   ctr_set_gauge (gw->counters, "config_version",
                  gw->config == NULL ? 0 : (int64_t)gw->config->version);
   ctr_set_gauge (gw->counters, "endpoints", flt_all (gw->fleet)->len);
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -5,6 +5,7 @@
 #include "h1_conn.h"
 #include "h1_parser.h"
 #include "h1_pool.h"
+#include "lg.h"
 
 #define H1_US_PER_MS UINT64_C (1000)
 /* Larger than the 16 KB that callers accept in a head.  */
@@ -26,6 +27,7 @@
   struct tm_service *tm;
   GHashTable *idle; /* peer -> GQueue of struct h1_channel, newest first */
   uint64_t connects;
+  uint64_t unmatched; /* responses that belonged to no request */
 };
 
 /* A connection to an endpoint.  */
@@ -42,6 +44,7 @@
   uint32_t skipped;
   size_t skipped_bytes;
   bool skipping; /* the current response belongs to an earlier request */
+  bool reused;   /* it has served an earlier request */
   bool reusable;
   bool head_received; /* the head of the current response was delivered */
   bool cancelled;     /* to be freed from the loop; in no list */
@@ -126,6 +129,14 @@
   return pool->connects;
 }
 
+/* Return the number of responses received since the pool was created that were
+   not attributed to a request.  */
+uint64_t
+h1_pool_unmatched_count (const struct h1_pool *pool)
+{
+  return pool->unmatched;
+}
+
 static void
 h1_call_free (struct h1_call *call)
 {
@@ -192,17 +203,47 @@
             h1_channel_free_cb, channel);
 }
 
+/* Return whether HEAD may be that of the response to the call of CHANNEL.  An
+   endpoint may send a response to an earlier request once more.  Without the
+   field that names its request, a response can be attributed only on a new
+   connection.  */
+static bool
+h1_channel_matches (const struct h1_channel *channel,
+                    const struct h1_head *head)
+{
+  const struct h1_call *call = channel->call;
+  const char *value;
+
+  if (call->match_name == NULL)
+    return true;
+  value = h1_head_get (head, call->match_name);
+  return value == NULL ? !channel->reused
+                       : g_str_equal (value, call->match_value);
+}
+
+static void
+h1_channel_skip (struct h1_channel *channel, const struct h1_head *head)
+{
+  const struct h1_call *call = channel->call;
+  const char *value = h1_head_get (head, call->match_name);
+
+  channel->pool->unmatched++;
+  lg_write (LG_RESPONSE_UNMATCHED,
+            "endpoint=%s status=%u id=%s expected=%s reused=%d", channel->peer,
+            head->status, value == NULL ? "-" : value, call->match_value,
+            channel->reused);
+}
+
 static void
 h1_channel_on_head (void *arg, const struct h1_head *head)
 {
   struct h1_channel *channel = arg;
   struct h1_call *call = channel->call;
-  const char *value
-      = call->match_name == NULL ? NULL : h1_head_get (head, call->match_name);
+  bool interim = head->status < 200;
 
-  channel->skipping
-      = head->status < 200
-        || (value != NULL && !g_str_equal (value, call->match_value));
+  channel->skipping = interim || !h1_channel_matches (channel, head);
+  if (channel->skipping && !interim)
+    h1_channel_skip (channel, head);
   if (channel->skipping)
     return;
   channel->reusable = head->keep_alive;
@@ -430,6 +471,7 @@
   call->match_value = g_strdup (request->match_value);
   call->head_request = g_str_equal (request->head->method, "HEAD");
   channel->call = call;
+  channel->reused = reused;
   if (reused)
     h1_channel_send (channel);
   return call;
--- a/libcowslip/h1_pool.h
+++ b/libcowslip/h1_pool.h
@@ -41,8 +41,8 @@
   const char *body;
   size_t body_bytes;
   /* A response in which this field has another value belongs to an earlier
-     request on the connection and is skipped.  NULL: responses are not
-     checked.  */
+     request on the connection and is skipped, as is one without the field
+     unless the connection is new.  NULL: responses are not checked.  */
   const char *match_name;
   const char *match_value;
   uint32_t connect_timeout_ms;
@@ -53,6 +53,7 @@
 struct h1_pool *h1_pool_new (uv_loop_t *loop, struct tm_service *tm);
 void h1_pool_close_idle (struct h1_pool *pool, const char *peer);
 uint64_t h1_pool_connect_count (const struct h1_pool *pool);
+uint64_t h1_pool_unmatched_count (const struct h1_pool *pool);
 
 struct h1_call *h1_call_start (struct h1_pool *pool,
                                const struct h1_request *request,
