Reject endpoint responses with an encoded body

What callers saw: the bytes of a compressed body as the body of the response, and in the middle of a stream that had been broken off and was continued by such a response.

Cause: Content-Encoding was not looked at.

Such a response is now no valid response, whatever its status, unless it states that the request did not run.

Evidence: three new cases of gw_answers_test (a success on routes of both kinds, an error) and one of resume_error_test failed on the code before and pass now, also with SAN=1. The other 18 cases in the table of errors of the new test, such as 4xx, 5xx, no stream, or no seal, passed before: only a sealed stream continues a stream.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -112,6 +112,16 @@
   return status >= 200 && status < 300;
 }
 
+/* Return whether HEAD announces an encoded body.  Callers ask for plain ones,
+   so it is not the endpoint's.  */
+static bool
+gw_is_encoded (const struct h1_head *head)
+{
+  const char *encoding = h1_head_get (head, "Content-Encoding");
+
+  return encoding != NULL && g_ascii_strcasecmp (encoding, "identity") != 0;
+}
+
 static bool
 gw_is_error (uint16_t status)
 {
@@ -218,6 +228,7 @@
         gw_handle_misdirected (request, head);
     }
   else if ((success && h1_head_get (head, fields->seal) == NULL)
+           || gw_is_encoded (head)
            || (request->response_started && !is_stream))
     {
       /* A success without a seal was not sent by the endpoint; only a stream
