Give up a stream at an event that cannot come next

What callers saw, according to another operator: the text of an error, at times its whole head, in the middle of a stream that had been broken off. It can happen here where the error has the form of events: in a resumed response of the right type and with a seal, or behind the last event of a response that ends with its connection. A resumed response that begins too late left a gap.

Cause: events without an id were always passed on, and any higher id was.

In the gateway, where events have increasing ids, an event without one that follows events with ids now ends the attempt, and so does a gap in a resumed response if the ids rose by one before. The stream is then resumed elsewhere or broken off, never ended. Comments are still passed on, and streams without any id.

Streams whose ids do not rise by one, or that repeat events, still pass. gw_answers_test, gw_http_test, truncated_stream_test, clm_test, services_test and the scripts gw/* and clm/* pass unchanged.

A head that is appended within an event, so that the rest of that event has the form of fields, is not recognized.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -294,7 +294,12 @@
       return;
     }
   evs_feed (&request->events, data, bytes, gw_forward_body, request);
-  if (request->events.too_long)
+  if (request->events.out_of_place)
+    {
+      ctr_add (request->gw->counters, "events_out_of_place_total", 1);
+      request->attempt_end = "out_of_place";
+    }
+  if (request->events.too_long || request->events.out_of_place)
     gw_abandon_attempt (request, FWD_NO_VALID_RESPONSE);
 }
 
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -232,6 +232,7 @@
   request->arrived_us = arrived_us;
   request->tried = g_ptr_array_new_with_free_func (g_free);
   evs_init (&request->events);
+  request->events.numbered = true;
   request->framing = "-";
   request->attempt_end = "-";
   id = gw_request_field (request, gw->protocol->fields.request_id);
--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -41,6 +41,8 @@
 {
   g_string_truncate (parser->partial, 0);
   parser->too_long = false;
+  parser->out_of_place = false;
+  parser->resumed = parser->has_last_id;
   parser->event_count = 0;
 }
 
@@ -131,10 +133,46 @@
   return false;
 }
 
+/* Pass on the event at TEXT unless an endpoint that continues the stream has
+   repeated it.  Return false if it cannot come next: it misses an id that the
+   others have, or an event is missing before it.  */
+static bool
+evs_accept (struct evs_parser *parser, const char *text, size_t bytes,
+            evs_handler handler, void *arg)
+{
+  bool has_field = evs_has_field (text, bytes);
+  uint64_t id;
+  bool is_next;
+
+  if (has_field)
+    parser->event_count++;
+  if (!evs_event_id (text, bytes, &id))
+    {
+      if (has_field && parser->numbered && parser->has_last_id)
+        return false;
+      handler (arg, text, bytes);
+      return true;
+    }
+  if (parser->has_last_id && id <= parser->last_id)
+    return true;
+  is_next = parser->has_last_id && id == parser->last_id + 1;
+  if (parser->numbered && parser->resumed && parser->consecutive
+      && parser->id_count > 1 && !is_next)
+    return false;
+  parser->consecutive
+      = parser->id_count == 0 || (parser->consecutive && is_next);
+  parser->id_count++;
+  parser->has_last_id = true;
+  parser->last_id = id;
+  handler (arg, text, bytes);
+  return true;
+}
+
 /* Append DATA to the stream and call HANDLER for each event that is complete.
    Events are dropped if their id is not above the last one passed on, because
    a resumed stream may repeat events.  An event that exceeds 256 KiB is
-   dropped with all that follows, and TOO_LONG is set.  */
+   dropped with all that follows, and TOO_LONG is set; one that cannot come
+   next in a numbered stream likewise, and OUT_OF_PLACE is set.  */
 void
 evs_feed (struct evs_parser *parser, const char *data, size_t bytes,
           evs_handler handler, void *arg)
@@ -142,25 +180,19 @@
   size_t begin = 0;
   size_t length;
 
-  if (parser->too_long)
+  if (parser->too_long || parser->out_of_place)
     return;
   g_string_append_len (parser->partial, data, (gssize)bytes);
   while ((length = evs_event_bytes (parser->partial->str + begin,
                                     parser->partial->len - begin))
          > 0)
     {
-      const char *event = parser->partial->str + begin;
-      uint64_t id;
-
-      if (evs_has_field (event, length))
-        parser->event_count++;
-      if (!evs_event_id (event, length, &id))
-        handler (arg, event, length);
-      else if (!parser->has_last_id || id > parser->last_id)
+      if (!evs_accept (parser, parser->partial->str + begin, length, handler,
+                       arg))
         {
-          parser->has_last_id = true;
-          parser->last_id = id;
-          handler (arg, event, length);
+          parser->out_of_place = true;
+          g_string_truncate (parser->partial, 0);
+          return;
         }
       begin += length;
     }
@@ -179,7 +211,7 @@
   size_t bytes = parser->partial->len;
 
   if (bytes == 0)
-    return parser->too_long;
+    return parser->too_long || parser->out_of_place;
   return evs_has_field (text, bytes)
          || (text[bytes - 1] != '\n' && text[bytes - 1] != '\r');
 }
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -12,10 +12,15 @@
    endpoint.  */
 struct evs_parser
 {
-  GString *partial; /* incomplete last event */
-  bool too_long;    /* PARTIAL exceeded the limit and was dropped */
-  bool has_last_id; /* LAST_ID is valid */
+  GString *partial;  /* incomplete last event */
+  bool numbered;     /* set by the owner: all events have ids */
+  bool too_long;     /* PARTIAL exceeded the limit and was dropped */
+  bool out_of_place; /* an event that cannot come next was dropped */
+  bool has_last_id;  /* LAST_ID is valid */
   uint64_t last_id;
+  uint64_t id_count;    /* events with ids that were passed on */
+  bool consecutive;     /* these ids rise by 1 */
+  bool resumed;         /* the current endpoint continues the stream */
   uint64_t event_count; /* complete events of the current endpoint */
 };
 
--- a/regress/resume_error_test.c
+++ b/regress/resume_error_test.c
@@ -69,6 +69,23 @@
     WIRE_KEEP, RECEIVED },
   { "stream that ends with the connection at once", STREAM (""), WIRE_CLOSE,
     RECEIVED },
+  { "stream that misses an event",
+    STREAM ("Content-Length: 15\r\n") EVENT ("4"), WIRE_KEEP, RECEIVED },
+  { "stream that misses an event later",
+    STREAM ("Content-Length: 30\r\n") EVENT ("3") EVENT ("5"), WIRE_KEEP,
+    RECEIVED EVENT ("3") },
+  { "stream with an id that does not fit",
+    STREAM ("Content-Length: 35\r\n") EVENT ("999999999999999999999"),
+    WIRE_KEEP, RECEIVED },
+  { "text of an error as a stream",
+    STREAM ("Content-Length: 9\r\n") "failure\n\n", WIRE_KEEP, RECEIVED },
+  { "event of an error",
+    STREAM ("Content-Length: 31\r\n") "event: error\ndata: overloaded\n\n",
+    WIRE_KEEP, RECEIVED },
+  { "event of an error after the next event",
+    STREAM ("Transfer-Encoding: chunked\r\n")
+        GWF_EVENT ("3") "f\r\ndata: failure\n\n\r\n0\r\n\r\n",
+    WIRE_KEEP, RECEIVED EVENT ("3") },
   { "no response", "", WIRE_CLOSE, RECEIVED },
   { "bytes that are no response", "failure\r\n\r\n", WIRE_KEEP, RECEIVED },
 };
@@ -141,12 +158,53 @@
   gwf_run_cases (sound, G_N_ELEMENTS (sound));
 }
 
+static const struct gwf_case appended[] = {
+  { "head and text of an error behind a stream without a length",
+    "flow",
+    { STREAM ("") EVENT ("1") "HTTP/1.1 500 E\r\nContent-Length: 7\r\n\r\n"
+                              "failure",
+      WIRE_CLOSE, false },
+    { 0 },
+    200,
+    EVENT ("1"),
+    false,
+    false },
+  { "the same, resumed",
+    "resume",
+    { STREAM ("") EVENT ("1") "HTTP/1.1 500 E\r\nContent-Length: 7\r\n\r\n"
+                              "failure",
+      WIRE_CLOSE, false },
+    { STREAM ("Content-Length: 15\r\n") EVENT ("2"), WIRE_KEEP, false },
+    200,
+    EVENT ("1") EVENT ("2"),
+    true,
+    true },
+  { "events without any id",
+    "flow",
+    { STREAM ("Content-Length: 18\r\n") "data: x\n\ndata: y\n\n", WIRE_KEEP,
+      false },
+    { 0 },
+    200,
+    "data: x\n\ndata: y\n\n",
+    true,
+    false },
+};
+
+/* Guards against an error that an endpoint appends to its own stream.  */
+static void
+test_appended (void)
+{
+  gwf_run_cases (appended, G_N_ELEMENTS (appended));
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "errors", test_errors },
-                                            { "sound streams", test_sound },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "errors", test_errors },
+          { "sound streams", test_sound },
+          { "appended errors", test_appended },
+          { NULL, NULL } };
 
   return unit_main ("resume error", tests);
 }
