Keep blocked traits when the relay reports lost records as removed

An instance that follows the relay hears of a record that the source's list lacks as a removal, and forgot the trait.

A removal of a later era than the record's revision is a loss, too.

--- a/cowslipcoved/gw_blame_store.c
+++ b/cowslipcoved/gw_blame_store.c
@@ -91,11 +91,21 @@
   (void)blm_clear (gw->blame.table, trait, 0);
 }
 
-/* A key of the store has changed.  */
+/* The store has lost the record of TRAIT, which is written again.  */
+static void
+gw_blame_record_lost (struct gw *gw, uint64_t trait)
+{
+  gw_blame_set_unsaved (gw, trait);
+  gw_blame_save_start (gw);
+}
+
+/* A key of the store has changed.  The relay reports keys that the store has
+   lost as removed.  */
 void
 gw_blame_key_changed (void *arg, const struct kv_change *change)
 {
   struct gw *gw = arg;
+  const int64_t *saved;
   uint64_t trait;
 
   if (!gw_blame_parse_key (change->key, &trait))
@@ -104,7 +114,14 @@
     gw_blame_load (gw, trait, change->value, change->value_bytes,
                    change->revision);
   else
-    gw_blame_unload (gw, trait);
+    {
+      saved = g_hash_table_lookup (gw->blame.saved, &trait);
+      if (saved != NULL
+          && kv_revision_era (change->revision) > kv_revision_era (*saved))
+        gw_blame_record_lost (gw, trait);
+      else
+        gw_blame_unload (gw, trait);
+    }
 }
 
 static bool
@@ -135,13 +152,10 @@
 gw_blame_missing (struct gw *gw, uint64_t trait, int64_t revision,
                   const struct kv_pair *pairs, size_t count)
 {
-  if (!gw_blame_has_lost (pairs, count, revision))
-    gw_blame_unload (gw, trait);
+  if (gw_blame_has_lost (pairs, count, revision))
+    gw_blame_record_lost (gw, trait);
   else
-    {
-      gw_blame_set_unsaved (gw, trait);
-      gw_blame_save_start (gw);
-    }
+    gw_blame_unload (gw, trait);
 }
 
 /* All keys of the store were read: PAIRS.  */
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -460,6 +460,27 @@
   g_free (removed);
 }
 
+/* The same for an instance that learns of the loss from the relay, which
+   reports a removal.  */
+static void
+test_record_lost_relayed (void)
+{
+  struct kv_change change = { .revision = INT64_C (1) << KV_ERA_SHIFT };
+  char *key;
+
+  start_second ();
+  key = block_and_save (11);
+  change.key = key;
+  gw_blame_key_changed (&gwf_gw, &change);
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, 11));
+  CU_ASSERT_FALSE (gw_blame_is_saved (&gwf_gw, 11));
+  /* A removal without a loss.  */
+  remove_key (key);
+  wait_ms (REPEAT_MS);
+  CU_ASSERT_FALSE (blm_is_blocked (gwf_gw.blame.table, 11));
+  g_free (key);
+}
+
 /* Guards against traits without number in the store and in messages, such as
    those of requests to a service whose only endpoint crashes by itself.  */
 static void
@@ -500,6 +521,7 @@
           { "store away", test_store_away },
           { "process that lives", test_alive },
           { "record lost", test_record_lost },
+          { "record lost, relayed", test_record_lost_relayed },
           { "many traits", test_many },
           { NULL, NULL } };
 
