Tell entries that the store has lost from removed ones

Cause: a removal was remembered with the revision of the entry, not of the store that lacked it, so that a later entry of the same era seemed to come from an older copy. And the relay reports what the source's list lacks as removed.

An entry of an earlier era than the list or removal that lacks it was lost: its endpoint is used for 2 s and not remembered as removed. Removals keep the revision at which the entry was last missing.

Evidence: flt_test 'newer than the copy' and 'left before a loss of changes' fail if losses count as removals or removals keep their first revision, and pass now.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -16,16 +16,17 @@
 
 static void gw_fleet_read (void *arg);
 
-/* Return how long an endpoint without an entry is still used where no other
-   can serve, in milliseconds.  */
-static uint32_t
-gw_fleet_grace_ms (const struct gw *gw)
+/* Return how long endpoints without an entry are still used where no other can
+   serve.  */
+static struct flt_grace
+gw_fleet_grace (const struct gw *gw)
 {
   uint32_t drain_ms = gw->settings->drain_ms;
+  uint32_t removed_ms = drain_ms > GW_FLEET_PROPAGATION_MS
+                            ? drain_ms - GW_FLEET_PROPAGATION_MS
+                            : 0;
 
-  return drain_ms > GW_FLEET_PROPAGATION_MS
-             ? drain_ms - GW_FLEET_PROPAGATION_MS
-             : 0;
+  return (struct flt_grace){ removed_ms, GW_FLEET_REANNOUNCE_MS };
 }
 
 /* Handle the removal of entries.  They count as expired, and their endpoints
@@ -95,6 +96,7 @@
 gw_fleet_on_change (void *arg, const struct kv_change *change)
 {
   struct gw *gw = arg;
+  const struct flt_grace grace = gw_fleet_grace (gw);
 
   if (change->value != NULL)
     gw_fleet_update_entry (gw, change->key, change->value, change->value_bytes,
@@ -105,7 +107,7 @@
                 "endpoint=%s revision=%" G_GINT64_FORMAT,
                 gw_fleet_id (gw, change->key), change->revision);
       flt_remove_entry (gw->fleet, gw_fleet_id (gw, change->key),
-                        gw_fleet_grace_ms (gw));
+                        change->revision, &grace);
       gw_fleet_retain_expired (gw);
     }
   gw_dispatch_queued (gw);
@@ -124,6 +126,7 @@
 gw_fleet_read_done (void *arg, const struct kv_result *result)
 {
   struct gw *gw = arg;
+  const struct flt_grace grace = gw_fleet_grace (gw);
 
   if (result->outcome != KV_OK)
     {
@@ -137,7 +140,7 @@
     gw_fleet_update_entry (gw, result->pairs[i].key, result->pairs[i].value,
                            result->pairs[i].value_bytes,
                            result->pairs[i].revision);
-  flt_list_end (gw->fleet, gw_fleet_grace_ms (gw), GW_FLEET_REANNOUNCE_MS);
+  flt_list_end (gw->fleet, &grace);
   gw_fleet_retain_expired (gw);
   gw->fleet_loaded = true;
   gw_release_held (gw);
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -269,21 +269,34 @@
   return endpoint;
 }
 
-/* Handle the removal of the entry of ID.  For GRACE_MS the endpoint is still
-   used where no other can serve.  */
-void
-flt_remove_entry (struct flt_fleet *fleet, const char *id, uint32_t grace_ms)
+/* The store at REVISION has no entry of ENDPOINT: use it for GRACE where no
+   other can serve.  */
+static void
+flt_withdraw (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
+              int64_t revision, const struct flt_grace *grace)
 {
-  struct flt_endpoint *endpoint = flt_find (fleet, id);
+  bool lost = kv_revision_era (revision)
+              > kv_revision_era (endpoint->entry.revision);
+  uint32_t grace_ms = lost ? grace->lost_ms : grace->removed_ms;
 
-  flt_removal_repeat (fleet, id);
-  if (endpoint == NULL || endpoint->expires_us != 0)
-    return;
-  flt_removal_add (fleet, endpoint);
+  if (!lost)
+    flt_removal_add (fleet, endpoint, revision);
   endpoint->listed = false;
   endpoint->expires_us = tm_now_us (fleet->tm) + grace_ms * FLT_US_PER_MS;
 }
 
+/* Handle the removal of the entry of ID at REVISION.  */
+void
+flt_remove_entry (struct flt_fleet *fleet, const char *id, int64_t revision,
+                  const struct flt_grace *grace)
+{
+  struct flt_endpoint *endpoint = flt_find (fleet, id);
+
+  flt_removal_repeat (fleet, id, revision);
+  if (endpoint != NULL && endpoint->expires_us == 0)
+    flt_withdraw (fleet, endpoint, revision, grace);
+}
+
 /* If more than half of the endpoints have lost their entries, extend the grace
    period of all of these to at least GRACE_MS from now and return true.  An
    outage of the store lets many entries expire together, whereas an endpoint
@@ -320,32 +333,23 @@
 void
 flt_list_begin (struct flt_fleet *fleet, int64_t revision)
 {
-  fleet->list_lost
-      = kv_revision_era (revision) > kv_revision_era (fleet->list_revision);
   fleet->list_revision = revision;
   flt_removals_list_begin (fleet);
   for (guint i = 0; i < fleet->all->len; i++)
     ((struct flt_endpoint *)g_ptr_array_index (fleet->all, i))->listed = false;
 }
 
-/* End the list.  Endpoints that were not in it are still used for GRACE_MS
-   where no other can serve, or for LOSS_GRACE_MS if the store has lost changes
-   since the list before: they may be newer than its copy.  */
+/* End the list.  Endpoints that were not in it are still used for GRACE where
+   no other can serve.  */
 void
-flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms,
-              uint32_t loss_grace_ms)
+flt_list_end (struct flt_fleet *fleet, const struct flt_grace *grace)
 {
-  uint32_t used_ms = fleet->list_lost ? loss_grace_ms : grace_ms;
-  uint64_t expires_us = tm_now_us (fleet->tm) + used_ms * FLT_US_PER_MS;
-
   for (guint i = 0; i < fleet->all->len; i++)
     {
       struct flt_endpoint *endpoint = g_ptr_array_index (fleet->all, i);
 
-      if (endpoint->listed || endpoint->expires_us != 0)
-        continue;
-      flt_removal_add (fleet, endpoint);
-      endpoint->expires_us = expires_us;
+      if (!endpoint->listed && endpoint->expires_us == 0)
+        flt_withdraw (fleet, endpoint, fleet->list_revision, grace);
     }
   flt_removals_list_end (fleet);
 }
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -82,6 +82,13 @@
   uint64_t unloading_us;
 };
 
+/* How long an endpoint is still used where no other can serve.  */
+struct flt_grace
+{
+  uint32_t removed_ms; /* its entry was removed */
+  uint32_t lost_ms;    /* the store has lost it, and it may be alive */
+};
+
 /* Changes on an engine that the leader sends to the instances before the
    engine's entry shows them.  */
 enum flt_notice_kind
@@ -110,11 +117,10 @@
 struct flt_endpoint *flt_put_entry (struct flt_fleet *fleet,
                                     struct flt_entry *entry);
 void flt_remove_entry (struct flt_fleet *fleet, const char *id,
-                       uint32_t grace_ms);
+                       int64_t revision, const struct flt_grace *grace);
 bool flt_extend_grace (struct flt_fleet *fleet, uint32_t grace_ms);
 void flt_list_begin (struct flt_fleet *fleet, int64_t revision);
-void flt_list_end (struct flt_fleet *fleet, uint32_t grace_ms,
-                   uint32_t loss_grace_ms);
+void flt_list_end (struct flt_fleet *fleet, const struct flt_grace *grace);
 void flt_sweep (struct flt_fleet *fleet);
 struct flt_endpoint *flt_find (const struct flt_fleet *fleet, const char *id);
 GPtrArray *flt_all (struct flt_fleet *fleet);
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -15,7 +15,6 @@
   GHashTable *loads;      /* service -> double: mean of the reported loads */
   GHashTable *removals;   /* id -> struct flt_removal */
   int64_t list_revision;  /* of the store, at the last full list */
-  bool list_lost;         /* changes were lost before it */
   GHashTable *signs;      /* struct flt_signs */
   uint64_t pauses_end_us; /* end of the last pause */
 };
@@ -25,9 +24,10 @@
 /* flt_removed.c */
 GHashTable *flt_removals_new (void);
 void flt_removal_add (struct flt_fleet *fleet,
-                      const struct flt_endpoint *endpoint);
+                      const struct flt_endpoint *endpoint, int64_t revision);
 void flt_removal_forget (struct flt_fleet *fleet, const char *id);
-void flt_removal_repeat (struct flt_fleet *fleet, const char *id);
+void flt_removal_repeat (struct flt_fleet *fleet, const char *id,
+                         int64_t revision);
 bool flt_removal_withhold (struct flt_fleet *fleet, struct flt_entry *entry);
 bool flt_may_be_older (const struct flt_fleet *fleet,
                        const struct flt_entry *entry, int64_t known_revision);
--- a/libcowslip/flt_removed.c
+++ b/libcowslip/flt_removed.c
@@ -16,7 +16,7 @@
 {
   uint64_t started_ms; /* of the process */
   bool leaving;        /* it was known to leave */
-  int64_t revision;    /* of the last entry */
+  int64_t revision;    /* of the store when its entry was missing */
   uint64_t removed_us;
   struct flt_entry *withheld; /* listed since the removal, or NULL */
   uint64_t withheld_us;       /* when WITHHELD was first listed */
@@ -39,16 +39,17 @@
                                 flt_removal_free);
 }
 
-/* Record that the entry of ENDPOINT was removed.  */
+/* Record that the entry of ENDPOINT was removed before REVISION.  */
 void
-flt_removal_add (struct flt_fleet *fleet, const struct flt_endpoint *endpoint)
+flt_removal_add (struct flt_fleet *fleet, const struct flt_endpoint *endpoint,
+                 int64_t revision)
 {
   const struct flt_entry *entry = &endpoint->entry;
   struct flt_removal *removal = g_new0 (struct flt_removal, 1);
 
   removal->started_ms = entry->started_ms;
   removal->leaving = entry->leaving;
-  removal->revision = entry->revision;
+  removal->revision = revision;
   removal->removed_us = tm_now_us (fleet->tm);
   g_hash_table_replace (fleet->removals, g_strdup (entry->id), removal);
 }
@@ -99,9 +100,9 @@
   removal->withheld = NULL;
 }
 
-/* The entry of ID was removed again.  */
+/* The entry of ID was removed again before REVISION.  */
 void
-flt_removal_repeat (struct flt_fleet *fleet, const char *id)
+flt_removal_repeat (struct flt_fleet *fleet, const char *id, int64_t revision)
 {
   struct flt_removal *removal = g_hash_table_lookup (fleet->removals, id);
 
@@ -109,6 +110,7 @@
     return;
   flt_removal_drop_entry (removal);
   removal->withheld_us = 0;
+  removal->revision = MAX (removal->revision, revision);
 }
 
 /* Begin a list of entries: drop those that are withheld.  */
@@ -135,8 +137,10 @@
     {
       struct flt_removal *removal = value;
 
-      if (removal->withheld == NULL)
-        removal->withheld_us = 0;
+      if (removal->withheld != NULL)
+        continue;
+      removal->withheld_us = 0;
+      removal->revision = fleet->list_revision;
     }
 }
 
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -53,6 +53,22 @@
   return announce_at (id, zone, model, started_ms, 0);
 }
 
+static void
+remove_at (const char *id, int64_t revision, uint32_t grace_ms)
+{
+  const struct flt_grace grace = { grace_ms, 2000 };
+
+  flt_remove_entry (fleet, id, revision, &grace);
+}
+
+static void
+end_list (uint32_t removed_ms, uint32_t lost_ms)
+{
+  const struct flt_grace grace = { removed_ms, lost_ms };
+
+  flt_list_end (fleet, &grace);
+}
+
 static const char *
 choose (const char *model)
 {
@@ -78,11 +94,11 @@
 {
   reset ();
   (void)announce ("e1", "z1", NULL, 1);
-  flt_remove_entry (fleet, "e1", 600);
+  remove_at ("e1", 0, 600);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
   (void)announce ("e2", "z2", NULL, 1);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e2");
-  flt_remove_entry (fleet, "e2", 0);
+  remove_at ("e2", 0, 0);
   advance_ms (1);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
   advance_ms (600);
@@ -101,13 +117,13 @@
   (void)announce ("e1", "z1", NULL, 1);
   (void)announce ("e2", "z1", NULL, 1);
   (void)announce ("e3", "z1", NULL, 1);
-  flt_remove_entry (fleet, "e1", 200);
+  remove_at ("e1", 0, 200);
   CU_ASSERT_FALSE (flt_extend_grace (fleet, 2000));
   advance_ms (200);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
-  flt_remove_entry (fleet, "e2", 200);
+  remove_at ("e2", 0, 200);
   CU_ASSERT_FALSE (flt_extend_grace (fleet, 2000));
-  flt_remove_entry (fleet, "e3", 200);
+  remove_at ("e3", 0, 200);
   CU_ASSERT_TRUE (flt_extend_grace (fleet, 2000));
   advance_ms (1900);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
@@ -125,7 +141,7 @@
   (void)announce ("e2", "z1", NULL, 1);
   flt_list_begin (fleet, 0);
   (void)announce ("e2", "z1", NULL, 1);
-  flt_list_end (fleet, 2000, 0);
+  end_list (2000, 0);
   advance_ms (1900);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 2);
   advance_ms (200);
@@ -234,7 +250,7 @@
   flt_list_begin (fleet, list_revision);
   if (revision != 0)
     (void)announce_at ("e1", "z1", NULL, started_ms, revision);
-  flt_list_end (fleet, 0, 2000);
+  end_list (0, 2000);
   advance_ms (1);
 }
 
@@ -247,7 +263,7 @@
 
   reset ();
   (void)announce_at ("e1", "z1", NULL, 1, 10);
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", 0, 0);
   advance_ms (1);
   list (1, era + 10, era + 12);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
@@ -258,7 +274,7 @@
   (void)announce_at ("e1", "z1", NULL, 1, era + 13);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
   /* It is removed again and lost again.  */
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", era + 14, 0);
   advance_ms (1);
   list (1, 2 * era + 10, 2 * era + 12);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
@@ -296,14 +312,17 @@
 
   reset ();
   (void)announce_at ("e1", "z1", NULL, 1, 10);
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", 0, 0);
   advance_ms (1);
   list (1, era + 10, era + 12);
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", era + 13, 0);
   advance_ms (6000);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
-  announce_at ("e1", "z1", NULL, 2, era + 14)->entry.leaving = true;
-  flt_remove_entry (fleet, "e1", 0);
+  /* Without a loss since, its process has written it again.  */
+  list (1, era + 14, era + 14);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  announce_at ("e1", "z1", NULL, 2, era + 15)->entry.leaving = true;
+  remove_at ("e1", era + 16, 0);
   advance_ms (1);
   list (2, 2 * era + 10, 2 * era + 12);
   advance_ms (6000);
@@ -350,9 +369,20 @@
   (void)announce_at ("e1", "z1", NULL, 1, era + 9);
   advance_ms (1000);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  /* The relay reports entries that the store has lost as removed.  */
+  remove_at ("e1", 2 * era + 8, 0);
+  advance_ms (1500);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
+  list (1, 2 * era + 9, 2 * era + 10);
+  advance_ms (1000);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
   /* Without a loss it has left.  */
-  list (0, 0, era + 12);
+  list (0, 0, 2 * era + 12);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* Its removal is older than a list that lacked it, and than its entry.  */
+  list (0, 0, 3 * era + 8);
+  list (1, 3 * era + 9, 3 * era + 10);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
 }
 
 /* Guards against the loss of endpoints whose entries expired in an outage and
@@ -364,13 +394,13 @@
 
   reset ();
   (void)announce_at ("e1", "z1", NULL, 1, 10);
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", 0, 0);
   CU_ASSERT_TRUE (flt_extend_grace (fleet, 2000));
   advance_ms (3000);
   list (1, era + 10, era + 12);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
   /* Without a loss a listed entry is newer than its removal.  */
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", era + 13, 0);
   advance_ms (1);
   list (1, era + 14, era + 14);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
@@ -419,7 +449,7 @@
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
   (void)announce ("e1", "z1", NULL, 1);
   CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", 0, 0);
   advance_ms (1);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 0);
   (void)announce ("e1", "z1", NULL, 1);
@@ -458,7 +488,7 @@
   (void)announce ("e1", "z1", NULL, 1);
   advance_ms (1000);
   CU_ASSERT_EQUAL (flt_pause_ms (fleet, endpoint), 1500);
-  flt_remove_entry (fleet, "e1", 0);
+  remove_at ("e1", 0, 0);
   advance_ms (1);
   CU_ASSERT_EQUAL (flt_all (fleet)->len, 0);
   (void)announce ("e1", "z1", NULL, 1);
--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -96,6 +96,8 @@
 static void
 check_invalid (const char *text, const char *name)
 {
+  static const struct flt_grace none = { 0, 0 };
+
   fake_kv_put (gwf_kv, ODD_KEY, text);
   if (!follows ("servers/sound", ++born)
       || flt_find (gwf_gw.fleet, "odd") != NULL)
@@ -103,7 +105,7 @@
       printf ("\nentry %s\n", name);
       CU_FAIL ("entry");
     }
-  flt_remove_entry (gwf_gw.fleet, "odd", 0);
+  flt_remove_entry (gwf_gw.fleet, "odd", 0, &none);
   flt_sweep (gwf_gw.fleet);
 }
 
