Take a removal for a loss only just after a restoration of the store

An engine that left without a notice long after the store had come back from a copy would have got requests for 2 s instead of 0.5 s after its removal, at instances that follow the relay (DRAIN); and one that restarted after its host's clock had been set back would have been out of use there for ever.

Cause: entries that did not change keep the revision of before the restoration at a follower, which does not read the list again. Whether a removal or an earlier start is part of the loss was decided by the eras of the revisions alone.

The fleet notes when a later era began, also from the store's client, and takes a removal for a loss only within the time in which entries are written again. Ruled out: reading the list at each follower after a restoration, because one that is cut off from the store then, but hears its source, would stop applying changes.

Evidence: "removed long after a loss of changes" of flt_test fails without the time limit.

--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -276,6 +276,7 @@
   gw->last_decision_us = tm_now_us (gw->tm);
   tm_after (gw->tm, &gw->lead_timer, GW_DECISION_INTERVAL_MS * GW_US_PER_MS,
             gw_lead_timer_expired, gw);
+  flt_set_era (gw->fleet, kv_era (&gw->kv));
   flt_sweep (gw->fleet);
   if (ldr_is_leader (gw->ldr) && gw->fleet_loaded)
     gw_lead_decide (gw);
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -17,6 +17,10 @@
    writes its entry each 1.2 s, and it is relayed only if it has changed.  */
 #define FLT_UNCONFIRMED_TTL_MS 3000
 
+/* After the store has come back from an older copy, engines write their
+   entries again within this time.  */
+#define FLT_COPY_MS 5000
+
 /* Requests for a model or adapter that an engine reported absent are not sent
    there for this long, unless a notice says that it was loaded.  The next
    entry, about 1 s later, has the current state.  */
@@ -206,6 +210,27 @@
   endpoint->unloading = NULL;
 }
 
+/* Note that the store is in ERA.  An instance that only receives changes may
+   learn of a restoration in other ways than by a revision, and its endpoints
+   that have not changed keep one of an earlier era.  */
+void
+flt_set_era (struct flt_fleet *fleet, int64_t era)
+{
+  if (era <= fleet->era)
+    return;
+  fleet->era = era;
+  fleet->era_began_us = tm_now_us (fleet->tm);
+}
+
+/* Return whether the store has lost changes within the last WITHIN_MS.  */
+static bool
+flt_in_new_era (const struct flt_fleet *fleet, uint32_t within_ms)
+{
+  return fleet->era != 0
+         && tm_now_us (fleet->tm) - fleet->era_began_us
+                < within_ms * FLT_US_PER_MS;
+}
+
 /* Return whether ENTRY, which the store lists after it has lost changes, is of
    an earlier process than ENDPOINT.  */
 static bool
@@ -214,6 +239,7 @@
                       const struct flt_entry *entry)
 {
   return entry->started_ms < endpoint->entry.started_ms
+         && flt_in_new_era (fleet, FLT_COPY_MS)
          && flt_may_be_older (fleet, entry, endpoint->entry.revision);
 }
 
@@ -230,6 +256,7 @@
   char *address;
   char *service;
 
+  flt_set_era (fleet, kv_revision_era (entry->revision));
   if (flt_removal_withhold (fleet, entry))
     return NULL;
   flt_removal_forget (fleet, entry->id);
@@ -275,8 +302,9 @@
 flt_withdraw (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
               int64_t revision, const struct flt_grace *grace)
 {
-  bool lost = kv_revision_era (revision)
-              > kv_revision_era (endpoint->entry.revision);
+  bool lost
+      = kv_revision_era (revision) > kv_revision_era (endpoint->entry.revision)
+        && flt_in_new_era (fleet, grace->lost_ms);
   uint32_t grace_ms = lost ? grace->lost_ms : grace->removed_ms;
 
   if (!lost)
@@ -292,6 +320,7 @@
 {
   struct flt_endpoint *endpoint = flt_find (fleet, id);
 
+  flt_set_era (fleet, kv_revision_era (revision));
   flt_removal_repeat (fleet, id, revision);
   if (endpoint != NULL && endpoint->expires_us == 0)
     flt_withdraw (fleet, endpoint, revision, grace);
@@ -333,6 +362,7 @@
 void
 flt_list_begin (struct flt_fleet *fleet, int64_t revision)
 {
+  flt_set_era (fleet, kv_revision_era (revision));
   fleet->list_revision = revision;
   flt_removals_list_begin (fleet);
   for (guint i = 0; i < fleet->all->len; i++)
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -119,6 +119,7 @@
 void flt_remove_entry (struct flt_fleet *fleet, const char *id,
                        int64_t revision, const struct flt_grace *grace);
 bool flt_extend_grace (struct flt_fleet *fleet, uint32_t grace_ms);
+void flt_set_era (struct flt_fleet *fleet, int64_t era);
 void flt_list_begin (struct flt_fleet *fleet, int64_t revision);
 void flt_list_end (struct flt_fleet *fleet, const struct flt_grace *grace);
 void flt_sweep (struct flt_fleet *fleet);
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -15,6 +15,8 @@
   GHashTable *loads;      /* service -> double: mean of the reported loads */
   GHashTable *removals;   /* id -> struct flt_removal */
   int64_t list_revision;  /* of the store, at the last full list */
+  int64_t era;            /* of the store */
+  uint64_t era_began_us;  /* when a later era was noticed */
   GHashTable *signs;      /* struct flt_signs */
   uint64_t pauses_end_us; /* end of the last pause */
 };
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -385,6 +385,30 @@
   CU_ASSERT_STRING_EQUAL (choose (NULL), "e1");
 }
 
+/* Guards against requests to an endpoint that leaves without a notice, at an
+   instance whose entries did not change when the store came back from a copy:
+   they keep a revision of before.  */
+static void
+test_removed_long_after_a_loss (void)
+{
+  int64_t era = (int64_t)1 << KV_ERA_SHIFT;
+
+  reset ();
+  list (1, 10, 12);
+  flt_set_era (fleet, 1);
+  advance_ms (3000);
+  remove_at ("e1", era + 40, 500);
+  advance_ms (600);
+  CU_ASSERT_STRING_EQUAL (choose (NULL), "none");
+  /* A restart after the clock of its host was set back.  */
+  reset ();
+  (void)announce_at ("e1", "z1", NULL, 2, 10);
+  flt_set_era (fleet, 1);
+  advance_ms (6000);
+  (void)announce_at ("e1", "z1", NULL, 1, era + 50);
+  CU_ASSERT_EQUAL (flt_find (fleet, "e1")->entry.started_ms, 1);
+}
+
 /* Guards against the loss of endpoints whose entries expired in an outage and
    come back after it.  */
 static void
@@ -551,6 +575,8 @@
           { "left before a loss of changes", test_left_before_a_loss },
           { "newer than the copy", test_newer_than_copy },
           { "earlier start", test_earlier_start },
+          { "removed long after a loss of changes",
+            test_removed_long_after_a_loss },
           { "expired before a loss of changes", test_expired_before_a_loss },
           { "choice", test_choice },
           { "said that it leaves", test_said_leaving },
