Compare a term record that was removed as absent

An instance that had seen the term record vanish could not be elected any more.

Cause: the revision of the removal was kept to order later changes and also compared in the campaign, where a key that does not exist has revision 0. Each campaign was a conflict, and cost a lease and a write every 0.3 s. Nothing removed the record until stores were restored from copies that are older than the first term: the source of the relay, which reads the keys again, then tells its followers that the record is gone. Only the source could be elected, until another term began.

Evidence: ldr/term_removed fails without the change: i2 does not lead within 6 s of the loss of i1; it leads now.

--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -50,7 +50,7 @@
   void *watch;
   GPtrArray *members; /* struct ldr_member, sorted by name */
   struct ldr_record leader;
-  int64_t term_revision; /* 0: there was never a leader */
+  int64_t term_revision; /* of the last change, also a removal; 0: none */
   int64_t term_era;      /* of the store when the term record was written */
   char *past_leaders; /* latest first, space-separated; see ldr_encode_term */
   int64_t peer_key_revision; /* 0: no record */
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -144,7 +144,9 @@
      before the first order.  A first term needs none: no engine can have
      received orders from another leader.  */
   struct kv_compare compares[]
-      = { { ldr_leader_key, 0 }, { ldr_term_key, ldr->term_revision } };
+      = { { ldr_leader_key, 0 },
+          { ldr_term_key,
+            ldr->past_leaders == NULL ? 0 : ldr->term_revision } };
   struct kv_op puts[] = { { .kind = KV_PUT,
                             .key = ldr_leader_key,
                             .value = text,
