Let only a leader that may order tell its successor not to wait

Engines could get orders of two leaders at once: one that was cut off from the store, and the second one after it.

Cause: a leader that resigns writes in the term record that its successor need not wait.

Evidence: ldr/resigned_early fails without the change: i1 and i3 may order at the same time.

--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -313,7 +313,10 @@
 ldr_write_resign (struct ldr *ldr)
 {
   char *key = ldr_member_key (ldr);
-  char *holders = ldr_encode_term (ldr, LDR_RESIGNED);
+  bool may_order = tm_now_us (ldr->config.tm) >= ldr->may_order_from_us;
+  /* A leader that was still waiting for others to stop promises nothing.  */
+  char *holders
+      = ldr_encode_term (ldr, may_order ? LDR_RESIGNED : ldr->config.instance);
   struct kv_compare leader_unchanged = { ldr_leader_key, (int64_t)ldr->fence };
   /* LDR_RESIGNED in the term record lets the successor start without
      delay.  */
