Wait in each term that begins soon after a restoration

A leader that had not learned of a restoration and the second one of the new era could order at the same time (ONE).

Cause: the wait of 3 s after a restoration was bound to the era in the term record. The first leader of an era writes the present one, so that its successor waited for it alone, even if it was lost or resigned before its own wait was over.

Every instance that saw the restoration now waits until 3 s after it, whoever was elected before. What remains: an instance that starts after the restoration does not know when that was, and waits 0.9 s for a leader that was lost.

In ldr_script an instance that is cut off no longer learns of a restoration.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -126,6 +126,10 @@
             = MAX (order_delay_ms, ldr_reelection_ms (ldr, stopped_us));
     }
   g_strfreev (names);
+  /* The first leader of the era may not have waited to the end.  */
+  if (ldr->era_began_us != 0)
+    order_delay_ms
+        = MAX (order_delay_ms, ldr_reelection_ms (ldr, ldr->era_began_us));
   return order_delay_ms;
 }
 
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -7,7 +7,8 @@
 
 /* Runs the election on commands, one per line:
      start I | kill I | resign I   instance I, 1 to 4
-     cut I | heal I                the connection of I to the store
+     cut I | heal I                the connection of I to the store; while it
+                                   is cut, I learns of no restoration
      deaf I | hear I               the watches of I deliver no events
      expire I                      the store expires the leases of I early
      remove                        delete only the leader's record
@@ -34,6 +35,8 @@
   GQueue grants;  /* struct grant, in the order of their replies */
   bool partitioned;
   bool watches_silent;
+  bool watch_lost;    /* ended while the instance was cut off */
+  int64_t era;        /* as of the last time that it was connected */
   uint8_t key;        /* first byte of the key in use; 0: none */
   kv_changed changed; /* callbacks of the election */
   kv_watch_ended ended;
@@ -130,7 +133,9 @@
 {
   struct instance *instance = arg;
 
-  instance->ended (instance->arg);
+  instance->watch_lost = instance->partitioned;
+  if (!instance->partitioned)
+    instance->ended (instance->arg);
 }
 
 static void *
@@ -156,8 +161,11 @@
 static int64_t
 script_era (void *context)
 {
-  (void)context;
-  return kv_era (&base_kv);
+  struct instance *instance = context;
+
+  if (!instance->partitioned)
+    instance->era = kv_era (&base_kv);
+  return instance->era;
 }
 
 static const struct kv_methods methods = { .txn = script_txn,
@@ -250,6 +258,7 @@
                                .reelection_delay_ms = REELECTION_DELAY_MS };
 
   instance->partitioned = false;
+  instance->watch_lost = false;
   instance->key = 0;
   memset (config.key, (int)(instance - instances) + 1, sizeof config.key);
   instance->ldr = ldr_new (&config, &callbacks, instance);
@@ -315,7 +324,11 @@
       g_array_set_size (instance->leases, 0);
     }
   else
-    instance->partitioned = strcmp (command, "cut") == 0;
+    {
+      instance->partitioned = strcmp (command, "cut") == 0;
+      if (!instance->partitioned && instance->watch_lost)
+        script_ended (instance);
+    }
 }
 
 static void
