--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -27,6 +27,9 @@
 };
 
 #define NO_RESPONSE (-1)
+/* A lease is renewed every 3 s, and another one is granted every 0.3 s at
+   most.  */
+#define GRANTS_PER_RENEWAL 10
 
 static uv_loop_t *loop;
 static struct tm_uv clock_driver;
@@ -548,6 +551,40 @@
   CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 1);
 }
 
+static void
+renew (int64_t lease)
+{
+  static const struct response renewed = { 200, "{}", "7" };
+
+  set_responses (&renewed, 1);
+  kv.methods->lease_renew (kv.context, lease, on_lease, NULL);
+  run_until (&observed.done, 1);
+}
+
+/* Guards against a lease that is taken for one of an earlier era because many
+   others, of campaigns that were lost, were granted since.  */
+static void
+test_lease_among_many (void)
+{
+  char body[64];
+  struct response granted = { 200, body, "7" };
+  const int64_t kept = 500;
+
+  for (uint32_t i = 0; i < 2 * GRANTS_PER_RENEWAL; i++)
+    {
+      (void)g_snprintf (body, sizeof body, "{\"Lease\":%u,\"TtlMs\":2000}",
+                        (uint32_t)kept + i);
+      set_responses (&granted, 1);
+      kv.methods->lease_grant (kv.context, 2, on_lease, NULL);
+      run_until (&observed.done, 1);
+      if (i % GRANTS_PER_RENEWAL == 0)
+        renew (kept);
+    }
+  renew (kept);
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  CU_ASSERT_EQUAL (wire_endpoint_requests (peer), 1);
+}
+
 /* Guards against a write whose comparison holds for another change with the
    same revision.  */
 static void
@@ -618,6 +655,7 @@
           { "restoration between calls of a watch",
             test_restored_between_watches },
           { "lease after a restoration", test_restored_lease },
+          { "lease among many", test_lease_among_many },
           { "comparison after a restoration", test_restored_comparison },
           { "pages before and after a restoration", test_restored_pages },
           { NULL, NULL } };
