--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -634,6 +634,24 @@
   CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
 }
 
+/* Guards against an instance that refuses all answers for ever, because one
+   named an era that is far too high; many restorations may have been missed,
+   though.  */
+static void
+test_absurd_era (void)
+{
+  get_in_era ("9", FOUND ("5", "6"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  get_in_era ("900000", FOUND ("5", "6"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_UNKNOWN);
+  get_in_era ("9", FOUND ("5", "6"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  get_in_era ("900000", FOUND ("5", "6"));
+  get_in_era ("900000", FOUND ("5", "6"));
+  CU_ASSERT_EQUAL (observed.outcome, KV_OK);
+  CU_ASSERT_EQUAL (kv_era (&kv), 900000);
+}
+
 int
 main (void)
 {
@@ -658,6 +676,7 @@
           { "lease among many", test_lease_among_many },
           { "comparison after a restoration", test_restored_comparison },
           { "pages before and after a restoration", test_restored_pages },
+          { "absurd era", test_absurd_era },
           { NULL, NULL } };
 
   return unit_main ("pf_store", tests);
