Do not take an own leader record of a copy for a new election

Cause: changes do not contain the lease, and an own record was taken to be under the current one. That holds only for changes of the era that this instance knows.

ldr_script relays changes on request (relay I), and what a restoration changes.

Evidence: ldr/restored_record fails without the change.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -165,11 +165,14 @@
 {
   struct ldr *ldr = arg;
   bool leader = g_str_equal (change->key, ldr_leader_key);
+  int64_t lease = leader ? ldr->leader_lease.id : ldr->member_lease.id;
 
-  /* Changes do not contain the lease; an own record has the current one.  */
+  /* Changes do not contain the lease; an own record has the current one,
+     unless it is that of a copy, which another instance has relayed.  */
+  if (kv_revision_era (change->revision) != ldr->era)
+    lease = 0;
   ldr_table_apply (ldr, change->key, change->value, change->value_bytes,
-                   change->revision,
-                   leader ? ldr->leader_lease.id : ldr->member_lease.id);
+                   change->revision, lease);
   ldr_update_role (ldr);
   if (ldr->callbacks.key_changed != NULL)
     ldr->callbacks.key_changed (ldr->arg, change);
--- a/regress/ldr_script.c
+++ b/regress/ldr_script.c
@@ -10,6 +10,8 @@
      cut I | heal I                the connection of I to the store; while it
                                    is cut, I learns of no restoration
      deaf I | hear I               the watches of I deliver no events
+     relay I                       another instance relays changes to I, also
+                                   those of a restoration
      expire I                      the store expires the leases of I early
      remove                        delete only the leader's record
      copy                          of what the store holds
@@ -35,6 +37,8 @@
   GQueue grants;  /* struct grant, in the order of their replies */
   bool partitioned;
   bool watches_silent;
+  bool relayed;
+  void *watch;
   bool watch_lost;    /* ended while the instance was cut off */
   int64_t era;        /* as of the last time that it was connected */
   uint8_t key;        /* first byte of the key in use; 0: none */
@@ -128,11 +132,19 @@
     instance->changed (instance->arg, change);
 }
 
+static void script_relay (void *arg, const struct kv_result *result);
+
 static void
 script_ended (void *arg)
 {
   struct instance *instance = arg;
 
+  instance->watch = NULL;
+  if (instance->relayed)
+    {
+      kv_get_prefix (&base_kv, ldr_key_prefix (), script_relay, instance);
+      return;
+    }
   instance->watch_lost = instance->partitioned;
   if (!instance->partitioned)
     instance->ended (instance->arg);
@@ -147,15 +159,37 @@
   instance->changed = changed;
   instance->ended = ended;
   instance->arg = arg;
-  return base_kv.methods->watch (base_kv.context, prefix, from, script_changed,
-                                 script_ended, instance);
+  instance->watch = base_kv.methods->watch (
+      base_kv.context, prefix, from, script_changed, script_ended, instance);
+  return instance;
+}
+
+/* Report the keys in RESULT as changes, and go on with those that follow.  */
+static void
+script_relay (void *arg, const struct kv_result *result)
+{
+  struct instance *instance = arg;
+
+  for (size_t i = 0; i < result->pair_count; i++)
+    {
+      const struct kv_pair *pair = &result->pairs[i];
+      struct kv_change change
+          = { pair->key, pair->value, pair->value_bytes, pair->revision };
+
+      script_changed (instance, &change);
+    }
+  (void)script_watch (instance, ldr_key_prefix (), result->revision + 1,
+                      instance->changed, instance->ended, instance->arg);
 }
 
 static void
 script_unwatch (void *context, void *watch)
 {
+  const struct instance *instance = watch;
+
   (void)context;
-  base_kv.methods->unwatch (base_kv.context, watch);
+  if (instance->watch != NULL)
+    base_kv.methods->unwatch (base_kv.context, instance->watch);
 }
 
 static int64_t
@@ -259,6 +293,7 @@
 
   instance->partitioned = false;
   instance->watch_lost = false;
+  instance->relayed = false;
   instance->key = 0;
   memset (config.key, (int)(instance - instances) + 1, sizeof config.key);
   instance->ldr = ldr_new (&config, &callbacks, instance);
@@ -317,6 +352,8 @@
     ldr_resign (instance->ldr);
   else if (strcmp (command, "deaf") == 0 || strcmp (command, "hear") == 0)
     instance->watches_silent = command[0] == 'd';
+  else if (strcmp (command, "relay") == 0)
+    instance->relayed = true;
   else if (strcmp (command, "expire") == 0)
     {
       for (guint i = 0; i < instance->leases->len; i++)
