Do not end a stream with a resumed response that falls short

Cause: a response that ended within no event counted as the end of the stream, unless its connection marked the end and it had no event.

A resumed response must have sent the last event that the caller got, or a later one, to end the stream. Otherwise the stream is resumed elsewhere or broken off. If an endpoint breaks off behind the very last event, and the next one has nothing to add, the caller now gets a broken stream; the gateway cannot tell the two.

Evidence: four cases of resume_error_test failed on the code before and pass now, also with SAN=1. The other tests of streams (truncated_stream_test, gw_answers_test, gw_http_test, clm_test, services_test) pass unchanged.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -304,6 +304,7 @@
 }
 
 /* Return whether the endpoint broke off the event stream that it has ended.
+   A response that continues a stream without any event may be an error's.
    Without a length or chunks the end of a stream without any event cannot be
    told from a failure before the first one.  */
 static bool
@@ -311,6 +312,7 @@
 {
   return request->event_stream
          && (evs_is_within_event (&request->events)
+             || evs_is_short (&request->events)
              || (request->unframed && request->events.event_count == 0));
 }
 
--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -43,6 +43,7 @@
   parser->too_long = false;
   parser->out_of_place = false;
   parser->resumed = parser->has_last_id;
+  parser->reached = false;
   parser->event_count = 0;
 }
 
@@ -154,7 +155,10 @@
       return true;
     }
   if (parser->has_last_id && id <= parser->last_id)
-    return true;
+    {
+      parser->reached = parser->reached || id == parser->last_id;
+      return true;
+    }
   is_next = parser->has_last_id && id == parser->last_id + 1;
   if (parser->numbered && parser->resumed && parser->consecutive
       && parser->id_count > 1 && !is_next)
@@ -162,6 +166,7 @@
   parser->consecutive
       = parser->id_count == 0 || (parser->consecutive && is_next);
   parser->id_count++;
+  parser->reached = true;
   parser->has_last_id = true;
   parser->last_id = id;
   handler (arg, text, bytes);
@@ -215,3 +220,12 @@
   return evs_has_field (text, bytes)
          || (text[bytes - 1] != '\n' && text[bytes - 1] != '\r');
 }
+
+/* Return whether the current endpoint, which continues the stream, has sent
+   neither the last event that was passed on nor a later one: its end is not
+   the end of the stream.  */
+bool
+evs_is_short (const struct evs_parser *parser)
+{
+  return parser->resumed && !parser->reached;
+}
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -21,6 +21,7 @@
   uint64_t id_count;    /* events with ids that were passed on */
   bool consecutive;     /* these ids rise by 1 */
   bool resumed;         /* the current endpoint continues the stream */
+  bool reached;         /* it has sent the event LAST_ID or a later one */
   uint64_t event_count; /* complete events of the current endpoint */
 };
 
@@ -34,5 +35,6 @@
 void evs_feed (struct evs_parser *parser, const char *data, size_t bytes,
                evs_handler handler, void *arg);
 bool evs_is_within_event (const struct evs_parser *parser);
+bool evs_is_short (const struct evs_parser *parser);
 
 #endif
