Do not wait for the end of a useless response until the deadline

What callers saw: a refusal or an error of an endpoint whose body does not end held their request until its deadline, although another endpoint could serve it; a stream that had begun stood still until then.

Cause: a response that is not passed on is read to its end, so that its connection can be kept, without a limit: the checks for overdue responses left such attempts out.

An attempt whose response is of no use now ends with the result that its head gave, at the first check 200 ms after the head.

Evidence: the three new cases of resume_error_test took 1.9 s on the code before, two of them ending with 504 and 503 instead of the other endpoint's answer; they pass now, also with SAN=1. truncated_stream_test, gw_answers_test, gw_http_test and deadly_part_test pass unchanged.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -19,6 +19,9 @@
    started after this multiple of the route's target latency.  */
 #define GW_HEDGE_TARGET_RATIO 2.5
 #define GW_HEDGE_MIN_MS       200
+/* A response that is of no use is read to its end for this long, so that its
+   connection can be kept.  */
+#define GW_DISCARD_TIMEOUT_MS 200
 /* A stream is resumed at another endpoint if no bytes at all have been
    received from its engine for this long.  Callers time out after 2 s without
    an event.  */
@@ -514,7 +517,8 @@
 }
 
 /* Abandon the current attempt of REQUEST if its response is overdue and the
-   request may be sent to another endpoint.  */
+   request may be sent to another endpoint, or if the response is of no use and
+   does not end.  */
 void
 gw_check_timeout (struct gw_request *request)
 {
@@ -524,7 +528,14 @@
   double limit_ms = GW_STREAM_IDLE_TIMEOUT_MS;
 
   gw_silent_check (request);
-  if (!rte_may_retry (request->route) || request->response_discarded)
+  if (request->response_discarded)
+    {
+      if (now_us - request->head_us
+          >= GW_DISCARD_TIMEOUT_MS * GW_US_PER_MS)
+        gw_abandon_attempt (request, request->end);
+      return;
+    }
+  if (!rte_may_retry (request->route))
     return;
   if (request->route->kind == RTE_IDEMPOTENT)
     {
--- a/regress/resume_error_test.c
+++ b/regress/resume_error_test.c
@@ -7,6 +7,9 @@
    another endpoint has broken off neither becomes part of the stream nor ends
    it as complete.  */
 
+#define PATIENT_MS        1950
+#define UNFINISHED_MAX_MS 600
+
 #define EVENT(n) "id: " n "\ndata: x\n\n"
 #define FIRST    GWF_EVENTS GWF_EVENT ("1") GWF_EVENT ("2") "|8\r\nid: 3\nda\r\n"
 #define STREAM(fields)                                                        \
@@ -206,6 +209,53 @@
   gwf_run_cases (appended, G_N_ELEMENTS (appended));
 }
 
+static const struct gwf_case unfinished[] = {
+  { "500 whose body does not end, stream begun",
+    "resume",
+    { FIRST, WIRE_CLOSE, false },
+    { ERROR ("500", "Content-Length: 50\r\n") "error", WIRE_KEEP, false },
+    200,
+    RECEIVED,
+    false,
+    true },
+  { "500 whose body does not end, may run again",
+    "again",
+    { ERROR ("500", "Content-Length: 50\r\n") "error", WIRE_KEEP, false },
+    { GWF_RESPONSE_B, WIRE_KEEP, false },
+    200,
+    "B",
+    true,
+    true },
+  { "refusal whose body does not end",
+    "once",
+    { "HTTP/1.1 503 S\r\nX-Cowslipcove-Not-Executed: 1\r\n" GWF_ECHO_ID
+      "Content-Length: 50\r\n\r\nno",
+      WIRE_KEEP, false },
+    { GWF_RESPONSE_B, WIRE_KEEP, false },
+    200,
+    "B",
+    true,
+    true },
+};
+
+/* Guards against waiting until the deadline for the end of a response that is
+   of no use.  */
+static void
+test_unfinished (void)
+{
+  gwf_start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (unfinished); i++)
+    {
+      char *bytes = gwf_patient_request_text (unfinished[i].path, PATIENT_MS);
+      uint64_t start_us = tm_now_us (gwf_gw.tm);
+
+      gwf_run_case (&unfinished[i], bytes);
+      CU_ASSERT_TRUE (tm_now_us (gwf_gw.tm) - start_us
+                      < UNFINISHED_MAX_MS * GW_US_PER_MS);
+      g_free (bytes);
+    }
+}
+
 int
 main (void)
 {
@@ -213,6 +263,7 @@
       = { { "errors", test_errors },
           { "sound streams", test_sound },
           { "appended errors", test_appended },
+          { "unfinished errors", test_unfinished },
           { NULL, NULL } };
 
   return unit_main ("resume error", tests);
