Treat an endpoint whose entry became invalid as withdrawn

What callers would see: instances disagree on an endpoint. An entry that is overwritten with an invalid one names no endpoint to an instance that reads the list, but those that watch went on with the entry before.

Cause: an invalid change was logged and ignored, an invalid item of a list is not listed.

--- a/cowslipcoved/gw_fleet.c
+++ b/cowslipcoved/gw_fleet.c
@@ -65,6 +65,7 @@
                        size_t bytes, int64_t revision)
 {
   const char *id = gw_fleet_id (gw, key);
+  const struct flt_grace grace = gw_fleet_grace (gw);
   GError *error = NULL;
   struct flt_entry *entry
       = gw->protocol->read_entry (id, value, bytes, &error);
@@ -77,6 +78,8 @@
       lg_write (LG_ENTRY_INVALID, "key=%s revision=%" G_GINT64_FORMAT " %s",
                 key, revision, error->message);
       g_error_free (error);
+      /* It no longer names an endpoint, as when a list is read.  */
+      flt_remove_entry (gw->fleet, id, revision, &grace);
       return;
     }
   entry->revision = revision;
--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -133,6 +133,25 @@
   g_free (nested);
 }
 
+/* Guards against the use of an endpoint whose entry has become invalid, which
+   instances that read the list do not know, and against its loss when the
+   entry is valid again.  */
+static void
+test_overwritten_entry (void)
+{
+  const struct flt_endpoint *endpoint;
+
+  gwf_start ();
+  CU_ASSERT_TRUE (follows ("servers/changed", ++born));
+  fake_kv_put (gwf_kv, "servers/changed", ENTRY (VALID_ADDRESS, "asleep", ""));
+  CU_ASSERT_TRUE (follows ("servers/sound", ++born));
+  endpoint = flt_find (gwf_gw.fleet, "changed");
+  CU_ASSERT_TRUE (endpoint == NULL || !endpoint->listed);
+  CU_ASSERT_TRUE (follows ("servers/changed", ++born));
+  endpoint = flt_find (gwf_gw.fleet, "changed");
+  CU_ASSERT_TRUE (endpoint != NULL && endpoint->listed);
+}
+
 /* Guards against an id that adds a field to the heads of requests, or makes
    messages between instances invalid.  */
 static void
@@ -165,6 +184,7 @@
 {
   static const struct unit_test tests[]
       = { { "invalid entries", test_invalid_entries },
+          { "overwritten entry", test_overwritten_entry },
           { "odd ids", test_odd_ids },
           { NULL, NULL } };
 
