Test invalid configurations and records, and a rejected address

An invalid configuration, a value of another kind in a record of the system itself, and an entry with an address that the kernel rejects must neither end an instance nor keep it from following the store, and requests reach the other endpoints.

--- a/regress/odd_entries_test.c
+++ b/regress/odd_entries_test.c
@@ -8,6 +8,7 @@
 
 #define LARGE_BYTES  (1U << 20)
 #define NESTED_BYTES 100000
+#define CALLS        5
 #define ID_CHARS     150
 #define ODD_KEY      "servers/odd"
 #define WAIT_US      2000000
@@ -179,6 +180,116 @@
   g_free (text);
 }
 
+/* Guards against an endpoint whose address the kernel rejects: requests must
+   reach the others.  */
+static void
+test_rejected_address (void)
+{
+  static const struct wire_script script
+      = { GWF_RESPONSE_B, WIRE_KEEP, false };
+
+  gwf_start ();
+  gwf_set_script (0, &script);
+  fake_kv_put (gwf_kv, ODD_KEY, ENTRY ("224.0.0.1:80", "ready", ""));
+  while (flt_find (gwf_gw.fleet, "odd") == NULL)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  for (int i = 0; i < CALLS; i++)
+    {
+      char *bytes = gwf_request_text ("once");
+      struct wire_caller *caller;
+
+      /* The endpoint in question has the least load.  */
+      for (guint e = 0; e < flt_all (gwf_gw.fleet)->len; e++)
+        if (g_ptr_array_index (flt_all (gwf_gw.fleet), e)
+            != flt_find (gwf_gw.fleet, "odd"))
+          flt_set_load (gwf_gw.fleet,
+                        g_ptr_array_index (flt_all (gwf_gw.fleet), e), 4, 0,
+                        100);
+      caller = gwf_call (bytes, 1);
+      CU_ASSERT_EQUAL (wire_caller_status (caller), 200);
+      gwf_end_call (caller);
+      g_free (bytes);
+    }
+  CU_ASSERT_TRUE (flt_find (gwf_gw.fleet, "odd")->failures > 0);
+}
+
+/* Guards against an instance that ends, or gives up a valid configuration,
+   after an invalid one, and against one that no longer follows changes.  */
+static void
+test_invalid_configurations (void)
+{
+  static const char *const texts[]
+      = { "",
+          "null",
+          "[]",
+          "{}",
+          "{\"Version\":7}",
+          "{\"Version\":1e300,\"Routes\":[],\"Services\":[]}",
+          "{\"Version\":7,\"Routes\":[null],\"Services\":[null],"
+          "\"Limits\":null}",
+          "\xff" };
+  char *nested = g_strnfill (NESTED_BYTES, '[');
+  char **parts = g_strsplit (gwf_config_text, "\"Version\":1,", 2);
+  char *text = g_strjoinv ("\"Version\":2,", parts);
+  uint64_t start_us;
+
+  gwf_start ();
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      fake_kv_put (gwf_kv, "op/config", texts[i]);
+      CU_ASSERT_TRUE (follows ("servers/sound", ++born));
+      CU_ASSERT_EQUAL (gwf_gw.config->version, 1);
+    }
+  fake_kv_put (gwf_kv, "op/config", nested);
+  fake_kv_put (gwf_kv, "op/config", text);
+  start_us = tm_now_us (gwf_gw.tm);
+  while (gwf_gw.config->version == 1
+         && tm_now_us (gwf_gw.tm) - start_us < WAIT_US)
+    uv_run (gwf_gw.loop, UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (gwf_gw.config->version, 2);
+  g_free (text);
+  g_strfreev (parts);
+  g_free (nested);
+}
+
+/* Guards against an instance that ends because of an invalid record among
+   those of the system itself.  */
+static void
+test_invalid_records (void)
+{
+  static const char *const keys[]
+      = { "cowslip/members/odd", "cowslip/term",
+          "cowslip/strength",    "cowslip/peer-key",
+          "cowslip/odd",         "cowslip/blocked/00000000000000ff",
+          "cowslip/blocked/odd", "cowslip/leader" };
+  static const char *const values[]
+      = { "",
+          "null",
+          "[]",
+          "{}",
+          "{\"instance\":null,\"crashes\":null}",
+          "{\"instance\":\"x\",\"zone\":\"z\",\"address\":\"x\","
+          "\"incarnation\":1e300,\"cpu_percent\":-1}",
+          "{\"instance\":\"x\",\"zone\":\"z\",\"address\":\"x\","
+          "\"incarnation\":1,\"cpu_percent\":4294967295}",
+          "{\"crashes\":[null,5,{\"crash\":\"x\",\"time_ms\":-1}]}",
+          "{\"crashes\":[{\"crash\":\"1\",\"place\":\"2\",\"request\":\"3\","
+          "\"time_ms\":18446744073709551615}]}",
+          "\xff\xfe" };
+
+  gwf_start ();
+  for (size_t k = 0; k < G_N_ELEMENTS (keys); k++)
+    for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+      {
+        fake_kv_put (gwf_kv, keys[k], values[i]);
+        if (!follows ("servers/sound", ++born))
+          {
+            printf ("\n%s: %s\n", keys[k], values[i]);
+            CU_FAIL ("record");
+          }
+      }
+}
+
 int
 main (void)
 {
@@ -186,6 +297,9 @@
       = { { "invalid entries", test_invalid_entries },
           { "overwritten entry", test_overwritten_entry },
           { "odd ids", test_odd_ids },
+          { "rejected address", test_rejected_address },
+          { "invalid configurations", test_invalid_configurations },
+          { "invalid records", test_invalid_records },
           { NULL, NULL } };
 
   return unit_main ("odd entries", tests);
