Leave names that are too long out of demand reports

What callers would see: while one of them asks for a model with a name of more than 128 characters, the leader learns nothing of what that instance needs, so that models which only its callers ask for are not loaded.

Cause: names of models come from callers. A name that does not fit a message between instances makes the whole report impossible to encode, and the report is dropped.

Such a name, which no model has, is left out.

Evidence: demand_name_test failed on the code before and passes now, also with SAN=1.

--- a/cowslipcoved/gw_demand.c
+++ b/cowslipcoved/gw_demand.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "gw_impl.h"
 
 /* Interval between two demand reports to the leader.  It averages rates over
@@ -85,6 +87,9 @@
           g_hash_table_iter_remove (&iter);
           continue;
         }
+      /* One name that cannot be encoded would make the report invalid.  */
+      if (strlen (demand->name) > COWSLIP_NAME_MAX)
+        continue;
       items[count++] = (cs_residency_item){
         .name = demand->name,
         .arrivals = demand->arrivals,
