Accept only requests that end before a shutdown ends them

During a shutdown, a stream that was accepted with less time than was left until SIGKILL could be cut up to 0.5 s before its caller's limit.

Cause: the check compared the caller's limit with the end of the grace period, but the remaining requests are ended 400 ms before it, and a response that has begun may go on 70 ms past its deadline. The check now takes both into account. Requests with a longer limit than a stream usually takes are accepted as before.

--- a/cowslipcoved/gw_drain.c
+++ b/cowslipcoved/gw_drain.c
@@ -5,9 +5,6 @@
 /* The load balancer checks readiness once a second and removes an instance
    after two failed checks; new requests arrive until then.  */
 #define GW_BALANCER_REMOVAL_MS 2500
-/* Part of the grace period that is reserved for ending the remaining
-   requests.  */
-#define GW_DRAIN_MARGIN_MS 400
 
 /* End the remaining requests and stop the loop.  */
 static void
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -29,6 +29,10 @@
 
 /* State and functions shared by the gw*.c files only.  */
 
+/* Part of the grace period that is reserved for ending the remaining
+   requests.  */
+#define GW_DRAIN_MARGIN_MS 400
+
 #define GW_US_PER_MS UINT64_C (1000)
 
 /* What is known about requests that crash endpoints.  */
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -276,7 +276,9 @@
           .remaining_ms = gw_remaining_ms (request),
           .grace_ms = since_ms < gw->settings->grace_ms
                           ? (uint32_t)(gw->settings->grace_ms - since_ms)
-                          : 0 };
+                          : 0,
+          .margin_ms
+          = GW_DRAIN_MARGIN_MS + GW_RESPONSE_MARGIN_MS + GW_STARTED_GRACE_MS };
 
   return !gw->draining || drn_accepts (&input);
 }
--- a/libcowslip/drn.c
+++ b/libcowslip/drn.c
@@ -15,5 +15,7 @@
 {
   uint32_t duration_ms = input->stream ? DRN_STREAM_MS : DRN_REQUEST_MS;
 
-  return input->grace_ms >= MIN (duration_ms, input->remaining_ms);
+  if (input->remaining_ms > duration_ms)
+    return input->grace_ms >= duration_ms;
+  return input->grace_ms >= input->remaining_ms + input->margin_ms;
 }
--- a/libcowslip/drn.h
+++ b/libcowslip/drn.h
@@ -13,6 +13,7 @@
   bool stream;
   uint32_t remaining_ms; /* until the caller's deadline */
   uint32_t grace_ms;     /* until SIGKILL */
+  uint32_t margin_ms;    /* before it the remaining requests are ended */
 };
 
 bool drn_accepts (const struct drn_input *input);
