Read the clock for pauses only if an endpoint pauses

The choice of an endpoint read the clock for each endpoint that it considered, and nearly none of them pauses.

--- a/libcowslip/flt_signs.c
+++ b/libcowslip/flt_signs.c
@@ -172,8 +172,13 @@
 flt_pause_ms (const struct flt_fleet *fleet,
               const struct flt_endpoint *endpoint)
 {
-  uint64_t now_us = tm_now_us (fleet->tm);
+  uint64_t now_us;
 
+  /* Most endpoints never pause.  Reading the clock for each endpoint that is
+     considered would slow the choice.  */
+  if (endpoint->paused_until_us == 0)
+    return 0;
+  now_us = tm_now_us (fleet->tm);
   if (now_us >= endpoint->paused_until_us)
     return 0;
   return (uint32_t)((endpoint->paused_until_us - now_us + FLT_US_PER_MS - 1)
@@ -184,7 +189,8 @@
 bool
 flt_has_pauses (const struct flt_fleet *fleet)
 {
-  return tm_now_us (fleet->tm) < fleet->pauses_end_us;
+  return fleet->pauses_end_us != 0
+         && tm_now_us (fleet->tm) < fleet->pauses_end_us;
 }
 
 /* Return whether new requests may be sent to ENDPOINT.  */
--- a/libcowslip/pck.c
+++ b/libcowslip/pck.c
@@ -98,14 +98,19 @@
   return (double)(hash >> 11) / (double)(UINT64_C (1) << 53);
 }
 
-/* Return whether ENDPOINT has what CRITERIA ask for.  */
 static bool
-pck_can_serve (const struct flt_fleet *fleet,
-               const struct flt_endpoint *endpoint,
-               const struct pck_criteria *criteria)
+pck_is_of_service (const struct flt_endpoint *endpoint,
+                   const struct pck_criteria *criteria)
+{
+  return g_str_equal (endpoint->entry.service, criteria->service);
+}
+
+/* Return whether ENDPOINT holds the model that CRITERIA ask for, if any.  */
+static bool
+pck_holds_model (const struct flt_fleet *fleet,
+                 const struct flt_endpoint *endpoint,
+                 const struct pck_criteria *criteria)
 {
-  if (!g_str_equal (endpoint->entry.service, criteria->service))
-    return false;
   return criteria->model == NULL
          || flt_holds (fleet, endpoint, criteria->model, criteria->adapter);
 }
@@ -115,8 +120,8 @@
                const struct flt_endpoint *endpoint,
                const struct pck_criteria *criteria)
 {
-  return flt_usable (fleet, endpoint)
-         && pck_can_serve (fleet, endpoint, criteria);
+  return pck_is_of_service (endpoint, criteria) && flt_usable (fleet, endpoint)
+         && pck_holds_model (fleet, endpoint, criteria);
 }
 
 /* Return the time until the first endpoint that meets CRITERIA takes requests
@@ -132,8 +137,9 @@
       const struct flt_endpoint *endpoint = g_ptr_array_index (all, i);
       uint32_t pause_ms = flt_pause_ms (fleet, endpoint);
 
-      if (endpoint->expired || endpoint->entry.leaving
-          || !pck_can_serve (fleet, endpoint, criteria))
+      if (!pck_is_of_service (endpoint, criteria) || endpoint->expired
+          || endpoint->entry.leaving
+          || !pck_holds_model (fleet, endpoint, criteria))
         continue;
       if (pause_ms == 0)
         return 0;
