Replace control characters in the log

What operators would see: lines of the log that no event wrote, if an entry, a key or another text of another program contains a line feed.

Cause: details were written as they came.

Control characters of details, DEL included, are replaced by question marks.

--- a/libcowslip/lg.c
+++ b/libcowslip/lg.c
@@ -8,6 +8,7 @@
 #include "lg.h"
 
 #define LG_LINE_MAX_BYTES 1024
+#define LG_DELETE         0x7f
 
 struct lg_entry
 {
@@ -98,6 +99,16 @@
   return true;
 }
 
+/* Replace the control characters in TEXT, which may come from other programs,
+   so that it stays within its line.  */
+static void
+lg_replace_controls (char *text)
+{
+  for (; *text != '\0'; text++)
+    if ((unsigned char)*text < ' ' || *text == LG_DELETE)
+      *text = '?';
+}
+
 static void
 lg_emit (const char *line, int bytes, int max_bytes)
 {
@@ -117,7 +128,7 @@
 /* Write EVENT with details from FORMAT as one syslog-style line:
    "<severity>time ident[pid]: E404 text: details".  It goes to standard
    error, or to standard output after lg_set_rate_limit.  Longer lines are
-   truncated.  */
+   truncated, and control characters replaced.  */
 void
 lg_write (enum lg_event event, const char *format, ...)
 {
@@ -138,6 +149,7 @@
   va_start (ap, format);
   (void)vsnprintf (details, sizeof details, format, ap);
   va_end (ap);
+  lg_replace_controls (details);
   gmtime_r (&now.tv_sec, &utc);
   strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
   bytes = snprintf (line, sizeof line, "<%d>%s.%03ldZ %s[%ld]: E%u %s: %s\n",
