Ignore a reported load that no endpoint can have

What callers would see: requests sent to less suitable endpoints for a while.

Cause: sscanf reads %u without a check of the range and accepts a sign.

The numbers are now read as doubles and ignored together if one is not between 0 and 1,000,000. Further fields are ignored as before.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -26,6 +26,9 @@
    received from its engine for this long.  Callers time out after 2 s without
    an event.  */
 #define GW_STREAM_IDLE_TIMEOUT_MS 1000
+/* Greater numbers in a reported load are not plausible.  */
+#define GW_LOAD_MAX            1000000
+#define GW_NORMAL_PACE_PERCENT 100
 /* An endpoint that crashes on a request may have written the first bytes of
    its answer by then.  An answer that goes on for this long is sound.  */
 #define GW_SOUND_AFTER_MS 100
@@ -76,22 +79,25 @@
              && !(request->response_discarded && request->end == FWD_NOT_RUN));
 }
 
+/* Take over the load that the endpoint of REQUEST reports in HEAD: running and
+   waiting requests, slots and, optionally, its pace.  */
 static void
 gw_update_load (struct gw_request *request, const struct h1_head *head)
 {
   const char *value = h1_head_get (head, request->gw->protocol->fields.load);
-  unsigned int running = 0;
-  unsigned int waiting = 0;
-  unsigned int slots = 0;
-  unsigned int pace_percent = 100;
+  double numbers[] = { 0, 0, 0, GW_NORMAL_PACE_PERCENT };
 
   request->endpoint->last_receive_us = tm_now_us (request->gw->tm);
-  if (value != NULL
-      && sscanf (value, "%u,%u,%u,%u", &running, &waiting, &slots,
-                 &pace_percent)
-             >= 3)
-    flt_set_load (request->gw->fleet, request->endpoint, running, waiting,
-                  pace_percent);
+  if (value == NULL
+      || sscanf (value, "%lf,%lf,%lf,%lf", &numbers[0], &numbers[1],
+                 &numbers[2], &numbers[3])
+             < 3)
+    return;
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    if (!(numbers[i] >= 0 && numbers[i] <= GW_LOAD_MAX))
+      return;
+  flt_set_load (request->gw->fleet, request->endpoint, (uint32_t)numbers[0],
+                (uint32_t)numbers[1], (uint32_t)numbers[3]);
 }
 
 /* Handle a 421 response: the endpoint did not run the request because it lacks
--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -344,6 +344,53 @@
   gwf_run_cases (cases, G_N_ELEMENTS (cases));
 }
 
+/* Guards against a reported load that no endpoint can have, which would count
+   in the mean of the service long after.  */
+static void
+test_reported_load (void)
+{
+  static const struct
+  {
+    const char *load;
+    uint32_t running; /* what counts; 9: the load before */
+  } loads[] = { { "3,0,8", 3 },
+                { "3,0,8,120", 3 },
+                { "3,0,8,120,new", 3 },
+                { "-1,0,8", 9 },
+                { "4294967296,0,8", 9 },
+                { "3,99999999999999999999,8", 9 },
+                { "3,0,8,-5", 9 },
+                { "nan,0,8", 9 },
+                { "1e300,0,8", 9 },
+                { "3,0", 9 },
+                { "", 9 } };
+  struct flt_endpoint *endpoint;
+
+  gwf_start ();
+  endpoint = flt_find (gwf_gw.fleet, "e1");
+  for (size_t i = 0; i < G_N_ELEMENTS (loads); i++)
+    {
+      char *response
+          = g_strdup_printf (GWF_OK_HEAD "X-Cowslipcove-Server-Load: %s\r\n"
+                                         "Content-Length: 1\r\n\r\na",
+                             loads[i].load);
+      const struct gwf_case test_case
+          = { loads[i].load, "once", { response, WIRE_KEEP, 0 },
+              { 0 },         200,    "a",
+              true,          false };
+      char *bytes = gwf_request_text ("once");
+
+      flt_set_load (gwf_gw.fleet, endpoint, 9, 0, 100);
+      /* Otherwise the other endpoint is preferred.  */
+      endpoint->load_reported_us = 0;
+      gwf_run_case (&test_case, bytes);
+      CU_ASSERT_EQUAL (endpoint->running, loads[i].running);
+      g_free (bytes);
+      g_free (response);
+    }
+  endpoint->load_reported_us = 0;
+}
+
 /* Guards against ending a sound stream after a long pause between two events,
    in order to resume it elsewhere, when the retry budget does not allow
    that.  */
@@ -441,6 +488,7 @@
 {
   static const struct unit_test tests[]
       = { { "responses", test_cases },
+          { "reported load", test_reported_load },
           { "pause without a retry budget", test_pause_without_budget },
           { "dripping responses", test_dripping },
           { "cut before the limit", test_cut_before_limit },
