Wait for a leader that is cut off in a first term too

Such a term now waits for 0.9 s like others.

An installation that starts elects its leader 0.6 s after the start, seconds before traffic.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -103,8 +103,10 @@
   bool was_leader;
   uint32_t order_delay_ms = 0;
 
+  /* A first term, or the store lost the record before this process started
+     and the former leader is cut off.  */
   if (ldr->past_leaders == NULL && ldr->era_began_us == 0)
-    return 0; /* first term */
+    return LDR_CONFIRMED_MS;
   /* Any instance, also the predecessor of this process, may have led in the
      part of the store's history that is lost.  */
   if (ldr->past_leaders == NULL || ldr->term_era != ldr->era)
--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -141,8 +141,7 @@
   char *text = ldr_encode (ldr);
   char *holders = ldr_encode_term (ldr, ldr->config.instance);
   /* The term record is compared as well, because it determines the delay
-     before the first order.  A first term needs none: no engine can have
-     received orders from another leader.  */
+     before the first order.  */
   struct kv_compare compares[]
       = { { ldr_leader_key, 0 },
           { ldr_term_key,
