Keep members whose records the store may have lost

Cause: a record that is missing was taken for removed. Within 10 s, the TTL of a record, after a restoration its member is kept, until it registers again or that time is over. An instance that resigns meanwhile stays in the list for as long, which costs messages to it.

Evidence: ldr/restored_members printed "i1 i3" for the 500 ms after the restoration before, and "i1 i2 i3" now.

--- a/libcowslip/ldr.c
+++ b/libcowslip/ldr.c
@@ -210,6 +210,7 @@
 ldr_read_done (void *arg, const struct kv_result *result)
 {
   struct ldr *ldr = arg;
+  GPtrArray *before;
 
   if (!ldr_call_ended (ldr))
     return;
@@ -223,11 +224,14 @@
   ldr_update_era (ldr);
   ldr->era = kv_era (&ldr->config.kv);
   ldr->has_read = true;
+  before = g_ptr_array_ref (ldr->members);
   ldr_table_clear (ldr);
   for (size_t i = 0; i < result->pair_count; i++)
     ldr_table_apply (ldr, result->pairs[i].key, result->pairs[i].value,
                      result->pairs[i].value_bytes, result->pairs[i].revision,
                      result->pairs[i].lease);
+  ldr_table_retain (ldr, before);
+  g_ptr_array_unref (before);
   ldr->synced = true;
   ldr->watch = ldr->config.kv.methods->watch (
       ldr->config.kv.context, ldr_prefix, result->revision + 1, ldr_on_change,
@@ -290,6 +294,8 @@
   tm_after (ldr->config.tm, &ldr->tick, LDR_TICK_MS * LDR_US_PER_MS, ldr_tick,
             ldr);
   ldr_update_era (ldr);
+  if (ldr_table_expire (ldr))
+    ldr_update_role (ldr);
   if (!ldr->synced && !ldr->reading && now_us >= ldr->retry_at_us
       && now_us >= ldr->first_read_us)
     ldr_read (ldr);
--- a/libcowslip/ldr.h
+++ b/libcowslip/ldr.h
@@ -41,6 +41,7 @@
   char *zone;
   char *address;        /* of its RPC server */
   uint32_t cpu_percent; /* CPU quota, in percent of one core */
+  uint64_t expires_us;  /* its record may be lost; 0: it has one */
 };
 
 struct ldr_config
--- a/libcowslip/ldr_impl.h
+++ b/libcowslip/ldr_impl.h
@@ -6,6 +6,7 @@
 /* Private to the ldr*.c files.  */
 
 #define LDR_US_PER_MS UINT64_C (1000)
+#define LDR_MS_PER_S  UINT64_C (1000)
 /* First entry of the term record if the latest leader resigned.  */
 #define LDR_RESIGNED "-"
 /* Precedes the era of the store in the term record.  */
@@ -90,6 +91,8 @@
 
 /* ldr_table.c */
 void ldr_table_clear (struct ldr *ldr);
+void ldr_table_retain (struct ldr *ldr, const GPtrArray *before);
+bool ldr_table_expire (struct ldr *ldr);
 void ldr_table_apply (struct ldr *ldr, const char *key, const char *value,
                       size_t bytes, int64_t revision, int64_t lease);
 char *ldr_encode (const struct ldr *ldr);
--- a/libcowslip/ldr_table.c
+++ b/libcowslip/ldr_table.c
@@ -27,7 +27,7 @@
 ldr_table_clear (struct ldr *ldr)
 {
   if (ldr->members != NULL)
-    g_ptr_array_free (ldr->members, TRUE);
+    g_ptr_array_unref (ldr->members);
   ldr->members = g_ptr_array_new_with_free_func (ldr_member_free);
   g_free (ldr->leader.instance);
   ldr->leader = (struct ldr_record){ 0 };
@@ -109,16 +109,30 @@
 static void
 ldr_remove_member (struct ldr *ldr, const char *instance)
 {
-  for (guint i = 0; i < ldr->members->len; i++)
-    {
-      struct ldr_member *member = g_ptr_array_index (ldr->members, i);
+  const struct ldr_member *member = ldr_find_member (ldr, instance);
 
-      if (g_str_equal (member->instance, instance))
-        {
-          g_ptr_array_remove_index (ldr->members, i);
-          return;
-        }
-    }
+  if (member != NULL)
+    g_ptr_array_remove (ldr->members, (gpointer)member);
+}
+
+/* Return whether a member whose record is missing at REVISION may have lost it
+   in a restoration of the store, and will register again.  */
+static bool
+ldr_may_be_lost (const struct ldr *ldr, int64_t revision)
+{
+  return kv_revision_era (revision) > ldr->era
+         || (ldr->era_began_us != 0
+             && tm_now_us (ldr->config.tm) - ldr->era_began_us
+                    < LDR_TTL_S * LDR_MS_PER_S * LDR_US_PER_MS);
+}
+
+/* Keep MEMBER, whose record is missing, for the TTL of a record.  */
+static void
+ldr_retain_member (const struct ldr *ldr, struct ldr_member *member)
+{
+  if (member->expires_us == 0)
+    member->expires_us = tm_now_us (ldr->config.tm)
+                         + LDR_TTL_S * LDR_MS_PER_S * LDR_US_PER_MS;
 }
 
 static gint
@@ -130,18 +144,65 @@
   return strcmp ((*x)->instance, (*y)->instance);
 }
 
+/* Keep those of the members BEFORE a read that it lacks, if the store may have
+   lost their records.  Others would send them nothing until they have
+   registered again.  */
+void
+ldr_table_retain (struct ldr *ldr, const GPtrArray *before)
+{
+  for (guint i = 0; i < before->len && ldr_may_be_lost (ldr, 0); i++)
+    {
+      const struct ldr_member *old = g_ptr_array_index (before, i);
+      struct ldr_member *member;
+
+      if (ldr_find_member (ldr, old->instance) != NULL)
+        continue;
+      member = g_memdup2 (old, sizeof *old);
+      member->instance = g_strdup (old->instance);
+      member->zone = g_strdup (old->zone);
+      member->address = g_strdup (old->address);
+      ldr_retain_member (ldr, member);
+      g_ptr_array_add (ldr->members, member);
+    }
+  g_ptr_array_sort (ldr->members, ldr_compare_members);
+}
+
+/* Remove the members that have not registered again.  Return whether there
+   were any.  */
+bool
+ldr_table_expire (struct ldr *ldr)
+{
+  uint64_t now_us = tm_now_us (ldr->config.tm);
+  guint before = ldr->members->len;
+
+  for (guint i = before; i-- > 0;)
+    {
+      const struct ldr_member *member = g_ptr_array_index (ldr->members, i);
+
+      if (member->expires_us != 0 && now_us >= member->expires_us)
+        g_ptr_array_remove_index (ldr->members, i);
+    }
+  return ldr->members->len < before;
+}
+
 static void
 ldr_apply_member (struct ldr *ldr, const char *instance, const char *value,
-                  size_t bytes, int64_t lease)
+                  size_t bytes, int64_t revision, int64_t lease)
 {
   bool own = g_str_equal (instance, ldr->config.instance);
-  struct ldr_member *member;
+  struct ldr_member *member
+      = (struct ldr_member *)ldr_find_member (ldr, instance);
   uint64_t incarnation = 0;
 
-  ldr_remove_member (ldr, instance);
   if (own)
     ldr->registered
         = value != NULL && lease != 0 && lease == ldr->member_lease.id;
+  if (value == NULL && member != NULL && ldr_may_be_lost (ldr, revision))
+    {
+      ldr_retain_member (ldr, member);
+      return;
+    }
+  ldr_remove_member (ldr, instance);
   member = value == NULL ? NULL : ldr_decode (value, bytes, &incarnation);
   if (member == NULL)
     return;
@@ -247,7 +308,7 @@
   size_t prefix_bytes = sizeof ldr_member_prefix - 1;
 
   if (strncmp (key, ldr_member_prefix, prefix_bytes) == 0)
-    ldr_apply_member (ldr, key + prefix_bytes, value, bytes, lease);
+    ldr_apply_member (ldr, key + prefix_bytes, value, bytes, revision, lease);
   else if (g_str_equal (key, ldr_leader_key))
     ldr_apply_leader (ldr, value, bytes, revision, lease);
   else if (g_str_equal (key, ldr_term_key))
