--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -536,8 +536,7 @@
   gw_silent_check (request);
   if (request->response_discarded)
     {
-      if (now_us - request->head_us
-          >= GW_DISCARD_TIMEOUT_MS * GW_US_PER_MS)
+      if (now_us - request->head_us >= GW_DISCARD_TIMEOUT_MS * GW_US_PER_MS)
         gw_abandon_attempt (request, request->end);
       return;
     }
--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -21,19 +21,6 @@
    entries again within this time.  */
 #define FLT_COPY_MS 5000
 
-/* Requests for a model or adapter that an engine reported absent are not sent
-   there for this long, unless a notice says that it was loaded.  The next
-   entry, about 1 s later, has the current state.  */
-#define FLT_ABSENT_TTL_MS 1000
-
-/* A model or adapter that an engine reported absent.  */
-struct flt_absent
-{
-  char *model;
-  char *adapter; /* NULL: the model */
-  uint64_t until_us;
-};
-
 /* A notice of the leader about a model or adapter of one engine.  */
 struct flt_notice
 {
@@ -52,15 +39,6 @@
   g_free (received->adapter);
 }
 
-static void
-flt_absent_clear (gpointer data)
-{
-  struct flt_absent *absent = data;
-
-  g_free (absent->model);
-  g_free (absent->adapter);
-}
-
 static void
 flt_endpoint_free (gpointer data)
 {
@@ -183,8 +161,7 @@
   endpoint->listed = true;
   endpoint->received = g_array_new (FALSE, FALSE, sizeof (struct flt_notice));
   g_array_set_clear_func (endpoint->received, flt_notice_clear);
-  endpoint->absent = g_array_new (FALSE, FALSE, sizeof (struct flt_absent));
-  g_array_set_clear_func (endpoint->absent, flt_absent_clear);
+  endpoint->absent = flt_absent_new ();
   flt_weights_init (&endpoint->reported);
   flt_weights_init (&endpoint->announced);
   flt_weights_copy_models (&endpoint->announced, &endpoint->entry.weights);
@@ -488,65 +465,6 @@
     flt_merge_adapter (held, received->kind, received->adapter);
 }
 
-/* Return the index of the absence record of MODEL or, unless it is NULL, its
-   ADAPTER; the number of records if there is none.  */
-static guint
-flt_find_absent (const struct flt_endpoint *endpoint, const char *model,
-                 const char *adapter)
-{
-  guint i;
-
-  for (i = 0; i < endpoint->absent->len; i++)
-    {
-      const struct flt_absent *absent
-          = &g_array_index (endpoint->absent, struct flt_absent, i);
-
-      if (g_str_equal (absent->model, model)
-          && g_strcmp0 (absent->adapter, adapter) == 0)
-        break;
-    }
-  return i;
-}
-
-static void
-flt_drop_absent (struct flt_endpoint *endpoint, const char *model,
-                 const char *adapter)
-{
-  guint i = flt_find_absent (endpoint, model, adapter);
-
-  if (i < endpoint->absent->len)
-    g_array_remove_index (endpoint->absent, i);
-}
-
-/* Record that ENDPOINT refused a request because it does not hold MODEL or,
-   unless it is NULL, its ADAPTER.  */
-void
-flt_mark_absent (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
-                 const char *model, const char *adapter)
-{
-  struct flt_absent absent
-      = { .model = g_strdup (model),
-          .adapter = g_strdup (adapter),
-          .until_us
-          = tm_now_us (fleet->tm) + FLT_ABSENT_TTL_MS * FLT_US_PER_MS };
-
-  flt_drop_absent (endpoint, model, adapter);
-  g_array_append_val (endpoint->absent, absent);
-}
-
-static bool
-flt_is_absent (const struct flt_fleet *fleet,
-               const struct flt_endpoint *endpoint, const char *model,
-               const char *adapter)
-{
-  guint i = flt_find_absent (endpoint, model, adapter);
-
-  return i < endpoint->absent->len
-         && tm_now_us (fleet->tm)
-                < g_array_index (endpoint->absent, struct flt_absent, i)
-                      .until_us;
-}
-
 /* Apply a notice of the leader about MODEL or, unless it is NULL, its ADAPTER
    at ENDPOINT.  */
 void
--- a/libcowslip/flt_impl.h
+++ b/libcowslip/flt_impl.h
@@ -23,6 +23,14 @@
 
 void flt_entry_clear (struct flt_entry *entry);
 
+/* flt_absent.c */
+GArray *flt_absent_new (void);
+void flt_drop_absent (struct flt_endpoint *endpoint, const char *model,
+                      const char *adapter);
+bool flt_is_absent (const struct flt_fleet *fleet,
+                    const struct flt_endpoint *endpoint, const char *model,
+                    const char *adapter);
+
 /* flt_removed.c */
 GHashTable *flt_removals_new (void);
 void flt_removal_add (struct flt_fleet *fleet,
