Do not pass on a refusal that nobody vouches for

What callers would see: "not run, try again" for a request that an engine may have run, if its 408, 429 or 503 has neither X-Cowslipcove-Not-Executed nor the endpoint's seal.

Cause: only successes had to bear the seal; any other status was passed on.

Such a refusal is now no valid response: the request counts as run, is sent again if it may be, and otherwise fails with 502, which promises nothing. A refusal with the endpoint's seal is passed on unchanged as before.

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -131,6 +131,14 @@
   return encoding != NULL && g_ascii_strcasecmp (encoding, "identity") != 0;
 }
 
+/* Return whether STATUS tells a caller that the request has not run and will
+   not.  */
+static bool
+gw_is_refusal (uint16_t status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static bool
 gw_is_error (uint16_t status)
 {
@@ -236,12 +244,13 @@
       if (head->status == 421)
         gw_handle_misdirected (request, head);
     }
-  else if ((success && h1_head_get (head, fields->seal) == NULL)
+  else if (((success || gw_is_refusal (head->status))
+            && h1_head_get (head, fields->seal) == NULL)
            || gw_is_encoded (head)
            || (request->response_started && !is_stream))
     {
-      /* A success without a seal was not sent by the endpoint; only a stream
-         can continue a stream.  */
+      /* A success or refusal without a seal was not sent by the endpoint; only
+         a stream can continue a stream.  */
       request->end = FWD_NO_VALID_RESPONSE;
       request->response_discarded = true;
     }
