Keep the place in the stream of a silent attempt

Callers saw a sound stream cut: its engine had fallen silent after the last event, was asked to go on elsewhere, and then only ended the response.

Cause: gw_silent_restore resets the parser, which marks the attempt as a continuation that has sent nothing yet. evs_is_short then takes its end for a truncation. Neither the silent attempts nor the check alone does this.

silent_stream_test has two new cases (the other engine does not answer, or resets). Without the fix both get the first event and a connection that is closed without the end of the response; with it all cases pass. Placed last, the cases made the overlap test fail, with and without the fix: its first assertion ran too early, probably on the close of a connection kept by the case before. They stand before the case that closes; overlap is unchanged.

The state of the parser that belongs to an attempt is kept with it.

--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -122,7 +122,9 @@
   uint16_t response_status;
   bool unframed;
   GString *partial; /* incomplete event */
-  uint32_t event_count;
+  uint64_t event_count;
+  bool resumed;
+  bool reached;
 };
 
 enum gw_state
--- a/cowslipcoved/gw_silent.c
+++ b/cowslipcoved/gw_silent.c
@@ -74,6 +74,8 @@
   g_string_append_len (request->events.partial, silent->partial->str,
                        (gssize)silent->partial->len);
   request->events.event_count = silent->event_count;
+  request->events.resumed = silent->resumed;
+  request->events.reached = silent->reached;
   request->runs--;
   request->arrivals--;
   if (request->call != NULL)
@@ -155,7 +157,9 @@
     .unframed = request->unframed,
     .partial = g_string_new_len (request->events.partial->str,
                                  (gssize)request->events.partial->len),
-    .event_count = request->events.event_count
+    .event_count = request->events.event_count,
+    .resumed = request->events.resumed,
+    .reached = request->events.reached
   };
   h1_call_set_events (request->call, &events);
   request->endpoint->in_flight++;
--- a/regress/silent_stream_test.c
+++ b/regress/silent_stream_test.c
@@ -22,6 +22,11 @@
 #define ERROR_500                                                             \
   "HTTP/1.1 500 E\r\n" GWF_SEAL GWF_ECHO_ID "Content-Length: 1\r\n\r\nE"
 
+/* Silent after the last event; the end of the response follows.  */
+#define SILENT_END                                                            \
+  GWF_EVENTS GWF_EVENT ("1") "|"                                              \
+                             "0\r\n\r\n"
+
 /* A silent stream that the second endpoint answers with BYTES.  */
 #define CASE(name, bytes, end)                                                \
   {                                                                           \
@@ -58,6 +63,23 @@
     EVENT ("1") EVENT ("2") EVENT ("3"),
     true,
     true },
+  /* Guards against taking the end of a sound stream for a truncation.  */
+  { "ended while it is resumed elsewhere",
+    "resume",
+    { SILENT_END, WIRE_KEEP, 0 },
+    { NULL, WIRE_KEEP, 0 },
+    200,
+    EVENT ("1"),
+    true,
+    true },
+  { "ended after a failure elsewhere",
+    "resume",
+    { SILENT_END, WIRE_KEEP, 0 },
+    { "", WIRE_RESET, 0 },
+    200,
+    EVENT ("1"),
+    true,
+    true },
   { "closed while it is resumed elsewhere",
     "resume",
     { GWF_EVENTS GWF_EVENT ("1") "|", WIRE_CLOSE, 0 },
