Keep a crash when another process answers 421

Callers: after a part of prompts had crashed three engines behind a cut, it was unblocked 5 s later, and requests with it crashed four more.

Cause: any response 5 s after a crash retracted it. After a cut the entry of the dead process was announced again, its address belonged to a new process, and the 421 of that one was taken for a sign of life.

Why it works: a response counts only if it names the endpoint, or names none and is no 421. A process that lives on still retracts its crash ("process that lives").

--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -236,7 +236,7 @@
   gw_update_load (request, head);
   gw_read_signs (request->gw, request->endpoint->entry.id, request->started_ms,
                  head->status, head);
-  gw_blame_alive (request);
+  gw_blame_alive (request, head);
   if (head->status == 421 || h1_head_get (head, fields->not_run) != NULL)
     {
       request->end = FWD_NOT_RUN;
--- a/cowslipcoved/gw_blame.c
+++ b/cowslipcoved/gw_blame.c
@@ -135,17 +135,29 @@
   return XXH3_64bits_withSeed (endpoint, strlen (endpoint), started_ms);
 }
 
-/* The endpoint of REQUEST has begun to respond.  If its process was taken for
-   crashed, it was not: the network had refused connections.  */
+/* Return whether the response HEAD comes from the process of the endpoint ID.
+   Another process that has its address now answers 421.  */
+static bool
+gw_is_from_endpoint (const struct gw *gw, const struct h1_head *head,
+                     const char *id)
+{
+  const char *sender = h1_head_get (head, gw->protocol->fields.endpoint_id);
+
+  return sender == NULL ? head->status != 421 : g_str_equal (sender, id);
+}
+
+/* The endpoint of REQUEST has begun to respond, with HEAD.  If its process was
+   taken for crashed, it was not: the network had refused connections.  */
 void
-gw_blame_alive (const struct gw_request *request)
+gw_blame_alive (const struct gw_request *request, const struct h1_head *head)
 {
   struct gw *gw = request->gw;
   const struct flt_entry *entry = &request->endpoint->entry;
   uint64_t crash;
 
   if (blm_is_empty (gw->blame.table) || entry->started_ms == 0
-      || !request->endpoint->listed)
+      || !request->endpoint->listed
+      || !gw_is_from_endpoint (gw, head, entry->id))
     return;
   crash = gw_crash_id (entry->id, entry->started_ms);
   if (!blm_is_disproved (gw->blame.table, crash, request->state_us))
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -314,7 +314,8 @@
 bool gw_blame_admits (struct gw_request *request);
 void gw_blame_answered (struct gw_request *request);
 uint64_t gw_crash_id (const char *endpoint, uint64_t started_ms);
-void gw_blame_alive (const struct gw_request *request);
+void gw_blame_alive (const struct gw_request *request,
+                     const struct h1_head *head);
 void gw_blame_lost (struct gw *gw, uint64_t crash, const char *address,
                     const GPtrArray *requests);
 void gw_blame_add (struct gw *gw, const cs_crash *crash);
--- a/regress/deadly_part_test.c
+++ b/regress/deadly_part_test.c
@@ -41,6 +41,13 @@
 static const struct wire_script reset = { GWF_EVENTS, WIRE_RESET, false };
 static const struct wire_script sound
     = { GWF_EVENTS GWF_EVENT ("1") "0\r\n\r\n", WIRE_KEEP, false };
+static const struct wire_script misdirected
+    = { "HTTP/1.1 421 M\r\nX-Cowslipcove-Instance-Id: other\r\n" GWF_ECHO_ID
+        "Content-Length: 0\r\n\r\n",
+        WIRE_KEEP, false };
+static const struct wire_script misdirected_unnamed
+    = { "HTTP/1.1 421 M\r\n" GWF_ECHO_ID "Content-Length: 0\r\n\r\n",
+        WIRE_KEEP, false };
 
 static void
 wait_ms (uint32_t wait_ms)
@@ -322,14 +329,13 @@
   fake_kv_set_fault (gwf_kv, FAKE_KV_NONE);
 }
 
-/* Guards against refusing requests because of crashes that were none: an
-   endpoint that was taken for crashed answers later.  */
+/* Block TRAIT at both instances, with a crash of endpoint e1 as the first one
+   of it.  */
 static void
-test_alive (void)
+block_with_crash_of_first (uint64_t trait)
 {
-  cs_crash event = { .trait = 8, .age_ms = LATER_MS };
+  cs_crash event = { .trait = trait, .age_ms = LATER_MS };
   const struct flt_endpoint *first;
-  uint32_t arrivals = 0;
 
   start_second ();
   first = flt_find (gwf_gw.fleet, "e1");
@@ -341,14 +347,52 @@
       event.age_ms -= CRASH_PAUSE_MS;
       gw_blame_add (&gwf_gw, &event);
       gw_blame_add (&second, &event);
-      event.crash = i;
+      event.crash = trait + i;
     }
-  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, event.trait));
-  CU_ASSERT_TRUE (blm_is_blocked (second.blame.table, event.trait));
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, trait));
+  CU_ASSERT_TRUE (blm_is_blocked (second.blame.table, trait));
+}
+
+/* Guards against refusing requests because of crashes that were none: an
+   endpoint that was taken for crashed answers later.  */
+static void
+test_alive (void)
+{
+  const uint64_t trait = 1000;
+  uint32_t arrivals = 0;
+
+  block_with_crash_of_first (trait);
   CU_ASSERT_EQUAL (call (FLOW, "a12:5,b12:3", "x", &sound, &arrivals), 200);
-  CU_ASSERT_FALSE (blm_is_blocked (gwf_gw.blame.table, event.trait));
+  CU_ASSERT_FALSE (blm_is_blocked (gwf_gw.blame.table, trait));
   wait_ms (CRASH_PAUSE_MS);
-  CU_ASSERT_FALSE (blm_is_blocked (second.blame.table, event.trait));
+  CU_ASSERT_FALSE (blm_is_blocked (second.blame.table, trait));
+}
+
+/* Guards against taking a crash back because of another process that now has
+   the address and answers 421.  */
+static void
+check_successor (const struct wire_script *script, uint64_t trait)
+{
+  uint32_t arrivals = 0;
+
+  block_with_crash_of_first (trait);
+  (void)call (FLOW, "a13:5,b13:3", "x", script, &arrivals);
+  CU_ASSERT_TRUE (arrivals >= GWF_ENDPOINTS);
+  CU_ASSERT_TRUE (blm_is_blocked (gwf_gw.blame.table, trait));
+  wait_ms (CRASH_PAUSE_MS);
+  CU_ASSERT_TRUE (blm_is_blocked (second.blame.table, trait));
+}
+
+static void
+test_successor (void)
+{
+  check_successor (&misdirected, 2000);
+}
+
+static void
+test_successor_unnamed (void)
+{
+  check_successor (&misdirected_unnamed, 3000);
 }
 
 /* Block TRAIT and wait until the store has a record of it.  Return the key of
@@ -520,6 +564,8 @@
           { "restart", test_restart },
           { "store away", test_store_away },
           { "process that lives", test_alive },
+          { "another process at the address", test_successor },
+          { "another process, no name", test_successor_unnamed },
           { "record lost", test_record_lost },
           { "record lost, relayed", test_record_lost_relayed },
           { "many traits", test_many },
