Use one callback for writes that need nothing of their result

No change of behaviour. All scripts of regress/ldr pass unchanged; formatter and linter of the file are clean.

--- a/libcowslip/ldr_write.c
+++ b/libcowslip/ldr_write.c
@@ -40,15 +40,15 @@
   ldr_send_txn (ldr, &txn, done);
 }
 
+/* Handle the end of a write whose effect the watch delivers, also if another
+   instance wrote first.  */
 static void
-ldr_peer_key_done (void *arg, const struct kv_result *result)
+ldr_write_done (void *arg, const struct kv_result *result)
 {
   struct ldr *ldr = arg;
 
-  if (!ldr_call_ended (ldr))
-    return;
-  ldr_write_ended (ldr, result->outcome);
-  /* If another instance wrote the key first, the watch delivers that one.  */
+  if (ldr_call_ended (ldr))
+    ldr_write_ended (ldr, result->outcome);
 }
 
 /* Store the key in use, or propose one, unless another instance has stored
@@ -64,7 +64,7 @@
                        .value = text,
                        .value_bytes = strlen (text) };
 
-  ldr_write_txn (ldr, &unchanged, 1, &put, 1, ldr_peer_key_done);
+  ldr_write_txn (ldr, &unchanged, 1, &put, 1, ldr_write_done);
   g_free (text);
 }
 
@@ -193,15 +193,6 @@
   return MIN (rank, LDR_RANK_MAX) * LDR_RANK_DELAY_MS * LDR_US_PER_MS;
 }
 
-static void
-ldr_peak_members_done (void *arg, const struct kv_result *result)
-{
-  struct ldr *ldr = arg;
-
-  if (ldr_call_ended (ldr))
-    ldr_write_ended (ldr, result->outcome);
-}
-
 /* Store the highest number of members, now or known from before.  */
 static void
 ldr_write_peak_members (struct ldr *ldr)
@@ -215,19 +206,10 @@
                        .value = text,
                        .value_bytes = strlen (text) };
 
-  ldr_write_txn (ldr, &peak_unchanged, 1, &put, 1, ldr_peak_members_done);
+  ldr_write_txn (ldr, &peak_unchanged, 1, &put, 1, ldr_write_done);
   g_free (text);
 }
 
-static void
-ldr_orphan_removed (void *arg, const struct kv_result *result)
-{
-  struct ldr *ldr = arg;
-
-  if (ldr_call_ended (ldr))
-    ldr_write_ended (ldr, result->outcome);
-}
-
 /* Return whether the leader record is this process's and not under its lease:
    the write took effect after that lease was lost, perhaps under another
    one that got the same number and is still renewed.  */
@@ -245,7 +227,7 @@
   struct kv_compare unchanged = { ldr_leader_key, ldr->leader.revision };
   struct kv_op op = { .kind = KV_DELETE, .key = ldr_leader_key };
 
-  ldr_write_txn (ldr, &unchanged, 1, &op, 1, ldr_orphan_removed);
+  ldr_write_txn (ldr, &unchanged, 1, &op, 1, ldr_write_done);
 }
 
 static bool
