Add a case: an event without end hangs a gateway

One engine of four answers one stream with one-byte chunks that never end a line. The gateway searches the incomplete event from its start at each chunk and answers nobody for 5 s, twice (rule CONFIG: bookings at sound engines without an answer 2 s after they were sent, TimeoutMs 1.5 s).

--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,6 @@
 cd "$(dirname "$0")"
 mkdir -p bin
 ${CC:-gcc} -std=gnu11 -O2 -g -Wall -Wextra -Werror -D_GNU_SOURCE \
-  $(pkg-config --cflags json-c) -o bin/rig standin/*.c \
+  $(pkg-config --cflags json-c) -o bin/rig.new standin/*.c \
   $(pkg-config --libs json-c) -lpthread
+mv -f bin/rig.new bin/rig
--- a/review/run.inc.sh
+++ b/review/run.inc.sh
@@ -55,9 +55,9 @@
     -e "s/{{Platform.Address}}/127.0.0.1:$BASE/" \
     -e 's/{{Bounds.GraceS}}/8/; s/{{Bounds.LeaseMs}}/3000/' \
     -e 's/{{Bounds.DrainMs}}/2000/; s/{{Bounds.ConfigApplyMs}}/2000/' \
-    -e 's/{{Bounds.RetryBudgetRatio}}/0.2/; s/{{Bounds.BudgetExtra}}/52/' \
+    -e 's/{{Bounds.RetryBudgetRatio}}/0.2/; s/{{Bounds.BudgetExtra}}/56/' \
     -e 's/{{Bounds.BudgetWindowS}}/10/; s/{{Limits.CpuShare}}/0.25/' \
-    -e 's/{{Limits.MaxFds}}/4100/' \
+    -e 's/{{Limits.MaxFds}}/4200/' \
     "$ROOT/deploy/settings.json" >"$TMP/gateway-$1.json"
   "$RIG" keep "gateway-$1" "$TMP/gateway-$1.log" "${MEMORY_MB:-0}" \
     "$GATEWAY" "$TMP/gateway-$1.json" &
--- a/review/standin/caller.c
+++ b/review/standin/caller.c
@@ -250,6 +250,10 @@
     result = caller_bad_answer ();
   else if (strcmp (argv[1], "deadly") == 0)
     result = caller_deadly ();
+  else if (strcmp (argv[1], "uploads") == 0)
+    result = caller_uploads ();
+  else if (strcmp (argv[1], "hang") == 0)
+    result = caller_hang ();
   rig_record ("result %d", result);
   return result;
 }
--- a/review/standin/caller.h
+++ b/review/standin/caller.h
@@ -46,5 +46,7 @@
 
 int caller_bad_answer (void);
 int caller_deadly (void);
+int caller_hang (void);
+int caller_uploads (void);
 
 #endif
--- a/review/standin/case_bad_answer.c
+++ b/review/standin/case_lost.c
@@ -1,20 +1,28 @@
-/* An engine answers one order badly, while requesters of a plain service with
-   sound engines use kept channels.  */
+/* Requesters of a plain service with sound engines use kept channels, while
+   something happens to the gateways: an engine of models answers one order
+   badly, or many requesters send long bodies at once.  */
 
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "caller.h"
 
 #define CHANNELS   8   /* kept channels to each gateway */
-#define WARM_S     9.0 /* then a model that no engine holds is asked for */
+#define WARM_S     9.0 /* then the disruption begins */
 #define AFTER_S    5.0
 #define LOST_MAX   3 /* rule LOST: more than three times */
 #define MODELS     5 /* m0 to m4 are held by engines, m5 is not */
 #define LOST_SAVED 256
 
+/* Requesters that send a body of MaxBodyBytes to one gateway: 34 clients of the
+   site's smallest zone, in a burst of 1.4 times their number.  */
+#define UPLOADS      48
+#define UPLOAD_BYTES 4194304
+
 static atomic_bool done;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct caller_call lost[LOST_SAVED];
@@ -69,30 +77,57 @@
   return NULL;
 }
 
-int
-caller_bad_answer (void)
+static void *
+upload (void *arg)
 {
-  struct caller_channel *channel = calloc (1, sizeof *channel);
-  struct caller_call cold = { .kind = "cold",
-                              .path = "/chat/x",
-                              .fields = "X-Cowslipcove-Model: m5\r\n",
-                              .deadline_ms = 12000 };
-  int broken = 0;
+  static atomic_int next;
+  uint16_t port = caller_ports[caller_port_count - 1];
+  struct rig_conn *conn = calloc (1, sizeof *conn);
+  char *body = malloc (UPLOAD_BYTES);
+  char head[RIG_HEAD_MAX] = "";
+  int status = 0;
+  int number = ++next;
+
+  (void)arg;
+  memset (body, 'x', UPLOAD_BYTES);
+  conn->fd = rig_connect (port);
+  rig_record ("upload%05d sent to port %u, %d bytes", number, port,
+              UPLOAD_BYTES);
+  if (conn->fd >= 0
+      && rig_print (conn->fd,
+                    "POST /book/x HTTP/1.1\r\nHost: h\r\n"
+                    "X-Cowslipcove-Request-Id: upload%05d\r\n"
+                    "X-Cowslipcove-Deadline-Remaining: 3000\r\n"
+                    "Content-Length: %d\r\n\r\n",
+                    number, UPLOAD_BYTES)
+      && rig_write (conn->fd, body, UPLOAD_BYTES)
+      && rig_read_head (conn, head))
+    (void)sscanf (head, "HTTP/1.1 %d", &status);
+  rig_record ("upload%05d: answered %d", number, status);
+  if (conn->fd >= 0)
+    close (conn->fd);
+  free (body);
+  free (conn);
+  return NULL;
+}
 
+static void
+start_requesters (void)
+{
   for (long i = 0; i < (long)CHANNELS * caller_port_count; i++)
     caller_start (book, (void *)i);
-  for (long i = 0; i < 2 * MODELS; i++)
-    caller_start (chat, (void *)i);
   rig_sleep (WARM_S);
-  caller_send (channel, caller_ports[0], &cold);
+}
+
+/* Wait, then return the result.  */
+static int
+judge (void)
+{
+  int broken = 0;
+
   rig_sleep (AFTER_S);
   done = true;
   rig_sleep (1.0);
-  if (caller_has_trouble () && caller_count ("answers badly", NULL) != 1)
-    {
-      rig_record ("no engine has answered badly");
-      return 2;
-    }
   for (int i = 0; i < lost_count; i++)
     if (caller_runs (lost[i].id) > 0)
       {
@@ -107,3 +142,35 @@
               broken, LOST_MAX, caller_count ("ended by itself", NULL));
   return broken > LOST_MAX ? 1 : 0;
 }
+
+int
+caller_bad_answer (void)
+{
+  struct caller_channel *channel = calloc (1, sizeof *channel);
+  struct caller_call cold = { .kind = "cold",
+                              .path = "/chat/x",
+                              .fields = "X-Cowslipcove-Model: m5\r\n",
+                              .deadline_ms = 12000 };
+  int result;
+
+  for (long i = 0; i < 2 * MODELS; i++)
+    caller_start (chat, (void *)i);
+  start_requesters ();
+  caller_send (channel, caller_ports[0], &cold);
+  result = judge ();
+  if (caller_has_trouble () && caller_count ("answers badly", NULL) != 1)
+    {
+      rig_record ("no engine has answered badly");
+      return 2;
+    }
+  return result;
+}
+
+int
+caller_uploads (void)
+{
+  start_requesters ();
+  for (int i = 0; caller_has_trouble () && i < UPLOADS; i++)
+    caller_start (upload, NULL);
+  return judge ();
+}
--- a/review/standin/engine.c
+++ b/review/standin/engine.c
@@ -9,8 +9,9 @@
    events=N      events of a stream
    gap_ms=N      time between two events
    load_ms=N     time that a load takes
-   spoil=WHAT    it is faulty: of its answers after the first 50, one is bytes
-                 that are no answer; WHAT is the target of the request  */
+   spoil=TARGET  it is faulty: after its first 50 answers, one to a request for
+                 TARGET is bytes that are no answer
+   endless=1     those bytes come without end, in the body of a stream  */
 
 #include <json-c/json.h>
 #include <pthread.h>
@@ -43,6 +44,7 @@
 static double load_s = 0.5;
 static int events = 20;
 static const char *spoil = "";
+static bool endless;
 static char first_models[256] = "";
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -317,6 +319,34 @@
   return sent;
 }
 
+/* Send a stream whose body goes on, in small chunks, and never has an event,
+   until the channel is closed.  */
+static void
+answer_without_end (struct rig_conn *conn, const struct rig_message *message)
+{
+  static const char chunk[] = "1\r\nx\r\n";
+  static char chunks[(sizeof chunk - 1) * 1024];
+  char request[128] = "-";
+  long bytes = 0;
+
+  (void)rig_field (message->head, "X-Cowslipcove-Request-Id", request,
+                   sizeof request);
+  for (size_t i = 0; i < sizeof chunks; i += sizeof chunk - 1)
+    memcpy (chunks + i, chunk, sizeof chunk - 1);
+  rig_record ("%s runs %s", id, request);
+  rig_print (conn->fd,
+             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+             "X-Cowslipcove-Request-Id: %s\r\n"
+             "X-Cowslipcove-Response-Seal: seal-%s\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n",
+             request, request);
+  while (rig_write (conn->fd, chunks, sizeof chunks))
+    bytes += (long)sizeof chunks;
+  rig_record ("%s: the channel of the answer without end was closed after "
+              "%ld bytes",
+              id, bytes);
+}
+
 /* Send bytes that are no answer, if it is time for that.  */
 static bool
 answer_badly (struct rig_conn *conn, const struct rig_message *message)
@@ -326,7 +356,11 @@
     return false;
   rig_record ("%s answers badly to %s %s, after %ld sound answers", id,
               message->method, message->target, (long)answers);
-  rig_print (conn->fd, "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\n{}");
+  if (endless)
+    answer_without_end (conn, message);
+  else
+    rig_print (conn->fd,
+               "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\n{}");
   return true;
 }
 
@@ -414,6 +448,8 @@
         events = (int)number;
       else if (strcmp (argv[i], "spoil") == 0)
         spoil = value;
+      else if (strcmp (argv[i], "endless") == 0)
+        endless = number != 0;
       else
         exit (2);
     }
--- a/review/standin/rig.c
+++ b/review/standin/rig.c
@@ -352,8 +352,10 @@
     return rig_keep_main (argc - 1, argv + 1);
   if (argc > 1 && strcmp (argv[1], "caller") == 0)
     return rig_caller_main (argc - 1, argv + 1);
+  if (argc > 1 && strcmp (argv[1], "writer") == 0)
+    return rig_writer_main (argc - 1, argv + 1);
   if (argc > 2 && strcmp (argv[1], "ports") == 0)
     return rig_ports_main (atoi (argv[2]));
-  fprintf (stderr, "usage: rig store|engine|keep|caller|ports ...\n");
+  fprintf (stderr, "usage: rig store|engine|keep|caller|writer|ports ...\n");
   return 2;
 }
--- a/review/standin/rig.h
+++ b/review/standin/rig.h
@@ -56,5 +56,6 @@
 int rig_keep_main (int argc, char **argv);
 int rig_caller_main (int argc, char **argv);
 int rig_ports_main (int count);
+int rig_writer_main (int argc, char **argv);
 
 #endif
