--- a/review/standin/caller.h
+++ b/review/standin/caller.h
@@ -47,6 +47,6 @@
 int caller_bad_answer (void);
 int caller_deadly (void);
 int caller_hang (void);
-int caller_uploads (void);
+int caller_extra (void);
 
 #endif
--- a/review/standin/engine.c
+++ b/review/standin/engine.c
@@ -11,7 +11,8 @@
    load_ms=N     time that a load takes
    spoil=TARGET  it is faulty: after its first 50 answers, one to a request for
                  TARGET is bytes that are no answer
-   endless=1     those bytes come without end, in the body of a stream  */
+   endless=1     those bytes come without end, in the body of a stream
+   extra=1       the answer is whole, 204, and the bytes follow it  */
 
 #include <json-c/json.h>
 #include <pthread.h>
@@ -45,6 +46,7 @@
 static int events = 20;
 static const char *spoil = "";
 static bool endless;
+static bool extra;
 static char first_models[256] = "";
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
@@ -347,6 +349,24 @@
               id, bytes);
 }
 
+/* Run a request and answer that it has no content.  Bytes follow the answer,
+   which ends with its head.  */
+static void
+answer_with_extra (struct rig_conn *conn, const struct rig_message *message)
+{
+  char request[128] = "-";
+
+  (void)rig_field (message->head, "X-Cowslipcove-Request-Id", request,
+                   sizeof request);
+  rig_record ("%s runs %s", id, request);
+  rig_print (conn->fd,
+             "HTTP/1.1 204 No Content\r\n"
+             "X-Cowslipcove-Request-Id: %s\r\n"
+             "X-Cowslipcove-Response-Seal: seal-%s\r\n"
+             "Content-Length: 4\r\n\r\ndone",
+             request, request);
+}
+
 /* Send bytes that are no answer, if it is time for that.  */
 static bool
 answer_badly (struct rig_conn *conn, const struct rig_message *message)
@@ -358,6 +378,8 @@
               message->method, message->target, (long)answers);
   if (endless)
     answer_without_end (conn, message);
+  else if (extra)
+    answer_with_extra (conn, message);
   else
     rig_print (conn->fd,
                "HTTP/1.1 200 OK\r\nContent-Length: 0x2\r\n\r\n{}");
@@ -450,6 +472,8 @@
         spoil = value;
       else if (strcmp (argv[i], "endless") == 0)
         endless = number != 0;
+      else if (strcmp (argv[i], "extra") == 0)
+        extra = number != 0;
       else
         exit (2);
     }
