--- a/review/run.inc.sh
+++ b/review/run.inc.sh
@@ -3,7 +3,7 @@
 # case in CASE; GATEWAYS is the number of gateways.
 REVIEW=$(cd "$CASE/.." && pwd)
 ROOT=$(cd "$REVIEW/.." && pwd)
-RIG=$REVIEW/bin/rig
+RIG=$REVIEW/rig
 GATEWAY=$ROOT/target/cowslipcoved
 TMP=$(mktemp -d) || exit 2
 PIDS=
