Limit what a process keeps of responses

What callers would see: a process that runs out of memory. A watch of the store kept a response of any size, a report might have 8 MiB, and the leader reads the reports of all engines at once: 256 on the large site are 2 GiB, with a limit of 260 MB for the process.

Cause: a limit for each call where the process needs one. http_fetch limits the incomplete bodies of all calls to 16 MiB; beyond that the largest one ends, so that endless bodies do not end sound ones. Fetches can be cancelled and have a limit for their head, which the watch needs.

http_test (fetches together, limit of a fetch) cannot be built with the code before; pf_store_test (watch, too large) fails on it.

--- a/cowslipcoved/gw_lead.c
+++ b/cowslipcoved/gw_lead.c
@@ -19,6 +19,10 @@
    a later response is treated as lost.  */
 #define GW_ORDER_TIMEOUT_MS  1000
 #define GW_REPORT_TIMEOUT_MS 500
+/* A report lists some hundred models and runs.  */
+#define GW_REPORT_MAX_BYTES (1U << 20)
+/* The response to an order needs no body.  */
+#define GW_ORDER_RESPONSE_MAX_BYTES (64U << 10)
 
 /* An order or a report request in progress.  */
 struct gw_engine_call
@@ -81,11 +85,13 @@
       = { { "Content-Type", "application/json" },
           { gw->protocol->fields.expected_endpoint, order->endpoint },
           { NULL, NULL } };
-  struct http_request request = { .method = "POST",
-                                  .address = endpoint->entry.address,
-                                  .path = gw->protocol->order_path,
-                                  .headers = headers,
-                                  .timeout_ms = GW_ORDER_TIMEOUT_MS };
+  struct http_request request
+      = { .method = "POST",
+          .address = endpoint->entry.address,
+          .path = gw->protocol->order_path,
+          .headers = headers,
+          .timeout_ms = GW_ORDER_TIMEOUT_MS,
+          .body_max_bytes = GW_ORDER_RESPONSE_MAX_BYTES };
 
   call->gw = gw;
   call->order = order->id;
@@ -180,7 +186,8 @@
   struct http_request request = { .method = "GET",
                                   .path = gw->protocol->report_path,
                                   .headers = headers,
-                                  .timeout_ms = GW_REPORT_TIMEOUT_MS };
+                                  .timeout_ms = GW_REPORT_TIMEOUT_MS,
+                                  .body_max_bytes = GW_REPORT_MAX_BYTES };
 
   if (endpoint == NULL)
     return;
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -9,12 +9,18 @@
    and short compared to request deadlines.  */
 #define HTTP_CONNECT_TIMEOUT_MS 1000
 #define HTTP_US_PER_MS          1000
-#define HTTP_BODY_MAX_BYTES     (8U << 20)
+/* Limit on the body of a fetch that sets none.  */
+#define HTTP_BODY_MAX_BYTES (8U << 20)
+/* Limit on the incomplete bodies of all fetches of a client.  A process of 260
+   MB may have hundreds of them.  */
+#define HTTP_BUFFERED_MAX_BYTES (16U << 20)
 
 struct http_client
 {
   struct tm_service *tm;
   struct h1_pool *pool;
+  GQueue fetches;        /* struct http_fetch_state */
+  size_t buffered_bytes; /* their bodies together */
 };
 
 struct http_call
@@ -26,17 +32,21 @@
   struct h1_head *response_head;  /* NULL: header fields are not needed */
   struct http_fetch_state *fetch; /* NULL: started by http_start */
   struct tm_timer timeout;
+  struct tm_timer head_timeout;
 };
 
 struct http_fetch_state
 {
+  struct http_client *client;
   struct http_call *call;
+  GList *link; /* in CLIENT->fetches */
   http_response_cb done;
   void *arg;
   uint16_t status;
   struct h1_head head;
   char *content_type;
   GString *body;
+  size_t body_max_bytes;
 };
 
 /* Return a client that runs on LOOP and uses the timers of TM.  */
@@ -47,6 +57,7 @@
 
   client->tm = tm;
   client->pool = h1_pool_new (loop, tm);
+  g_queue_init (&client->fetches);
   return client;
 }
 
@@ -65,6 +76,7 @@
 http_call_free (struct http_call *call)
 {
   tm_cancel (call->client->tm, &call->timeout);
+  tm_cancel (call->client->tm, &call->head_timeout);
   g_free (call);
 }
 
@@ -117,6 +129,7 @@
   struct http_call *call = arg;
   const char *type = h1_head_get (head, "Content-Type");
 
+  tm_cancel (call->client->tm, &call->head_timeout);
   for (guint i = 0; call->response_head != NULL && i < head->fields->len; i++)
     {
       const struct h1_field *field
@@ -219,12 +232,17 @@
       return call;
     }
   http_set_timeout (call, &call->timeout, request->timeout_ms);
+  http_set_timeout (call, &call->head_timeout, request->head_timeout_ms);
   return call;
 }
 
 static void
 http_fetch_free (struct http_fetch_state *state)
 {
+  struct http_client *client = state->client;
+
+  client->buffered_bytes -= state->body->len;
+  g_queue_delete_link (&client->fetches, state->link);
   h1_head_clear (&state->head);
   g_free (state->content_type);
   g_string_free (state->body, TRUE);
@@ -278,17 +296,38 @@
   http_fetch_done (state, HTTP_TOO_LARGE, true);
 }
 
+/* Return the fetch of CLIENT with the largest body.  */
+static struct http_fetch_state *
+http_largest_fetch (const struct http_client *client)
+{
+  struct http_fetch_state *largest = NULL;
+
+  for (const GList *item = client->fetches.head; item != NULL;
+       item = item->next)
+    {
+      struct http_fetch_state *state = item->data;
+
+      if (largest == NULL || state->body->len > largest->body->len)
+        largest = state;
+    }
+  return largest;
+}
+
 static void
 http_fetch_body (void *arg, const char *data, size_t bytes)
 {
   struct http_fetch_state *state = arg;
+  struct http_client *client = state->client;
 
-  if (state->body->len + bytes > HTTP_BODY_MAX_BYTES)
+  if (state->body->len + bytes > state->body_max_bytes)
     {
       http_fetch_stop (state);
       return;
     }
   g_string_append_len (state->body, data, (gssize)bytes);
+  client->buffered_bytes += bytes;
+  if (client->buffered_bytes > HTTP_BUFFERED_MAX_BYTES)
+    http_fetch_stop (http_largest_fetch (client));
 }
 
 static void
@@ -298,8 +337,10 @@
 }
 
 /* Send REQUEST and call DONE once with ARG and the complete response, whose
-   strings are valid during the callback.  A body over 8 MiB ends the call
-   with HTTP_TOO_LARGE.  Return the call, valid until DONE or http_cancel.  */
+   strings are valid during the callback.  A body over the limit of REQUEST
+   ends the call with HTTP_TOO_LARGE; so does, for the fetch with the largest
+   body, the limit on those of all fetches.  Return the call, valid until DONE
+   or http_cancel.  */
 struct http_call *
 http_fetch (struct http_client *client, const struct http_request *request,
             http_response_cb done, void *arg)
@@ -309,10 +350,15 @@
   struct http_fetch_state *state = g_new0 (struct http_fetch_state, 1);
   struct http_request fetch = *request;
 
+  state->client = client;
   state->done = done;
   state->arg = arg;
   state->body = g_string_new (NULL);
+  state->body_max_bytes = request->body_max_bytes > 0 ? request->body_max_bytes
+                                                      : HTTP_BODY_MAX_BYTES;
   h1_head_init (&state->head);
+  g_queue_push_tail (&client->fetches, state);
+  state->link = g_queue_peek_tail_link (&client->fetches);
   fetch.response_head = &state->head;
   state->call = http_start (client, &fetch, &handlers, state);
   state->call->fetch = state;
--- a/libcowslip/http_client.h
+++ b/libcowslip/http_client.h
@@ -42,7 +42,9 @@
   const struct http_header *headers; /* ends with a NULL name; may be NULL */
   const char *body;
   size_t body_bytes;
-  uint32_t timeout_ms; /* 0: no timeout */
+  uint32_t timeout_ms;      /* 0: no timeout */
+  uint32_t head_timeout_ms; /* for the response head; 0: TIMEOUT_MS */
+  size_t body_max_bytes;    /* limit of http_fetch; 0: 8 MiB */
   bool new_connection; /* open a new connection instead of using the pool */
   /* The header fields of the response are appended to it before on_head;
      NULL: not needed.  It must stay valid until the call ends.  */
--- a/regress/http_test.c
+++ b/regress/http_test.c
@@ -9,6 +9,9 @@
 #include "unit.h"
 
 #define TIMEOUT_MS 200
+/* Together more than a client keeps.  */
+#define LARGE_FETCHES 4
+#define LARGE_BYTES   (7U << 20)
 
 /* What a canned server does after its response.  */
 enum canned_end
@@ -337,6 +340,103 @@
     }
 }
 
+/* Guards against a process that runs out of memory because many endpoints send
+   large bodies at once, and against giving up sound ones for them.  */
+static void
+test_fetches_together (void)
+{
+  struct canned canned[LARGE_FETCHES + 1];
+  struct result results[LARGE_FETCHES + 1] = { 0 };
+  char *filler = g_strnfill (LARGE_BYTES, 'x');
+  char *large = g_strconcat (
+      "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n", filler, NULL);
+  uint32_t too_large = 0;
+  uint32_t done = 0;
+
+  for (size_t i = 0; i <= LARGE_FETCHES; i++)
+    {
+      char address[32];
+      struct http_request request = { .method = "GET",
+                                      .address = address,
+                                      .path = "/",
+                                      .timeout_ms = 10 * TIMEOUT_MS };
+
+      canned[i] = (struct canned){
+        .bytes = i < LARGE_FETCHES
+                     ? large
+                     : "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+      };
+      canned_open (&canned[i]);
+      g_snprintf (address, sizeof address, "127.0.0.1:%u", canned[i].port);
+      (void)http_fetch (client, &request, fetch_done, &results[i]);
+    }
+  while (done <= LARGE_FETCHES)
+    {
+      uv_run (&loop, UV_RUN_ONCE);
+      done = 0;
+      for (size_t i = 0; i <= LARGE_FETCHES; i++)
+        done += results[i].done;
+    }
+  for (size_t i = 0; i < LARGE_FETCHES; i++)
+    too_large += results[i].outcome == HTTP_TOO_LARGE;
+  CU_ASSERT_TRUE (too_large >= 2);
+  CU_ASSERT_TRUE (too_large < LARGE_FETCHES);
+  CU_ASSERT_EQUAL (results[LARGE_FETCHES].outcome, HTTP_COMPLETE);
+  for (size_t i = 0; i <= LARGE_FETCHES; i++)
+    {
+      uv_close ((uv_handle_t *)&canned[i].listener, NULL);
+      if (!uv_is_closing ((uv_handle_t *)&canned[i].connection))
+        uv_close ((uv_handle_t *)&canned[i].connection, NULL);
+    }
+  uv_run (&loop, UV_RUN_NOWAIT);
+  uv_run (&loop, UV_RUN_NOWAIT);
+  g_free (large);
+  g_free (filler);
+}
+
+/* Guards against a limit of one fetch that does not hold, and against a fetch
+   that cannot be cancelled.  */
+static void
+test_fetch_limit (void)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      struct canned canned
+          = { .bytes = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
+      struct result result = { 0 };
+      char address[32];
+      struct http_request request = { .method = "GET",
+                                      .address = address,
+                                      .path = "/",
+                                      .timeout_ms = TIMEOUT_MS,
+                                      .body_max_bytes = i == 0 ? 1 : 2 };
+      struct http_call *call;
+
+      canned_open (&canned);
+      g_snprintf (address, sizeof address, "127.0.0.1:%u", canned.port);
+      call = http_fetch (client, &request, fetch_done, &result);
+      if (i == 2)
+        {
+          http_cancel (call);
+          uv_run (&loop, UV_RUN_NOWAIT);
+          CU_ASSERT_EQUAL (result.done, 0);
+        }
+      else
+        {
+          while (result.done == 0)
+            uv_run (&loop, UV_RUN_ONCE);
+          CU_ASSERT_EQUAL (result.outcome,
+                           i == 0 ? HTTP_TOO_LARGE : HTTP_COMPLETE);
+        }
+      uv_close ((uv_handle_t *)&canned.listener, NULL);
+      if (canned.connection.loop != NULL
+          && !uv_is_closing ((uv_handle_t *)&canned.connection))
+        uv_close ((uv_handle_t *)&canned.connection, NULL);
+      uv_run (&loop, UV_RUN_NOWAIT);
+      uv_run (&loop, UV_RUN_NOWAIT);
+    }
+}
+
 /* Guards against a response to HEAD that is reported as incomplete because it
    has no body.  */
 static void
@@ -555,6 +655,8 @@
           { "connection refused", test_refused },
           { "unreachable", test_unreachable },
           { "rejected address", test_rejected_address },
+          { "fetches together", test_fetches_together },
+          { "limit of a fetch", test_fetch_limit },
           { "HEAD", test_head },
           { "end of a stream", test_stream_end },
           { "cancel", test_cancel },
--- a/regress/pf_store_test.c
+++ b/regress/pf_store_test.c
@@ -10,6 +10,7 @@
    a watch; on a new watch within half of that.  */
 #define DEAD_DETECTION_MAX_US  2000000
 #define FIRST_DETECTION_MAX_US 1000000
+#define WATCH_LARGE_BYTES      (9U << 20)
 
 static void
 test_get (void)
@@ -71,6 +72,29 @@
       strstr (wire_endpoint_head (pfs_peer)->target, "after=p%2F1"));
 }
 
+/* Guards against an instance that keeps what a watch returns without a limit,
+   or asks for changes that do not fit into a response again and again: they
+   are read in pages.  */
+static void
+test_watch_too_large (void)
+{
+  char *filler = g_strnfill (WATCH_LARGE_BYTES, ' ');
+  char *text
+      = g_strdup_printf ("HTTP/1.1 200 X\r\nContent-Length: %u\r\n\r\n%s",
+                         WATCH_LARGE_BYTES, filler);
+  const struct wire_script script = { .bytes = text, .end_action = WIRE_KEEP };
+
+  pfs_set_responses (NULL, 0);
+  wire_endpoint_set_scripts (pfs_peer, &script, 1);
+  (void)pfs_kv.methods->watch (pfs_kv.context, "p/", 5, pfs_on_change,
+                               pfs_on_ended, NULL);
+  pfs_run_until (&pfs_observed.ended, 1);
+  CU_ASSERT_EQUAL (pfs_observed.changes, 0);
+  wire_endpoint_set_scripts (pfs_peer, NULL, 0);
+  g_free (text);
+  g_free (filler);
+}
+
 #define ITEM(key, rest) "{\"Key\":\"" key "\",\"Value\":\"YQ==\"" rest "}"
 #define REVISION        ",\"Revision\":1"
 
@@ -328,6 +352,7 @@
           { "watch answered", test_watch_answered },
           { "watch after an outage", test_watch_after_outage },
           { "watch with a dead connection", test_watch_dead_connection },
+          { "watch, too large", test_watch_too_large },
           { NULL, NULL } };
 
   return unit_main ("pf_store", tests);
