Limit the memory of parsed JSON

What callers would see: gateways that are killed for their memory, all at the same time. json-c takes 800 bytes for {} and 350 for []: an entry of another writer or a report of 1 MiB takes up to 300 MB, and the limit of a process is 260 MB.

jsn_parse computes an upper bound first and refuses what may take more than 64 MiB. A configuration of 1 MiB takes a quarter of that.

--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -7,6 +7,14 @@
 
 #define JSN_DEPTH_MAX      32
 #define JSN_NAME_MAX_CHARS 127
+/* Upper bounds on the memory that json-c takes for an object, an array and any
+   other value.  "{}" takes some 800 bytes, because its table begins with 16
+   entries.  */
+#define JSN_OBJECT_BYTES 1000
+#define JSN_ARRAY_BYTES  400
+#define JSN_VALUE_BYTES  100
+/* Limit on a parsed text.  A configuration of 1 MiB takes a quarter of it.  */
+#define JSN_PARSED_MAX_BYTES (64U << 20)
 
 G_DEFINE_QUARK (jsn - error - quark, jsn_error)
 
@@ -29,18 +37,44 @@
   return true;
 }
 
+/* Return an upper bound on the memory that TEXT takes when it is parsed, apart
+   from its strings.  Characters within strings count as well.  */
+static size_t
+jsn_parsed_bytes (const char *text, size_t bytes)
+{
+  size_t parsed_bytes = 0;
+
+  for (size_t i = 0; i < bytes; i++)
+    if (text[i] == '{')
+      parsed_bytes += JSN_OBJECT_BYTES;
+    else if (text[i] == '[')
+      parsed_bytes += JSN_ARRAY_BYTES;
+    else if (text[i] == ',')
+      parsed_bytes += JSN_VALUE_BYTES;
+  return parsed_bytes;
+}
+
 /* Parse BYTES of TEXT, which may contain comments.  Return a new reference,
    or NULL and set ERROR, which names the line.  The value null is an error;
-   nesting is limited to 32 levels.  */
+   nesting is limited to 32 levels, and the memory that the result takes to 64
+   MiB.  */
 struct json_object *
 jsn_parse (const char *text, size_t bytes, GError **error)
 {
-  struct json_tokener *tokener = json_tokener_new_ex (JSN_DEPTH_MAX);
-  struct json_object *object
-      = json_tokener_parse_ex (tokener, text, (int)bytes);
-  enum json_tokener_error status = json_tokener_get_error (tokener);
-  size_t end = json_tokener_get_parse_end (tokener);
+  struct json_tokener *tokener;
+  struct json_object *object;
+  enum json_tokener_error status;
+  size_t end;
 
+  if (jsn_parsed_bytes (text, bytes) > JSN_PARSED_MAX_BYTES)
+    {
+      g_set_error (error, JSN_ERROR, JSN_ERROR_VALUE, "too many values");
+      return NULL;
+    }
+  tokener = json_tokener_new_ex (JSN_DEPTH_MAX);
+  object = json_tokener_parse_ex (tokener, text, (int)bytes);
+  status = json_tokener_get_error (tokener);
+  end = json_tokener_get_parse_end (tokener);
   if (status == json_tokener_continue && bytes > 0)
     {
       /* The parser needs a terminator to recognize the end of a number.  */
