Search an incomplete event once

Cause: for each chunk evs_feed searched the whole incomplete event from its start, up to 256 KiB, and moved it in memory: g_string_erase of no bytes copies the string onto itself. The parser remembers now how far it has searched and what the last line end was, and moves bytes only after a complete event. sse_ remembered the former but had the same copy.

--- a/libcowslip/evs.c
+++ b/libcowslip/evs.c
@@ -34,12 +34,22 @@
   parser->partial = NULL;
 }
 
+/* Forget the incomplete event of PARSER.  */
+static void
+evs_drop_partial (struct evs_parser *parser)
+{
+  g_string_truncate (parser->partial, 0);
+  parser->scanned = 0;
+  parser->at_line_start = false;
+  parser->after_cr = false;
+}
+
 /* Prepare for the response of another endpoint, which begins with a complete
    event.  The id of the last event is kept.  */
 void
 evs_reset (struct evs_parser *parser)
 {
-  g_string_truncate (parser->partial, 0);
+  evs_drop_partial (parser);
   parser->too_long = false;
   parser->out_of_place = false;
   parser->resumed = parser->has_last_id;
@@ -47,36 +57,41 @@
   parser->event_count = 0;
 }
 
-/* Return the length of the first complete event in TEXT, its blank line
-   included, or 0 if there is none.  Lines end with LF, CR LF or CR.  */
+/* Search the part of PARTIAL that was not searched before for the end of an
+   event and return its offset, or 0 if there is none yet.  A blank line ends
+   an event; lines end with LF, CR LF or CR.  */
 static size_t
-evs_event_bytes (const char *text, size_t bytes)
+evs_find_end (struct evs_parser *parser)
 {
-  bool at_line_start = false;
-  bool after_cr = false;
+  const char *text = parser->partial->str;
+  size_t bytes = parser->partial->len;
 
-  for (size_t i = 0; i < bytes; i++)
+  while (parser->scanned < bytes)
     {
+      size_t i = parser->scanned;
       bool cr = text[i] == '\r';
+      bool blank = parser->at_line_start;
 
       if (!cr && text[i] != '\n')
         {
-          at_line_start = false;
-          after_cr = false;
+          parser->at_line_start = false;
+          parser->after_cr = false;
+          parser->scanned++;
           continue;
         }
       /* An LF may follow, unless lines end with CR alone.  */
-      if (cr && i + 1 == bytes && !after_cr)
+      if (cr && i + 1 == bytes && !parser->after_cr)
         return 0;
       if (cr && i + 1 < bytes && text[i + 1] == '\n')
         {
           cr = false;
           i++;
         }
-      if (at_line_start)
-        return i + 1;
-      at_line_start = true;
-      after_cr = cr;
+      parser->scanned = i + 1;
+      parser->at_line_start = !blank;
+      parser->after_cr = cr && !blank;
+      if (blank)
+        return parser->scanned;
     }
   return 0;
 }
@@ -183,28 +198,30 @@
           evs_handler handler, void *arg)
 {
   size_t begin = 0;
-  size_t length;
+  size_t end;
 
   if (parser->too_long || parser->out_of_place)
     return;
   g_string_append_len (parser->partial, data, (gssize)bytes);
-  while ((length = evs_event_bytes (parser->partial->str + begin,
-                                    parser->partial->len - begin))
-         > 0)
+  while ((end = evs_find_end (parser)) > 0)
     {
-      if (!evs_accept (parser, parser->partial->str + begin, length, handler,
-                       arg))
+      if (!evs_accept (parser, parser->partial->str + begin, end - begin,
+                       handler, arg))
         {
           parser->out_of_place = true;
-          g_string_truncate (parser->partial, 0);
+          evs_drop_partial (parser);
           return;
         }
-      begin += length;
+      begin = end;
+    }
+  if (begin > 0)
+    {
+      g_string_erase (parser->partial, 0, (gssize)begin);
+      parser->scanned -= begin;
     }
-  g_string_erase (parser->partial, 0, (gssize)begin);
   parser->too_long = parser->partial->len > EVS_EVENT_MAX_BYTES;
   if (parser->too_long)
-    g_string_truncate (parser->partial, 0);
+    evs_drop_partial (parser);
 }
 
 /* Return whether the last event received is not complete: its blank line is
--- a/libcowslip/evs.h
+++ b/libcowslip/evs.h
@@ -12,11 +12,14 @@
    endpoint.  */
 struct evs_parser
 {
-  GString *partial;  /* incomplete last event */
-  bool numbered;     /* set by the owner: all events have ids */
-  bool too_long;     /* PARTIAL exceeded the limit and was dropped */
-  bool out_of_place; /* an event that cannot come next was dropped */
-  bool has_last_id;  /* LAST_ID is valid */
+  GString *partial;   /* incomplete last event */
+  size_t scanned;     /* bytes of PARTIAL that were searched for its end */
+  bool at_line_start; /* a line ends at SCANNED */
+  bool after_cr;      /* with CR alone */
+  bool numbered;      /* set by the owner: all events have ids */
+  bool too_long;      /* PARTIAL exceeded the limit and was dropped */
+  bool out_of_place;  /* an event that cannot come next was dropped */
+  bool has_last_id;   /* LAST_ID is valid */
   uint64_t last_id;
   uint64_t id_count;    /* events with ids that were passed on */
   bool consecutive;     /* these ids rise by 1 */
--- a/libcowslip/sse.c
+++ b/libcowslip/sse.c
@@ -125,7 +125,8 @@
         return true;
       start = end;
     }
-  g_string_erase (text, 0, (gssize)start);
+  if (start > 0)
+    g_string_erase (text, 0, (gssize)start);
   /* The input may end within a blank line, which has up to three bytes.  */
   parser->scanned = text->len > 2 ? text->len - 2 : 0;
   return text->len <= SSE_EVENT_MAX_BYTES;
