--- a/libcowslip/flt.c
+++ b/libcowslip/flt.c
@@ -132,7 +132,7 @@
 static void
 flt_merge_notices (struct flt_endpoint *endpoint)
 {
-  g_ptr_array_set_size (endpoint->entry.weights.models, 0);
+  flt_weights_drop_models (&endpoint->entry.weights);
   flt_weights_copy_models (&endpoint->entry.weights, &endpoint->announced);
   for (guint i = 0; i < endpoint->received->len; i++)
     flt_merge_notice (
@@ -145,7 +145,7 @@
 flt_announce (struct flt_fleet *fleet, struct flt_endpoint *endpoint,
               const struct flt_weights *weights)
 {
-  g_ptr_array_set_size (endpoint->announced.models, 0);
+  flt_weights_drop_models (&endpoint->announced);
   flt_weights_copy_models (&endpoint->announced, weights);
   (void)flt_drop_notices (fleet, endpoint, FLT_NOTICE_TTL_MS);
   flt_merge_notices (endpoint);
--- a/libcowslip/flt.h
+++ b/libcowslip/flt.h
@@ -25,6 +25,7 @@
 struct flt_weights
 {
   GPtrArray *models;    /* struct flt_model */
+  GHashTable *by_name;  /* the same by name */
   GPtrArray *in_memory; /* char *: copies in the engine's host memory */
   GPtrArray *on_disk;   /* char *: copies on the engine's disk */
   /* Reports only.  */
@@ -100,6 +101,7 @@
 
 void flt_weights_init (struct flt_weights *weights);
 void flt_weights_clear (struct flt_weights *weights);
+void flt_weights_drop_models (struct flt_weights *weights);
 void flt_weights_copy_models (struct flt_weights *to,
                               const struct flt_weights *from);
 struct flt_model *flt_weights_add (struct flt_weights *weights,
--- a/libcowslip/flt_weights.c
+++ b/libcowslip/flt_weights.c
@@ -18,6 +18,7 @@
 {
   *weights = (struct flt_weights){ 0 };
   weights->models = g_ptr_array_new_with_free_func (flt_model_free);
+  weights->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   weights->in_memory = g_ptr_array_new_with_free_func (g_free);
   weights->on_disk = g_ptr_array_new_with_free_func (g_free);
   weights->incoming = g_ptr_array_new_with_free_func (g_free);
@@ -27,6 +28,7 @@
 void
 flt_weights_clear (struct flt_weights *weights)
 {
+  g_hash_table_destroy (weights->by_name);
   g_ptr_array_free (weights->models, TRUE);
   g_ptr_array_free (weights->in_memory, TRUE);
   g_ptr_array_free (weights->on_disk, TRUE);
@@ -34,6 +36,14 @@
   *weights = (struct flt_weights){ 0 };
 }
 
+/* Remove all models from WEIGHTS.  */
+void
+flt_weights_drop_models (struct flt_weights *weights)
+{
+  g_hash_table_remove_all (weights->by_name);
+  g_ptr_array_set_size (weights->models, 0);
+}
+
 /* Set the version of the model called NAME in WEIGHTS to VERSION, adding the
    model if it is missing, and return it.  */
 struct flt_model *
@@ -48,6 +58,7 @@
       model->name = g_strdup (name);
       model->adapters = g_ptr_array_new_with_free_func (g_free);
       g_ptr_array_add (weights->models, model);
+      g_hash_table_insert (weights->by_name, model->name, model);
     }
   model->version = version;
   return model;
@@ -59,21 +70,17 @@
 {
   struct flt_model *found = flt_weights_find (weights, model);
 
-  return found != NULL && g_ptr_array_remove (weights->models, found);
+  if (found == NULL)
+    return false;
+  g_hash_table_remove (weights->by_name, model);
+  return g_ptr_array_remove (weights->models, found);
 }
 
 /* Return MODEL in WEIGHTS, or NULL.  */
 struct flt_model *
 flt_weights_find (const struct flt_weights *weights, const char *model)
 {
-  for (guint i = 0; i < weights->models->len; i++)
-    {
-      struct flt_model *found = g_ptr_array_index (weights->models, i);
-
-      if (g_str_equal (found->name, model))
-        return found;
-    }
-  return NULL;
+  return g_hash_table_lookup (weights->by_name, model);
 }
 
 /* Return whether LIST (char *) contains TEXT.  */
--- a/regress/flt_test.c
+++ b/regress/flt_test.c
@@ -1,6 +1,7 @@
 #include <math.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "flt.h"
 #include "kv.h"
@@ -14,6 +15,9 @@
 /* Time after which signs of endpoints without an entry are forgotten.  */
 #define SIGNS_TTL_MS 600000
 #define PAUSE_MAX_MS 600000
+#define MODELS_MANY  100000
+/* Linear work takes some tens of milliseconds.  */
+#define CPU_MAX_S 2.0
 
 static struct tm_service *tm;
 static struct flt_fleet *fleet;
@@ -559,6 +563,37 @@
   CU_ASSERT_EQUAL (pck_pause_ms (fleet, &criteria), 0);
 }
 
+/* Guards against an instance that answers nobody for seconds because an entry
+   or a report names many models.  */
+static void
+test_many_models (void)
+{
+  double start_s = (double)clock () / CLOCKS_PER_SEC;
+  struct flt_weights weights;
+  struct flt_weights copy;
+  char name[16];
+
+  flt_weights_init (&weights);
+  flt_weights_init (&copy);
+  for (uint32_t i = 0; i < MODELS_MANY; i++)
+    {
+      g_snprintf (name, sizeof name, "m%u", i);
+      (void)flt_weights_add (&weights, name, i);
+    }
+  flt_weights_copy_models (&copy, &weights);
+  CU_ASSERT_EQUAL (copy.models->len, MODELS_MANY);
+  CU_ASSERT_EQUAL (flt_weights_find (&copy, "m7")->version, 7);
+  CU_ASSERT_EQUAL (flt_weights_add (&copy, "m7", 8)->version, 8);
+  CU_ASSERT_EQUAL (copy.models->len, MODELS_MANY);
+  CU_ASSERT_TRUE (flt_weights_drop (&copy, "m7"));
+  CU_ASSERT_FALSE (flt_weights_drop (&copy, "m7"));
+  CU_ASSERT_PTR_NULL (flt_weights_find (&copy, "m7"));
+  CU_ASSERT_PTR_NOT_NULL (flt_weights_find (&weights, "m7"));
+  CU_ASSERT_TRUE ((double)clock () / CLOCKS_PER_SEC - start_s < CPU_MAX_S);
+  flt_weights_clear (&copy);
+  flt_weights_clear (&weights);
+}
+
 int
 main (void)
 {
@@ -582,6 +617,7 @@
           { "said that it leaves", test_said_leaving },
           { "pause", test_pause },
           { "pause that is left", test_pause_left },
+          { "many models", test_many_models },
           { NULL, NULL } };
 
   return unit_main ("flt", tests);
--- a/regress/pf_test.c
+++ b/regress/pf_test.c
@@ -1,5 +1,6 @@
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "pf.h"
 #include "unit.h"
@@ -7,6 +8,11 @@
 /* Tests the decoding of entries in the platform's store and of engine
    reports.  */
 
+#define LONG_ENTRY_READS 4
+#define VALUE_MAX_BYTES  (1U << 20)
+/* Linear work takes some tens of milliseconds.  */
+#define CPU_MAX_S 2.0
+
 static struct rte_config *
 read_config (const char *text, char **error_text)
 {
@@ -318,6 +324,87 @@
   flt_weights_clear (&weights);
 }
 
+/* Return an entry with SLOTS and COUNT models, to be freed with g_free.  */
+static char *
+long_entry (const char *slots, uint32_t count)
+{
+  GString *text = g_string_new (NULL);
+
+  g_string_printf (text,
+                   "{\"Service\":\"s\",\"Address\":\"127.0.0.1:9\","
+                   "\"Zone\":\"z\",\"Slots\":%s,\"State\":\"ready\","
+                   "\"Models\":[",
+                   slots);
+  for (uint32_t i = 0; i < count; i++)
+    g_string_append_printf (text, "%s{\"Name\":\"m%u\",\"Version\":1}",
+                            i == 0 ? "" : ",", i);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+/* Guards against an instance that answers nobody for seconds because another
+   writer's entry names as many models as fit into a value, valid or not, and
+   against the refusal of a long one that an engine may write.  */
+static void
+test_long_entries (void)
+{
+  static const struct
+  {
+    const char *slots;
+    uint32_t models;
+    bool valid;
+  } cases[] = { { "8", 1000, true },
+                { "8", 37000, false },
+                { "\"8\"", 37000, false } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *text = long_entry (cases[i].slots, cases[i].models);
+      double start_s = (double)clock () / CLOCKS_PER_SEC;
+      struct flt_entry *entry = NULL;
+
+      for (int j = 0; j < LONG_ENTRY_READS; j++)
+        {
+          flt_entry_free (entry);
+          entry = pf_protocol ()->read_entry ("e", text, strlen (text), NULL);
+        }
+      CU_ASSERT_EQUAL (entry != NULL, cases[i].valid);
+      CU_ASSERT_TRUE ((double)clock () / CLOCKS_PER_SEC - start_s < CPU_MAX_S);
+      flt_entry_free (entry);
+      g_free (text);
+    }
+}
+
+/* Guards against a process that runs out of memory because of a text that
+   takes hundreds of times its size when it is parsed.  */
+static void
+test_many_values (void)
+{
+  static const char *const units[] = { "{},", "[],", "0," };
+  GString *text = g_string_new ("{\"x\":[");
+  struct flt_weights weights;
+  GError *error = NULL;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (units); i++)
+    {
+      g_string_truncate (text, strlen ("{\"x\":["));
+      while (text->len < VALUE_MAX_BYTES)
+        g_string_append (text, units[i]);
+      g_string_append (text, "0]}");
+      flt_weights_init (&weights);
+      CU_ASSERT_FALSE (pf_protocol ()->read_report (text->str, text->len,
+                                                    &weights, &error));
+      CU_ASSERT_PTR_NOT_NULL_FATAL (error);
+      if (error == NULL)
+        return;
+      CU_ASSERT_EQUAL (strstr (error->message, "too many values") != NULL,
+                       units[i][0] != '0');
+      g_clear_error (&error);
+      flt_weights_clear (&weights);
+    }
+  g_string_free (text, TRUE);
+}
+
 static void
 test_order (void)
 {
@@ -349,6 +436,8 @@
           { "condensed entry", test_condense },
           { "condensed invalid entry", test_condense_invalid },
           { "report", test_report },
+          { "long entries", test_long_entries },
+          { "many values", test_many_values },
           { "order", test_order },
           { NULL, NULL } };
 
