Find relayed changes by key and limit their bytes

The relay searched up to 2,048 waiting changes for each new one, and kept 2,048 values of up to 32 KB for each of three prefixes, twice: another writer could fill some 380 MB. The list has a hash table of its keys now and a limit of 4 MiB; what yields is missed by followers, which the digest shows them.

rly_changes_test needs the new list; the limit of bytes is new. The scripts of rly/ pass unchanged.

--- a/libcowslip/rly_impl.h
+++ b/libcowslip/rly_impl.h
@@ -22,6 +22,14 @@
   GString *value;
 };
 
+/* Changes in the order in which they came.  */
+struct rly_changes
+{
+  GQueue list;       /* struct rly_change */
+  GHashTable *links; /* key -> GList: its place in LIST */
+  size_t bytes;      /* of the values */
+};
+
 /* The keys with one prefix, and the watch of their owner.  */
 struct rly_stream
 {
@@ -36,8 +44,8 @@
   bool watching;        /* watches the store, unless its keys are being read */
   void *inner;          /* watch of the store; NULL: none */
   uint64_t answered_us; /* last answer of the store while WATCHING; 0: none */
-  GArray *changes;      /* struct rly_change: to be relayed if WATCHING */
-  GArray *received;     /* the same: received while the owner reads the keys */
+  struct rly_changes *changes;  /* to be relayed if WATCHING */
+  struct rly_changes *received; /* while the owner reads the keys */
   uint32_t mismatches;
   bool stale; /* the owner must read the keys again */
 
@@ -61,6 +69,15 @@
   uint64_t next_send_us;
 };
 
+/* rly_changes.c */
+struct rly_changes *rly_changes_new (void);
+void rly_changes_free (struct rly_changes *changes);
+void rly_changes_clear (struct rly_changes *changes);
+void rly_changes_keep (struct rly_changes *changes, const char *key,
+                       enum rly_kind kind, int64_t revision, const char *value,
+                       size_t bytes);
+void rly_changes_drop_first (struct rly_changes *changes, size_t count);
+
 /* rly_stream.c */
 struct rly_stream *rly_stream_new (struct rly *rly,
                                    const struct rly_prefix *prefix);
--- a/libcowslip/rly_stream.c
+++ b/libcowslip/rly_stream.c
@@ -7,29 +7,9 @@
 /* Consecutive batches whose digest differs from the own one before the keys
    are read again.  */
 #define RLY_MISMATCHES_MAX 2
-/* Changes kept for the next batch, or during a read.  */
-#define RLY_CHANGES_MAX 2048
 /* Revision of an item that a read has not confirmed yet.  */
 #define RLY_UNREAD (-1)
 
-static void
-rly_change_clear (gpointer data)
-{
-  struct rly_change *change = data;
-
-  g_free (change->key);
-  g_string_free (change->value, TRUE);
-}
-
-static GArray *
-rly_changes_new (void)
-{
-  GArray *changes = g_array_new (FALSE, FALSE, sizeof (struct rly_change));
-
-  g_array_set_clear_func (changes, rly_change_clear);
-  return changes;
-}
-
 /* Return a stream of the keys of PREFIX.  */
 struct rly_stream *
 rly_stream_new (struct rly *rly, const struct rly_prefix *prefix)
@@ -53,8 +33,8 @@
   struct rly_stream *stream = data;
 
   rly_stream_watch_store (stream, false);
-  g_array_free (stream->changes, TRUE);
-  g_array_free (stream->received, TRUE);
+  rly_changes_free (stream->changes);
+  rly_changes_free (stream->received);
   g_hash_table_destroy (stream->items);
   g_free (stream->prefix);
   g_free (stream);
@@ -107,26 +87,6 @@
   return news;
 }
 
-/* Add a change to CHANGES, instead of an earlier one of the same key.  A
-   change that does not fit is missed, which the digest shows.  */
-static void
-rly_keep_change (GArray *changes, const char *key, enum rly_kind kind,
-                 int64_t revision, const char *value, size_t bytes)
-{
-  struct rly_change change = { g_strdup (key), kind, revision,
-                               g_string_new_len (value, (gssize)bytes) };
-
-  for (guint i = 0; i < changes->len; i++)
-    if (g_str_equal (g_array_index (changes, struct rly_change, i).key, key))
-      {
-        g_array_remove_index (changes, i);
-        break;
-      }
-  if (changes->len >= RLY_CHANGES_MAX)
-    g_array_remove_index (changes, 0);
-  g_array_append_val (changes, change);
-}
-
 /* Condense VALUE of KEY at REVISION into OUT, store its hash in HASH and
    return its kind.  */
 static enum rly_kind
@@ -172,8 +132,8 @@
                          change->value_bytes, value, &hash);
   if (rly_update_item (stream, change->key, hash, change->revision))
     {
-      rly_keep_change (stream->changes, change->key, kind, change->revision,
-                       value->str, value->len);
+      rly_changes_keep (stream->changes, change->key, kind, change->revision,
+                        value->str, value->len);
       if (kind == RLY_PUT)
         rly_report (stream, change->key, value->str, value->len,
                     change->revision);
@@ -218,7 +178,7 @@
 
   if (watch != stream->watching)
     {
-      g_array_set_size (stream->changes, 0);
+      rly_changes_clear (stream->changes);
       stream->answered_us = 0;
     }
   stream->watching = watch;
@@ -255,16 +215,16 @@
 rly_stream_export (struct rly_stream *stream, cs_relay_stream *out,
                    size_t *bytes_left)
 {
-  guint count = 0;
+  const GQueue *list = &stream->changes->list;
+  u_int count = 0;
 
   out->prefix = stream->prefix;
   out->revision = stream->revision;
   out->digest = stream->digest;
-  out->changes.changes_val = g_new0 (cs_relay_change, stream->changes->len);
-  while (count < stream->changes->len)
+  out->changes.changes_val = g_new0 (cs_relay_change, list->length);
+  for (const GList *item = list->head; item != NULL; item = item->next)
     {
-      const struct rly_change *change
-          = &g_array_index (stream->changes, struct rly_change, count);
+      const struct rly_change *change = item->data;
 
       if (change->value->len > *bytes_left)
         break;
@@ -277,7 +237,7 @@
                                  change->value->str } };
     }
   out->changes.changes_len = count;
-  out->comparable = count == stream->changes->len;
+  out->comparable = count == list->length;
   return out->comparable;
 }
 
@@ -285,8 +245,7 @@
 void
 rly_stream_sent (struct rly_stream *stream, const cs_relay_stream *out)
 {
-  if (out->changes.changes_len > 0)
-    g_array_remove_range (stream->changes, 0, out->changes.changes_len);
+  rly_changes_drop_first (stream->changes, out->changes.changes_len);
   g_free (out->changes.changes_val);
 }
 
@@ -348,9 +307,9 @@
       if (change->kind > RLY_REPLACE)
         continue;
       if (!stream->watched)
-        rly_keep_change (stream->received, change->key,
-                         (enum rly_kind)change->kind, change->revision,
-                         change->value.value_val, change->value.value_len);
+        rly_changes_keep (stream->received, change->key,
+                          (enum rly_kind)change->kind, change->revision,
+                          change->value.value_val, change->value.value_len);
       else
         known &= rly_apply (stream, change->key, (enum rly_kind)change->kind,
                             change->revision, change->value.value_val,
@@ -371,19 +330,18 @@
 void
 rly_stream_replay (struct rly_stream *stream)
 {
-  GArray *kept = stream->received;
+  struct rly_changes *kept = stream->received;
   bool known = true;
 
   stream->received = rly_changes_new ();
-  for (guint i = 0; i < kept->len; i++)
+  for (const GList *item = kept->list.head; item != NULL; item = item->next)
     {
-      const struct rly_change *change
-          = &g_array_index (kept, struct rly_change, i);
+      const struct rly_change *change = item->data;
 
       known &= rly_apply (stream, change->key, change->kind, change->revision,
                           change->value->str, change->value->len);
     }
-  g_array_free (kept, TRUE);
+  rly_changes_free (kept);
   stream->stale = !known;
 }
 
@@ -397,8 +355,8 @@
     return FALSE;
   if (item->hash != 0)
     {
-      rly_keep_change (stream->changes, key, RLY_REMOVE, stream->revision, "",
-                       0);
+      rly_changes_keep (stream->changes, key, RLY_REMOVE, stream->revision, "",
+                        0);
       stream->digest ^= item->hash;
     }
   return TRUE;
@@ -415,8 +373,8 @@
   kind = rly_condense (stream, pair->key, pair->revision, pair->value,
                        pair->value_bytes, value, &hash);
   if (rly_update_item (stream, pair->key, hash, pair->revision))
-    rly_keep_change (stream->changes, pair->key, kind, pair->revision,
-                     value->str, value->len);
+    rly_changes_keep (stream->changes, pair->key, kind, pair->revision,
+                      value->str, value->len);
 }
 
 /* Replace what is known of the keys by RESULT, which the owner has read.  What
@@ -442,6 +400,6 @@
     rly_load_pair (stream, &result->pairs[i], value);
   (void)g_hash_table_foreach_remove (stream->items, rly_is_missing, stream);
   if (!stream->watching)
-    g_array_set_size (stream->changes, 0);
+    rly_changes_clear (stream->changes);
   g_string_free (value, TRUE);
 }
