Read sockets before timers expire after a stall

What callers would see after a process did not run for a moment, because a large configuration was installed or its share of the processor was used up: a whole request whose connection is closed without an answer, because the time for its head had passed while its rest waited to be read; a 504 in place of a response that is ready; a stream that is cut although its end has arrived; a sound attempt that is given up for another one.

Cause: the loop fired the timers that were due before it read the sockets, so that a stall of this process was taken for the silence of its peers. If a timer is more than 10 ms late, the sockets are read once without blocking and the timers fire after that. Firing all timers after the poll was tried: a callback with a delay of 0 then runs after other events, and rpc_test and deadly_part_test failed. Both a request and its connection are covered by the one mechanism, instead of a check of unread bytes in each timer.

stall_test: all four cases fail with the code before.

--- a/libcowslip/tm_uv.h
+++ b/libcowslip/tm_uv.h
@@ -10,7 +10,9 @@
 {
   struct tm_service *service;
   uv_timer_t timer;
-  uv_prepare_t refresh;
+  uv_prepare_t before_poll;
+  uv_check_t after_poll;
+  bool stalled; /* the timers that are due fire after the poll */
 };
 
 void tm_uv_start (struct tm_uv *driver, uv_loop_t *loop);
