--- a/regress/wire.c
+++ b/regress/wire.c
@@ -164,10 +164,9 @@
 
   if (*conn->next_part != NULL)
     {
-      char *text = wire_expand_id (conn, *conn->next_part++);
+      const char *text = *conn->next_part++;
 
       wire_send (&conn->tcp, conn->endpoint, text, strlen (text));
-      g_free (text);
       /* The reset must follow the last bytes without a pause.  */
       if (*conn->next_part == NULL
           && (conn->end_action == WIRE_RESET
@@ -194,11 +193,14 @@
 wire_conn_respond (struct wire_conn *conn)
 {
   const struct wire_script *script = wire_current_script (conn->endpoint);
+  char *text;
 
   if (script == NULL || script->bytes == NULL)
     return;
+  text = wire_expand_id (conn, script->bytes);
   g_strfreev (conn->parts);
-  conn->parts = g_strsplit (script->bytes, "|", -1);
+  conn->parts = g_strsplit (text, "|", -1);
+  g_free (text);
   conn->next_part = conn->parts;
   conn->end_action = script->end_action;
   wire_conn_send_next (&conn->timer);
