Apply a raised head limit to kept connections

A connection kept the limit on heads that was in force when it was accepted, so that a request that the configuration allows got 431 after a change. Found by reading what a change of the configuration does to kept connections. h1_server_test (raised head limit) fails with the code before.

--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -211,6 +211,8 @@
   if (!exchange->parser.started)
     {
       exchange->request_us = tm_now_us (exchange->server->tm);
+      exchange->parser.head_max_bytes
+          = exchange->server->limits.head_max_bytes;
       h1_exchange_set_timeout (exchange,
                                exchange->server->limits.head_timeout_ms);
     }
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -11,11 +11,13 @@
 /* More than the kernel buffers of a connection hold.  */
 #define BODY_BYTES (64U << 20)
 /* Longer than the time that a caller has to close its side.  */
-#define READER_PAUSE_MS 1200
-#define US_PER_MS       UINT64_C (1000)
-#define SHORT_IDLE_MS   300
-#define LONG_IDLE_MS    3000
-#define SMALL_REQUEST   "GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
+#define READER_PAUSE_MS  1200
+#define US_PER_MS        UINT64_C (1000)
+#define SHORT_IDLE_MS    300
+#define LONG_IDLE_MS     3000
+#define SHORT_HEAD_BYTES 200
+#define LONG_HEAD_BYTES  4096
+#define SMALL_REQUEST    "GET /small HTTP/1.1\r\nHost: h\r\n\r\n"
 
 static struct tm_uv timer;
 static struct h1_server *server;
@@ -103,9 +105,9 @@
 }
 
 static void
-set_idle_timeout (uint32_t idle_timeout_ms)
+set_limits (size_t head_max_bytes, uint32_t idle_timeout_ms)
 {
-  struct h1_limits limits = { .head_max_bytes = 4096,
+  struct h1_limits limits = { .head_max_bytes = head_max_bytes,
                               .body_max_bytes = 4096,
                               .head_timeout_ms = 5000,
                               .idle_timeout_ms = idle_timeout_ms,
@@ -114,6 +116,12 @@
   h1_server_set_limits (server, &limits);
 }
 
+static void
+set_idle_timeout (uint32_t idle_timeout_ms)
+{
+  set_limits (LONG_HEAD_BYTES, idle_timeout_ms);
+}
+
 /* Return a caller that has got one response on a connection that is kept.  */
 static struct wire_caller *
 keep_connection (void)
@@ -159,6 +167,29 @@
   CU_ASSERT_TRUE (end_connection (caller));
 }
 
+/* Guards against refusing a request on a kept connection for a limit that is
+   no longer in force.  */
+static void
+test_raised_head_limit (void)
+{
+  char *value = g_strnfill (2 * SHORT_HEAD_BYTES, 'x');
+  char *request = g_strdup_printf (
+      "GET /small HTTP/1.1\r\nHost: h\r\nA: %s\r\n\r\n", value);
+  struct wire_caller *caller;
+
+  start ();
+  set_limits (SHORT_HEAD_BYTES, LONG_IDLE_MS);
+  caller = keep_connection ();
+  set_limits (LONG_HEAD_BYTES, LONG_IDLE_MS);
+  wire_caller_send (caller, request);
+  while (wire_caller_responses (caller) < 2 && !wire_caller_closed (caller))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (wire_caller_status (caller), 200);
+  CU_ASSERT_TRUE (end_connection (caller));
+  g_free (request);
+  g_free (value);
+}
+
 /* Guards against closing an idle connection whose next request has arrived
    while this process was stalled.  */
 static void
@@ -251,6 +282,7 @@
       = { { "slow reader of the last response", test_last_response },
           { "slow reader and the idle timeout", test_idle_timeout },
           { "raised idle timeout", test_raised_limit },
+          { "raised head limit", test_raised_head_limit },
           { "request that arrived during a stall", test_stall },
           { "closing idle connections", test_close_idle },
           { "reports of unfinished work", test_reports },
