Count the end of the grace period when accepting work in a stop

A request with more time than it usually needs was taken up to 1 s (a stream: 5 s) before SIGKILL, but remaining requests are ended 0.4 s earlier, and a response of a model that is no stream was counted as a short one. Such requests were passed on and ended by the gateway with 504, or cut if their response had begun.

The flag is named after what it means.

--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -272,7 +272,8 @@
   const struct gw *gw = request->gw;
   uint64_t since_ms = (tm_now_us (gw->tm) - gw->drain_start_us) / GW_US_PER_MS;
   struct drn_input input
-      = { .stream = request->route->kind == RTE_STREAM,
+      = { .generates
+          = request->route->kind == RTE_STREAM || request->model != NULL,
           .remaining_ms = gw_remaining_ms (request),
           .grace_ms = since_ms < gw->settings->grace_ms
                           ? (uint32_t)(gw->settings->grace_ms - since_ms)
--- a/libcowslip/drn.h
+++ b/libcowslip/drn.h
@@ -10,7 +10,7 @@
 
 struct drn_input
 {
-  bool stream;
+  bool generates;        /* a stream, or a request to a model */
   uint32_t remaining_ms; /* until the caller's deadline */
   uint32_t grace_ms;     /* until SIGKILL */
   uint32_t margin_ms;    /* before it the remaining requests are ended */
--- a/regress/gw_script.c
+++ b/regress/gw_script.c
@@ -14,7 +14,7 @@
        [earlier]
      wtq [cold] [known] [stream] target=MS gap=MS total=MS waited=MS paused=MS
      begin left=MS age=MS held=N    at an instance that is starting
-     drn [stream] left=MS grace=MS [margin=MS]
+     drn [generates] left=MS grace=MS [margin=MS]
      limits RATIO EXTRA WINDOW-MS INSTANCES | request N | repeat N
      advance MS
      route HOST PREFIX KIND [resumable] [SERVICE=WEIGHT...]
@@ -102,7 +102,7 @@
 static void
 run_drn (void)
 {
-  struct drn_input input = { .stream = has_flag ("stream"),
+  struct drn_input input = { .generates = has_flag ("generates"),
                              .remaining_ms = get_number ("left"),
                              .grace_ms = get_number ("grace"),
                              .margin_ms = get_number ("margin") };
