--- a/regress/res_sim_engine.c
+++ b/regress/res_sim_engine.c
@@ -274,7 +274,7 @@
   engine->started_ms = rsm_now (sim) / RSM_US_PER_MS + 2;
   engine->orders = 0;
   engine->busy = false;
-  g_ptr_array_set_size (engine->resident.models, 0);
+  flt_weights_drop_models (&engine->resident);
   g_ptr_array_set_size (engine->resident.in_memory, 0);
   g_array_set_size (engine->incoming, 0);
   rsm_announce (sim, engine);
