Test heads that an endpoint cuts at each byte

It cannot happen here: a head is passed on when it is complete. gw_answers_test cuts a head at each of its bytes now; all give 502. Passes with the code before too (same parser).

--- a/regress/gw_answers_test.c
+++ b/regress/gw_answers_test.c
@@ -510,6 +510,32 @@
   g_free (bytes);
 }
 
+/* Guards against a response that looks complete although the endpoint closed
+   the connection anywhere within its head.  */
+static void
+test_cut_heads (void)
+{
+  static const char head[] = GWF_OK_HEAD "Content-Length: 0\r\n\r\n";
+
+  gwf_start ();
+  for (size_t bytes = 1; bytes < sizeof head - 1; bytes++)
+    {
+      char *part = g_strndup (head, bytes);
+      char *request = gwf_request_text ("once");
+      const struct gwf_case cut = { .name = part,
+                                    .path = "once",
+                                    .first = { part, WIRE_CLOSE, false },
+                                    .second = { GWF_RESPONSE_B, 0, false },
+                                    .status = 502,
+                                    .body = "",
+                                    .complete = true };
+
+      gwf_run_case (&cut, request);
+      g_free (request);
+      g_free (part);
+    }
+}
+
 int
 main (void)
 {
@@ -519,6 +545,7 @@
           { "pause without a retry budget", test_pause_without_budget },
           { "dripping responses", test_dripping },
           { "cut before the limit", test_cut_before_limit },
+          { "heads that are cut", test_cut_heads },
           { NULL, NULL } };
 
   return unit_main ("gw_answers", tests);
