--- a/review/two/case_handover.c
+++ b/review/two/case_handover.c
@@ -10,14 +10,16 @@
 #include "store.h"
 
 /* ONE.  The leader is stopped as planned while an order of its is on its way
-   over a link that loses packets.  The engine must not get it after an order
-   of the next leader.  */
+   over a link that is cut for a moment.  The engine must not get it after an
+   order of the next leader, later than ThawSlackMs after the link has healed.
+ */
 
 #define MACHINES      4
 #define SETTLE_MS     6000
 #define TERM_AFTER_MS 20
-/* A segment that is lost is sent again after 200 ms, and after 400 ms more if
-   it is lost again.  */
+/* The link is cut when the order is sent, and heals again.  TCP repeats what
+   was lost after 200 ms, which is lost too, and after 400 ms more.  */
+#define CUT_MS        250
 #define RESENT_MS     600
 #define LEASE_MS      3000
 #define WATCHED_MS    2500
@@ -183,7 +185,7 @@
 }
 
 /* The first order enters the path: its sender is about to be stopped, and the
-   link loses it twice.  */
+   link is cut.  */
 static void
 delay_first_order (const struct rig_message *message)
 {
@@ -202,8 +204,12 @@
     }
   pthread_mutex_unlock (&lock);
   json_object_put (json);
-  if (first && rig_has_trouble ())
-    rig_sleep_ms (RESENT_MS);
+  if (!first || !rig_has_trouble ())
+    return;
+  rig_note ("the link from %s to the engine is cut", first_leader);
+  rig_sleep_ms (CUT_MS);
+  rig_note ("the link heals");
+  rig_sleep_ms (RESENT_MS - CUT_MS);
 }
 
 /* The links between the machines and the engine.  */
