Do not keep trailers of a chunked body as fields of the head

A crowd whose requests have trailers of many small fields took a gateway of 64 MB to 183 MB, and a trailer was passed on to the endpoint like a field of the head.

Cause: the parser added fields that come after the body to the head that had already been reported; a field of one byte takes some 90 bytes.

Now their bytes count for the limit on the head, as before, and nothing is kept.

--- a/libcowslip/h1_parser.c
+++ b/libcowslip/h1_parser.c
@@ -49,7 +49,8 @@
 
   if (parser->in_value)
     h1_end_field (parser);
-  g_string_append_len (parser->name, data, (gssize)bytes);
+  if (!parser->head_complete)
+    g_string_append_len (parser->name, data, (gssize)bytes);
   return h1_count_head_bytes (parser, bytes);
 }
 
@@ -58,8 +59,12 @@
 {
   struct h1_parser *parser = h1_of (http);
 
-  parser->in_value = true;
-  g_string_append_len (parser->value, data, (gssize)bytes);
+  /* Trailers are not fields of the head, and nobody needs them.  */
+  if (!parser->head_complete)
+    {
+      parser->in_value = true;
+      g_string_append_len (parser->value, data, (gssize)bytes);
+    }
   return h1_count_head_bytes (parser, bytes);
 }
 
@@ -80,6 +85,7 @@
   struct h1_head *head = &parser->head;
 
   h1_end_field (parser);
+  parser->head_complete = true;
   /* Upgrades are not supported, so the bytes that follow are HTTP.  */
   http->upgrade = 0;
   if (http->type == HTTP_REQUEST)
@@ -171,6 +177,7 @@
   parser->in_value = false;
   parser->complete = false;
   parser->started = false;
+  parser->head_complete = false;
   parser->head_bytes = 0;
 }
 
--- a/libcowslip/h1_parser.h
+++ b/libcowslip/h1_parser.h
@@ -36,7 +36,8 @@
   bool complete;
   bool started; /* part of the current message was received */
   bool too_long;
-  size_t head_bytes;
+  bool head_complete; /* what follows are trailers */
+  size_t head_bytes;  /* with trailers */
   size_t head_max_bytes;
 };
 
