Bound by one budget what callers can fill in a gateway

Cause: limits for a request, none for their sum. A body was kept by the exchange, again as text of the call and a third time while its endpoint did not read; a field of one byte took 90; responses waited for callers who never read; and the kernel's buffers of each connection grew to megabytes. Only the number of connections bounded the total: 2,000 of 4 MiB.

Now each process has one budget (mbg_), half of the memory of its machine (new setting memory_mb, option -m; default that of the machine, at most 256 MiB). Bodies, heads beyond 4 KB, pipelined bytes, unsent responses, messages of other instances and, at 64 KB each, requests in progress take from it and give back. A body is kept once (h1_body), also while it is sent. The kernel's buffers are limited for each connection. When the budget is used up, a caller that stalls is closed for one that sends; otherwise the newcomer gets 503 with the new reason "memory", before anything is passed on, and a Retry-After from the rate at which memory was given back lately. Requests in progress are never evicted; their endpoints are not read while callers leave responses unread. A quarter is kept for callers with little, readiness checks and metrics have memory of their own. Connections beyond the limit get 503 "connections", after idle ones have been closed for them, instead of being closed without a word. Heads and bodies over their limits are logged and counted by reason too.

Crowd and bounds are unchanged; the settings of the test now state the machine's memory.

--- a/cowslipcoved/gw.c
+++ b/cowslipcoved/gw.c
@@ -113,12 +113,19 @@
 gw_start_network (struct gw *gw, GError **error)
 {
   static const struct h1_server_events events
-      = { gw_on_request, gw_on_unfinished };
+      = { .request = gw_on_request,
+          .rejected = gw_on_rejected,
+          .unfinished = gw_on_unfinished };
 
+  gw->budget = mbg_new (gw->tm, gw->settings->memory_mb * GW_BYTES_PER_MB);
   gw->pool = h1_pool_new (gw->loop, gw->tm);
+  h1_pool_set_budget (gw->pool, gw->budget);
   gw->callers = h1_server_new (gw->loop, gw->tm, gw->settings->caller_address,
                                &events, gw, error);
-  return gw->callers != NULL && gw_status_start (gw, error);
+  if (gw->callers == NULL)
+    return false;
+  h1_server_set_budget (gw->callers, gw->budget);
+  return gw_status_start (gw, error);
 }
 
 /* Return the delay until a read that has failed is repeated, in
@@ -157,9 +164,10 @@
 }
 
 /* Run a gateway with the settings in SETTINGS_FILE until a signal stops it.
-   Return the exit status.  */
+   MEMORY_MB replaces the memory of the machine in the settings, unless it is
+   0. Return the exit status.  */
 int
-gw_run (const char *settings_file)
+gw_run (const char *settings_file, uint32_t memory_mb)
 {
   struct gw *gw = &gw_instance;
   GError *error = NULL;
@@ -171,6 +179,8 @@
       fprintf (stderr, "cowslipcoved: %s\n", error->message);
       return EXIT_FAILURE;
     }
+  if (memory_mb != 0)
+    gw->settings->memory_mb = memory_mb;
   lg_set_threshold ((enum lg_severity)gw->settings->log_level);
   gw->loop = uv_default_loop ();
   tm_uv_start (&gw->clock, gw->loop);
@@ -190,9 +200,12 @@
       return EXIT_FAILURE;
     }
   gw_watch_signals (gw);
-  lg_write (LG_START, "instance=%s zone=%s callers=%s peers=%s",
+  lg_write (LG_START,
+            "instance=%s zone=%s callers=%s peers=%s memory_mb=%u "
+            "budget_bytes=%" G_GUINT64_FORMAT,
             gw->settings->instance, gw->settings->zone,
-            gw->settings->caller_address, gw->settings->peer_address);
+            gw->settings->caller_address, gw->settings->peer_address,
+            gw->settings->memory_mb, mbg_limit_bytes (gw->budget, MBG_CLIENT));
   uv_run (gw->loop, UV_RUN_DEFAULT);
   lg_write (LG_STOP, "instance=%s", gw->settings->instance);
   return EXIT_SUCCESS;
--- a/cowslipcoved/gw_answer.c
+++ b/cowslipcoved/gw_answer.c
@@ -9,6 +9,9 @@
 #define GW_RETRY_AFTER_SHARE 0.25
 #define GW_RETRY_AFTER_MIN_S 0.2
 #define GW_MS_PER_S          1000.0
+/* Retry-After of a caller that stalled and whose connection was given to
+   another one: it gets a new one at once.  */
+#define GW_CONNECTIONS_RETRY_AFTER_MS 500
 /* Time after which a request that crashed endpoints may be tried again.  */
 #define GW_POISON_RETRY_AFTER_S 60.0
 
@@ -32,6 +35,36 @@
             unfinished->unread_bytes, unfinished->unsent_bytes);
 }
 
+/* Refuse the request in EXCHANGE, which is not complete, because of
+   REJECTION.  */
+void
+gw_on_rejected (void *arg, struct h1_exchange *exchange,
+                enum h1_rejection rejection)
+{
+  struct gw *gw = arg;
+  size_t bytes = (size_t)h1_exchange_head (exchange)->length_bytes;
+
+  switch (rejection)
+    {
+    case H1_REJECT_HEAD_TOO_LARGE:
+      gw_reject (gw, exchange, RSN_HEAD_TOO_LARGE);
+      return;
+    case H1_REJECT_BODY_TOO_LARGE:
+      gw_reject (gw, exchange, RSN_TOO_LARGE);
+      return;
+    case H1_REJECT_MEMORY:
+      gw_reject_until (gw, exchange, RSN_MEMORY,
+                       mbg_retry_after_ms (gw->budget, bytes));
+      return;
+    case H1_REJECT_CONNECTIONS:
+      gw_reject_until (gw, exchange, RSN_CONNECTIONS,
+                       GW_CONNECTIONS_RETRY_AFTER_MS);
+      return;
+    default:
+      gw_reject (gw, exchange, RSN_BAD_REQUEST);
+    }
+}
+
 /* Return the Retry-After of REQUEST, which is refused for REASON, in
    seconds.  */
 static double
--- a/cowslipcoved/gw_attempt.c
+++ b/cowslipcoved/gw_attempt.c
@@ -189,6 +189,14 @@
   h1_head_clear (&request->response);
 }
 
+/* Return how many bytes of a response may wait to be sent: without memory for
+   callers with much, only those that have been read already.  */
+static size_t
+gw_pending_max_bytes (const struct gw *gw)
+{
+  return mbg_is_short (gw->budget) ? 0 : GW_PENDING_MAX_BYTES;
+}
+
 static void
 gw_forward_body (void *arg, const char *data, size_t bytes)
 {
@@ -206,7 +214,8 @@
   h1_response_body (request->exchange, data, bytes);
   /* The last bytes are passed on when the call has ended.  */
   if (request->call != NULL
-      && h1_exchange_pending_bytes (request->exchange) > GW_PENDING_MAX_BYTES)
+      && h1_exchange_pending_bytes (request->exchange)
+             > gw_pending_max_bytes (request->gw))
     h1_call_set_reading (request->call, false);
 }
 
@@ -508,7 +517,7 @@
       || flt_list_has (request->tried, endpoint->entry.id))
     send.idle_max_ms = 0;
 
-  send.body = h1_exchange_body (request->exchange, &send.body_bytes);
+  send.shared_body = h1_exchange_shared_body (request->exchange);
   gw_build_request_head (request, endpoint, &head);
   request->call = h1_call_start (gw->pool, &send, &gw_call_events, request);
   h1_head_clear (&head);
--- a/cowslipcoved/gw_impl.h
+++ b/cowslipcoved/gw_impl.h
@@ -18,6 +18,7 @@
 #include "kv.h"
 #include "kv_backoff.h"
 #include "ldr.h"
+#include "mbg.h"
 #include "pck.h"
 #include "prt.h"
 #include "rbg.h"
@@ -33,7 +34,8 @@
    requests.  */
 #define GW_DRAIN_MARGIN_MS 400
 
-#define GW_US_PER_MS UINT64_C (1000)
+#define GW_US_PER_MS    UINT64_C (1000)
+#define GW_BYTES_PER_MB (UINT64_C (1) << 20)
 
 /* What is known about requests that crash endpoints.  */
 struct gw_blame
@@ -58,6 +60,7 @@
   struct gws_settings *settings;
   struct http_client *client; /* for the store and for orders to engines */
   struct h1_pool *pool;       /* connections to endpoints */
+  struct mbg_budget *budget;  /* for all that callers can fill */
   struct h1_server *callers;
   struct h1_server *ready; /* readiness checks of the load balancer */
   struct h1_server *metrics;
@@ -219,6 +222,8 @@
                        uint64_t arrived_us);
 void gw_reject (struct gw *gw, struct h1_exchange *exchange,
                 enum rsn_refusal reason);
+void gw_reject_until (struct gw *gw, struct h1_exchange *exchange,
+                      enum rsn_refusal reason, uint32_t retry_after_ms);
 
 /* gw_held.c */
 bool gw_is_loaded (const struct gw *gw);
@@ -228,6 +233,8 @@
 
 /* gw_answer.c */
 void gw_on_unfinished (void *arg, const struct h1_unfinished *unfinished);
+void gw_on_rejected (void *arg, struct h1_exchange *exchange,
+                     enum h1_rejection rejection);
 void gw_refuse (struct gw_request *request, enum rsn_refusal reason);
 void gw_fail (struct gw_request *request, enum rsn_refusal reason);
 void gw_expire (struct gw_request *request);
--- a/cowslipcoved/gw_peers.c
+++ b/cowslipcoved/gw_peers.c
@@ -93,7 +93,8 @@
                                .incarnation = gw->incarnation,
                                .address = gw->settings->peer_address,
                                .key = key,
-                               .key_bytes = bytes };
+                               .key_bytes = bytes,
+                               .budget = gw->budget };
   GError *error = NULL;
 
   if (gw->rpc != NULL)
--- a/cowslipcoved/gw_request.c
+++ b/cowslipcoved/gw_request.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -14,6 +15,13 @@
    so that the caller, which may still receive its end, leaves first.  */
 #define GW_STARTED_GRACE_MS  50
 #define GW_CHECK_INTERVAL_MS 100
+/* Retry-After of a request without a route.  */
+#define GW_REJECT_RETRY_AFTER_MS 300
+#define GW_MS_PER_S              1000.0
+/* Memory of a request in progress beside its body and head: its state, the
+   response bytes that wait for a slow caller, and those that the kernel has
+   received of its endpoint.  */
+#define GW_REQUEST_BYTES (64U << 10)
 
 static void gw_caller_disconnected (void *arg);
 
@@ -64,6 +72,7 @@
   if (request->adapter_demand != NULL)
     request->adapter_demand->active--;
   g_hash_table_remove (gw->requests, request);
+  mbg_give (gw->budget, GW_REQUEST_BYTES);
   rte_config_unref (request->config);
   g_ptr_array_free (request->tried, TRUE);
   evs_clear (&request->events);
@@ -244,23 +253,39 @@
   return request;
 }
 
-/* Answer EXCHANGE, which has no route, with REASON.  */
+/* Answer EXCHANGE, which has no route, with REASON.  Its head may be
+   incomplete.  */
 void
 gw_reject (struct gw *gw, struct h1_exchange *exchange,
            enum rsn_refusal reason)
 {
-  static const struct h1_field retry_after = { "Retry-After", "0.3" };
+  gw_reject_until (gw, exchange, reason, GW_REJECT_RETRY_AFTER_MS);
+}
+
+/* The same with the time after which the caller may return.  */
+void
+gw_reject_until (struct gw *gw, struct h1_exchange *exchange,
+                 enum rsn_refusal reason, uint32_t retry_after_ms)
+{
+  char text[32];
+  const struct h1_field retry_after = { "Retry-After", text };
   const struct h1_head *head = h1_exchange_head (exchange);
   const char *id = h1_head_get (head, gw->protocol->fields.request_id);
   uint16_t status = rsn_refusal_status (reason);
 
+  (void)snprintf (text, sizeof text, "%.2f", retry_after_ms / GW_MS_PER_S);
   ctr_count_refusal (gw->counters, reason);
   lg_write (
       LG_REFUSED,
-      "id=%s reason=%s status=%u host=%s target=%s config=%" G_GUINT64_FORMAT,
+      "id=%s reason=%s status=%u host=%s target=%s config=%" G_GUINT64_FORMAT
+      " body_bytes=%" G_GUINT64_FORMAT " retry_after_ms=%u "
+      "memory_used_bytes=%" G_GUINT64_FORMAT " connections=%u",
       id == NULL ? "-" : id, rsn_refusal_text (reason), status,
       h1_head_get (head, "Host") == NULL ? "-" : h1_head_get (head, "Host"),
-      head->target, gw->config == NULL ? 0 : gw->config->version);
+      head->target == NULL ? "-" : head->target,
+      gw->config == NULL ? 0 : gw->config->version, head->length_bytes,
+      retry_after_ms, mbg_used_bytes (gw->budget),
+      h1_server_connections (gw->callers));
   h1_respond (exchange, status, &retry_after, status == 503 ? 1 : 0, "");
 }
 
@@ -300,6 +325,12 @@
       gw_reject (gw, exchange, RSN_NOT_FOUND);
       return;
     }
+  if (!mbg_take (gw->budget, GW_REQUEST_BYTES, MBG_CLIENT))
+    {
+      gw_reject_until (gw, exchange, RSN_MEMORY,
+                       mbg_retry_after_ms (gw->budget, GW_REQUEST_BYTES));
+      return;
+    }
   request = gw_request_new (gw, exchange, route, arrived_us);
   rbg_count_request (gw->budgets, request->service_name);
   if (gw_remaining_ms (request) == 0)
--- a/cowslipcoved/main.c
+++ b/cowslipcoved/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -14,16 +15,19 @@
 #include "gws.h"
 #include "kv_etcd.h"
 #include "lg.h"
+#include "mbg.h"
 #include "peers.h"
 #include "requests.h"
 #include "services.h"
 
-#define MAIN_SIGNAL_COUNT 3
+#define MAIN_SIGNAL_COUNT         3
+#define MAIN_MMAP_THRESHOLD_BYTES (128 << 10)
 
 /* Command-line options.  */
 struct main_options
 {
   const char *settings_file;
+  uint32_t memory_mb; /* 0: as in the settings */
   bool check_only;
 };
 
@@ -39,7 +43,24 @@
 const char *argp_program_version = "cowslipcoved 0.1";
 
 static const struct argp_option main_option_list[]
-    = { { "check", 'n', NULL, 0, "check the settings and exit", 0 }, { 0 } };
+    = { { "check", 'n', NULL, 0, "check the settings and exit", 0 },
+        { "memory", 'm', "MIB", 0,
+          "memory of the machine, instead of \"memory_mb\" in the settings",
+          0 },
+        { 0 } };
+
+/* Return the memory that the argument TEXT states.  */
+static uint32_t
+main_parse_memory (const char *text, struct argp_state *state)
+{
+  guint64 memory_mb;
+
+  if (!g_ascii_string_to_unsigned (text, 10, MBG_MEMORY_MIN_MB,
+                                   MBG_MEMORY_MAX_MB, &memory_mb, NULL))
+    argp_error (state, "the memory must be a number from %u to %u",
+                MBG_MEMORY_MIN_MB, MBG_MEMORY_MAX_MB);
+  return (uint32_t)memory_mb;
+}
 
 static error_t
 main_parse_option (int key, char *argument, struct argp_state *state)
@@ -51,6 +72,9 @@
     case 'n':
       options->check_only = true;
       return 0;
+    case 'm':
+      options->memory_mb = main_parse_memory (argument, state);
+      return 0;
     case ARGP_KEY_ARG:
       if (options->settings_file != NULL)
         argp_usage (state);
@@ -241,7 +265,7 @@
   GError *error = NULL;
 
   if (!options->check_only)
-    return gw_run (options->settings_file);
+    return gw_run (options->settings_file, options->memory_mb);
   settings = gws_load (options->settings_file, &error);
   if (settings != NULL)
     {
@@ -258,6 +282,8 @@
   static struct main_process process;
   GError *error = NULL;
 
+  /* Memory of large bodies goes back to the system when they are freed.  */
+  (void)mallopt (M_MMAP_THRESHOLD, MAIN_MMAP_THRESHOLD_BYTES);
   lg_open ("cowslipcoved");
   argp_parse (&main_argp, argc, argv, 0, NULL, &process.options);
   if (gws_is_gateway (process.options.settings_file))
--- a/libcowslip/gws.c
+++ b/libcowslip/gws.c
@@ -1,6 +1,7 @@
 #include "gws.h"
 #include "jsn.h"
 #include "lg.h"
+#include "mbg.h"
 
 #define GWS_MS_PER_S          1000.0
 #define GWS_TIME_MAX_S        3600.0
@@ -44,6 +45,7 @@
   settings->retry_extra = gws_count (reader, "retry_extra", UINT16_MAX);
   settings->retry_window_ms = gws_seconds_ms (reader, "retry_window_s");
   settings->sockets_max = gws_count (reader, "sockets_max", UINT32_MAX);
+  settings->memory_mb = mbg_read_memory_mb (reader);
   settings->cpu_percent
       = (uint32_t)(jsn_fraction (reader, "cpu_share", 0, GWS_CORES_MAX)
                    * GWS_PERCENT);
--- a/libcowslip/gws.h
+++ b/libcowslip/gws.h
@@ -25,6 +25,7 @@
   uint32_t retry_extra;     /* further retries, shared by all instances */
   uint32_t retry_window_ms;
   uint32_t sockets_max;
+  uint32_t memory_mb;   /* of the machine */
   uint32_t cpu_percent; /* CPU limit of the process; 100 is one core */
   uint32_t log_level;   /* syslog severity */
   uint32_t log_lines_per_s;
--- a/libcowslip/h1_conn.c
+++ b/libcowslip/h1_conn.c
@@ -14,6 +14,11 @@
    A peer that has taken no bytes for some of them is considered dead.  */
 #define H1_FLUSH_CHECK_US   1000000
 #define H1_FLUSH_STALLS_MAX 4
+/* Limits on the kernel's buffers of a connection to an endpoint and, for sent
+   bytes, of all connections.  Without them they grow to megabytes if this
+   process or the peer does not read.  */
+#define H1_RECEIVE_BUFFER_BYTES (64 << 10)
+#define H1_SEND_BUFFER_BYTES    (128 << 10)
 /* A peer that acknowledges no data for this long is considered dead.
    Retransmissions on a lossy network path take less than a second.  */
 #define H1_USER_TIMEOUT_MS 4000U
@@ -27,22 +32,29 @@
   uv_connect_t connect;
   uv_shutdown_t shutdown;
   struct tm_timer timer;
+  struct mbg_budget *budget; /* for queued bytes; NULL: not counted */
   size_t pending_bytes;
-  size_t unflushed_bytes; /* at the last check */
+  uint64_t queued_bytes;  /* ever */
+  uint64_t flushed_bytes; /* of them, at the last check */
   uint32_t flush_stalls;
   bool connected;
   bool reading;
   bool shutting_down;
+  bool is_server; /* accepted */
 };
 
 struct h1_write
 {
   uv_write_t request;
   struct h1_conn *conn;
+  struct h1_body *body; /* NULL: DATA is sent */
+  struct mbg_budget *budget;
   size_t bytes;
   char data[];
 };
 
+static void h1_conn_check_flush (void *arg);
+
 static void
 h1_conn_free (uv_handle_t *handle)
 {
@@ -160,19 +172,38 @@
 }
 
 static struct h1_conn *
-h1_conn_new (uv_loop_t *loop, struct tm_service *tm,
-             const struct h1_conn_events *events, void *arg)
+h1_conn_new (struct tm_service *tm, const struct h1_conn_events *events,
+             void *arg)
 {
   struct h1_conn *conn = g_new0 (struct h1_conn, 1);
 
   conn->tm = tm;
   conn->events = events;
   conn->arg = arg;
-  uv_tcp_init (loop, &conn->tcp);
   conn->tcp.data = conn;
   return conn;
 }
 
+/* Limit the kernel's buffers of SOCKET.  Where that is not possible they have
+   the kernel's own limits.  */
+static void
+h1_conn_limit_buffers (uv_tcp_t *socket, size_t receive_bytes)
+{
+  int receive = (int)receive_bytes;
+  int send = H1_SEND_BUFFER_BYTES;
+
+  (void)uv_recv_buffer_size ((uv_handle_t *)socket, &receive);
+  (void)uv_send_buffer_size ((uv_handle_t *)socket, &send);
+}
+
+/* Limit the bytes that the kernel keeps for each connection of LISTENER until
+   they are read to RECEIVE_BYTES.  */
+void
+h1_conn_limit_listener (uv_tcp_t *listener, size_t receive_bytes)
+{
+  h1_conn_limit_buffers (listener, receive_bytes);
+}
+
 static void
 h1_conn_open (struct h1_conn *conn)
 {
@@ -193,8 +224,10 @@
 h1_conn_accept (uv_stream_t *listener, struct tm_service *tm,
                 const struct h1_conn_events *events, void *arg)
 {
-  struct h1_conn *conn = h1_conn_new (listener->loop, tm, events, arg);
+  struct h1_conn *conn = h1_conn_new (tm, events, arg);
 
+  uv_tcp_init (listener->loop, &conn->tcp);
+  conn->is_server = true;
   if (uv_accept (listener, (uv_stream_t *)&conn->tcp) != 0)
     {
       h1_conn_close (conn);
@@ -234,9 +267,15 @@
                  const struct sockaddr_in *address, uint32_t timeout_ms,
                  const struct h1_conn_events *events, void *arg)
 {
-  struct h1_conn *conn = h1_conn_new (loop, tm, events, arg);
+  struct h1_conn *conn = h1_conn_new (tm, events, arg);
 
   conn->connect.data = conn;
+  if (uv_tcp_init_ex (loop, &conn->tcp, AF_INET) != 0)
+    {
+      g_free (conn);
+      return NULL;
+    }
+  h1_conn_limit_buffers (&conn->tcp, H1_RECEIVE_BUFFER_BYTES);
   if (uv_tcp_connect (&conn->connect, &conn->tcp,
                       (const struct sockaddr *)address, h1_conn_on_connect)
       != 0)
@@ -249,6 +288,20 @@
   return conn;
 }
 
+/* Free WRITE, whose bytes are no longer queued.  */
+static void
+h1_write_free (struct h1_write *write)
+{
+  if (write->body != NULL)
+    h1_body_unref (write->body);
+  else if (write->budget != NULL)
+    {
+      mbg_give (write->budget, write->bytes);
+      mbg_unref (write->budget);
+    }
+  g_free (write);
+}
+
 static void
 h1_conn_on_write (uv_write_t *request, int status)
 {
@@ -256,7 +309,7 @@
   struct h1_conn *conn = write->conn;
 
   conn->pending_bytes -= write->bytes;
-  g_free (write);
+  h1_write_free (write);
   if (conn->events == NULL)
     return;
   if (status != 0)
@@ -265,6 +318,50 @@
     conn->events->flushed (conn->arg);
 }
 
+/* Return how many of the bytes that were ever queued for CONN the kernel has
+   taken.  */
+static uint64_t
+h1_conn_flushed_bytes (const struct h1_conn *conn)
+{
+  return conn->queued_bytes
+         - uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
+}
+
+/* Check the progress of CONN's peer while bytes are queued for it.  */
+static void
+h1_conn_watch_flush (struct h1_conn *conn)
+{
+  if (!conn->is_server || conn->shutting_down || tm_pending (&conn->timer))
+    return;
+  conn->flush_stalls = 0;
+  conn->flushed_bytes = h1_conn_flushed_bytes (conn);
+  tm_after (conn->tm, &conn->timer, H1_FLUSH_CHECK_US, h1_conn_check_flush,
+            conn);
+}
+
+/* Queue WRITE, which sends DATA.  */
+static void
+h1_conn_queue (struct h1_conn *conn, struct h1_write *write, const char *data)
+{
+  uv_buf_t buffer = uv_buf_init ((char *)data, (unsigned int)write->bytes);
+
+  write->request.data = write;
+  write->conn = conn;
+  conn->pending_bytes += write->bytes;
+  conn->queued_bytes += write->bytes;
+  if (uv_write (&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
+                h1_conn_on_write)
+      == 0)
+    {
+      h1_conn_watch_flush (conn);
+      return;
+    }
+  conn->pending_bytes -= write->bytes;
+  conn->queued_bytes -= write->bytes;
+  h1_write_free (write);
+  tm_after (conn->tm, &conn->timer, 0, h1_conn_timed_out, conn);
+}
+
 /* Queue a copy of BYTES of DATA.  An error is reported later by the CLOSED
    callback.  */
 void
@@ -283,20 +380,32 @@
   if ((size_t)sent == bytes)
     return;
   write = g_malloc (sizeof *write + bytes - (size_t)sent);
-  write->request.data = write;
-  write->conn = conn;
+  write->body = NULL;
   write->bytes = bytes - (size_t)sent;
+  write->budget = conn->budget == NULL ? NULL : mbg_ref (conn->budget);
+  if (write->budget != NULL)
+    mbg_add (write->budget, write->bytes);
   memcpy (write->data, data + sent, write->bytes);
-  conn->pending_bytes += write->bytes;
-  buffer = uv_buf_init (write->data, (unsigned int)write->bytes);
-  if (uv_write (&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
-                h1_conn_on_write)
-      != 0)
-    {
-      conn->pending_bytes -= write->bytes;
-      g_free (write);
-      tm_after (conn->tm, &conn->timer, 0, h1_conn_timed_out, conn);
-    }
+  h1_conn_queue (conn, write, write->data);
+}
+
+/* Queue BODY, which is not copied.  */
+void
+h1_conn_write_body (struct h1_conn *conn, struct h1_body *body)
+{
+  struct h1_write *write = g_malloc (sizeof *write);
+  const char *data = h1_body_data (body, &write->bytes);
+
+  write->body = h1_body_ref (body);
+  write->budget = NULL;
+  h1_conn_queue (conn, write, data);
+}
+
+/* Take the bytes that are queued for CONN from BUDGET.  */
+void
+h1_conn_set_budget (struct h1_conn *conn, struct mbg_budget *budget)
+{
+  conn->budget = budget;
 }
 
 /* Return the number of bytes queued for sending.  */
@@ -306,23 +415,28 @@
   return conn->pending_bytes;
 }
 
-/* Close the connection ARG, which is being shut down, if its peer takes no
-   more bytes.  */
+/* Close the connection ARG, for which bytes are queued or which is being shut
+   down, if its peer takes no more bytes.  */
 static void
 h1_conn_check_flush (void *arg)
 {
   struct h1_conn *conn = arg;
-  size_t queued
-      = uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
+  uint64_t flushed_bytes = h1_conn_flushed_bytes (conn);
+  size_t taken_bytes = (size_t)(flushed_bytes - conn->flushed_bytes);
 
-  conn->flush_stalls
-      = queued < conn->unflushed_bytes ? 0 : conn->flush_stalls + 1;
-  conn->unflushed_bytes = queued;
+  if (flushed_bytes == conn->queued_bytes && !conn->shutting_down)
+    return;
+  conn->flush_stalls = taken_bytes > 0 ? 0 : conn->flush_stalls + 1;
+  conn->flushed_bytes = flushed_bytes;
   if (conn->flush_stalls >= H1_FLUSH_STALLS_MAX)
-    h1_conn_report_closed (conn, true);
-  else
-    tm_after (conn->tm, &conn->timer, H1_FLUSH_CHECK_US, h1_conn_check_flush,
-              conn);
+    {
+      h1_conn_report_closed (conn, true);
+      return;
+    }
+  tm_after (conn->tm, &conn->timer, H1_FLUSH_CHECK_US, h1_conn_check_flush,
+            conn);
+  if (conn->events != NULL && conn->events->taken != NULL)
+    conn->events->taken (conn->arg, taken_bytes);
 }
 
 static void
@@ -348,8 +462,8 @@
     return;
   conn->shutting_down = true;
   h1_conn_set_reading (conn, true);
-  conn->unflushed_bytes
-      = uv_stream_get_write_queue_size ((const uv_stream_t *)&conn->tcp);
+  conn->flush_stalls = 0;
+  conn->flushed_bytes = h1_conn_flushed_bytes (conn);
   if (uv_shutdown (&conn->shutdown, (uv_stream_t *)&conn->tcp,
                    h1_conn_on_shutdown)
       != 0)
--- a/libcowslip/h1_conn.h
+++ b/libcowslip/h1_conn.h
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <uv.h>
 
+#include "h1_body.h"
 #include "tm.h"
 
 /* One TCP connection on a libuv loop, with its queue of unsent bytes.  */
@@ -22,6 +23,9 @@
   void (*closed) (void *arg, bool reset);
   /* All queued bytes were handed to the kernel; may be NULL.  */
   void (*flushed) (void *arg);
+  /* While bytes are queued: the kernel has taken BYTES since the last call;
+     may be NULL.  */
+  void (*taken) (void *arg, size_t bytes);
 };
 
 struct h1_conn *h1_conn_accept (uv_stream_t *listener, struct tm_service *tm,
@@ -33,6 +37,9 @@
                                  const struct h1_conn_events *events,
                                  void *arg);
 void h1_conn_write (struct h1_conn *conn, const char *data, size_t bytes);
+void h1_conn_write_body (struct h1_conn *conn, struct h1_body *body);
+void h1_conn_set_budget (struct h1_conn *conn, struct mbg_budget *budget);
+void h1_conn_limit_listener (uv_tcp_t *listener, size_t receive_bytes);
 size_t h1_conn_pending_bytes (const struct h1_conn *conn);
 bool h1_conn_has_unread (struct h1_conn *conn);
 bool h1_conn_is_quiet (struct h1_conn *conn);
--- a/libcowslip/h1_parser.c
+++ b/libcowslip/h1_parser.c
@@ -2,6 +2,10 @@
 
 #include "h1_parser.h"
 
+/* Memory that a field takes beside its name and value: its entry, with room
+   for more, and what the allocator adds.  */
+#define H1_FIELD_BYTES 96
+
 static struct h1_parser *
 h1_of (http_parser *parser)
 {
@@ -22,7 +26,11 @@
 h1_end_field (struct h1_parser *parser)
 {
   if (parser->name->len > 0)
-    h1_head_add (&parser->head, parser->name->str, parser->value->str);
+    {
+      h1_head_add (&parser->head, parser->name->str, parser->value->str);
+      parser->memory_bytes
+          += H1_FIELD_BYTES + parser->name->len + parser->value->len;
+    }
   g_string_truncate (parser->name, 0);
   g_string_truncate (parser->value, 0);
   parser->in_value = false;
@@ -161,14 +169,22 @@
   g_string_free (parser->target, TRUE);
 }
 
+/* Free the head of the current message.  */
+void
+h1_parser_forget_head (struct h1_parser *parser)
+{
+  h1_head_clear (&parser->head);
+  h1_head_init (&parser->head);
+  parser->memory_bytes = 0;
+}
+
 /* Reset PARSER for the next message of the connection.  */
 void
 h1_parser_next (struct h1_parser *parser)
 {
   enum http_parser_type type = (enum http_parser_type)parser->parser.type;
 
-  h1_head_clear (&parser->head);
-  h1_head_init (&parser->head);
+  h1_parser_forget_head (parser);
   http_parser_init (&parser->parser, type);
   parser->parser.data = parser;
   g_string_truncate (parser->name, 0);
--- a/libcowslip/h1_parser.h
+++ b/libcowslip/h1_parser.h
@@ -39,12 +39,14 @@
   bool head_complete; /* what follows are trailers */
   size_t head_bytes;  /* with trailers */
   size_t head_max_bytes;
+  size_t memory_bytes; /* that the fields take */
 };
 
 void h1_parser_init (struct h1_parser *parser, enum http_parser_type type,
                      size_t head_max_bytes,
                      const struct h1_parser_events *events, void *arg);
 void h1_parser_clear (struct h1_parser *parser);
+void h1_parser_forget_head (struct h1_parser *parser);
 void h1_parser_next (struct h1_parser *parser);
 enum h1_parse_result h1_parser_feed (struct h1_parser *parser,
                                      const char *data, size_t bytes,
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -20,11 +20,15 @@
 /* Limit on their bodies together.  A late response is as large as a
    generation, some 10 KB; a faulty endpoint sends without end.  */
 #define H1_SKIPPED_MAX_BYTES (256U << 10)
+/* A body up to this size is copied behind the head, so that both are sent at
+   once.  */
+#define H1_COPIED_BODY_MAX_BYTES 16384
 
 struct h1_pool
 {
   uv_loop_t *loop;
   struct tm_service *tm;
+  struct mbg_budget *budget; /* for unsent bytes; NULL: not counted */
   GHashTable *idle; /* peer -> GQueue of struct h1_channel, newest first */
   GQueue cancelled; /* struct h1_channel, to be freed from the loop */
   uint64_t connects;
@@ -58,7 +62,8 @@
   struct h1_channel *channel;
   struct h1_call_events events;
   void *arg;
-  GString *text; /* the serialized request */
+  GString *text;        /* the serialized request without BODY; NULL: sent */
+  struct h1_body *body; /* NULL: in TEXT */
   char *match_name;
   char *match_value;
   bool sent;
@@ -129,6 +134,14 @@
     g_hash_table_remove (pool->idle, peer);
 }
 
+/* Take the memory for unsent bytes of POOL's calls from BUDGET, which must
+   outlive it.  */
+void
+h1_pool_set_budget (struct h1_pool *pool, struct mbg_budget *budget)
+{
+  pool->budget = budget;
+}
+
 /* Free POOL, whose calls must all have ended or been cancelled, and close its
    connections.  POOL may be NULL.  */
 void
@@ -178,10 +191,21 @@
   return pool->received_bytes;
 }
 
+/* Free the request of CALL, which is sent or will not be.  */
+static void
+h1_call_free_request (struct h1_call *call)
+{
+  if (call->text != NULL)
+    g_string_free (call->text, TRUE);
+  h1_body_unref (call->body);
+  call->text = NULL;
+  call->body = NULL;
+}
+
 static void
 h1_call_free (struct h1_call *call)
 {
-  g_string_free (call->text, TRUE);
+  h1_call_free_request (call);
   g_free (call->match_name);
   g_free (call->match_value);
   g_free (call);
@@ -409,13 +433,18 @@
   struct h1_call *call = channel->call;
 
   call->sent = true;
-  channel->pool->sent_bytes += call->text->len;
+  channel->pool->sent_bytes
+      += call->text->len
+         + (call->body == NULL ? 0 : h1_body_bytes (call->body));
   channel->parser.no_body = call->head_request;
   channel->head_received = false;
   channel->skipping = false;
   channel->skipped = 0;
   channel->skipped_bytes = 0;
   h1_conn_write (channel->conn, call->text->str, call->text->len);
+  if (call->body != NULL)
+    h1_conn_write_body (channel->conn, call->body);
+  h1_call_free_request (call);
 }
 
 static void
@@ -425,8 +454,9 @@
 }
 
 static const struct h1_conn_events h1_channel_conn_events
-    = { h1_channel_on_connected, h1_channel_on_data, h1_channel_on_closed,
-        NULL };
+    = { .connected = h1_channel_on_connected,
+        .data = h1_channel_on_data,
+        .closed = h1_channel_on_closed };
 
 /* Return an idle connection to PEER that was idle for at most IDLE_MAX_MS and
    that its peer has left open, or NULL.  */
@@ -469,6 +499,7 @@
       g_free (channel);
       return NULL;
     }
+  h1_conn_set_budget (conn, pool->budget);
   channel->pool = pool;
   channel->conn = conn;
   channel->peer = g_strdup (request->peer);
@@ -478,27 +509,34 @@
   return channel;
 }
 
+/* Return the text of REQUEST, without its shared body if that is large.  */
 static GString *
 h1_request_text (const struct h1_request *request)
 {
   const struct h1_head *head = request->head;
-  GString *text = g_string_sized_new (512 + request->body_bytes);
+  const char *body = request->body;
+  size_t body_bytes = request->body_bytes;
+  GString *text;
 
+  if (request->shared_body != NULL)
+    body = h1_body_data (request->shared_body, &body_bytes);
+  text = g_string_new (NULL);
   g_string_printf (text, "%s %s HTTP/1.1\r\n", head->method, head->target);
   h1_head_print (head, text);
   if (request->close)
     g_string_append (text, "Connection: close\r\n");
-  if (request->body_bytes > 0 || head->has_length || head->chunked)
-    g_string_append_printf (text, "Content-Length: %zu\r\n",
-                            request->body_bytes);
+  if (body_bytes > 0 || head->has_length || head->chunked)
+    g_string_append_printf (text, "Content-Length: %zu\r\n", body_bytes);
   g_string_append (text, "\r\n");
-  g_string_append_len (text, request->body, (gssize)request->body_bytes);
+  if (request->shared_body == NULL || body_bytes <= H1_COPIED_BODY_MAX_BYTES)
+    g_string_append_len (text, body, (gssize)body_bytes);
   return text;
 }
 
-/* Send a copy of REQUEST and report the response to EVENTS with ARG.  Return
-   NULL, without any callback, if no connection can be opened.  No callback is
-   called before this function returns.  */
+/* Send REQUEST, which is copied but for its shared body, and report the
+   response to EVENTS with ARG.  Return NULL, without any callback, if no
+   connection can be opened.  No callback is called before this function
+   returns.  */
 struct h1_call *
 h1_call_start (struct h1_pool *pool, const struct h1_request *request,
                const struct h1_call_events *events, void *arg)
@@ -517,6 +555,9 @@
   call->events = *events;
   call->arg = arg;
   call->text = h1_request_text (request);
+  if (request->shared_body != NULL
+      && h1_body_bytes (request->shared_body) > H1_COPIED_BODY_MAX_BYTES)
+    call->body = h1_body_ref (request->shared_body);
   call->match_name = g_strdup (request->match_name);
   call->match_value = g_strdup (request->match_value);
   call->head_request = g_str_equal (request->head->method, "HEAD");
--- a/libcowslip/h1_pool.h
+++ b/libcowslip/h1_pool.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include "h1_body.h"
 #include "h1_head.h"
 #include "tm.h"
 
@@ -40,6 +41,8 @@
   const struct h1_head *head;
   const char *body;
   size_t body_bytes;
+  struct h1_body *shared_body; /* used instead of BODY, without a copy; or
+                                  NULL */
   /* A response in which this field has another value belongs to an earlier
      request on the connection and is skipped, as is one without the field
      unless the connection is new.  NULL: responses are not checked.  */
@@ -52,6 +55,7 @@
 };
 
 struct h1_pool *h1_pool_new (uv_loop_t *loop, struct tm_service *tm);
+void h1_pool_set_budget (struct h1_pool *pool, struct mbg_budget *budget);
 void h1_pool_free (struct h1_pool *pool);
 void h1_pool_close_idle (struct h1_pool *pool, const char *peer);
 uint64_t h1_pool_connect_count (const struct h1_pool *pool);
--- a/libcowslip/h1_response.c
+++ b/libcowslip/h1_response.c
@@ -66,6 +66,15 @@
   h1_exchange_next_request (exchange);
 }
 
+/* End the response without its end: the connection closes after the bytes that
+   are queued, so that the caller detects that it is incomplete.  */
+void
+h1_response_cut (struct h1_exchange *exchange)
+{
+  exchange->busy = false;
+  h1_exchange_shutdown (exchange);
+}
+
 /* Close the connection within the response, so that the caller detects that
    it is incomplete.  */
 void
--- a/libcowslip/h1_server.c
+++ b/libcowslip/h1_server.c
@@ -3,6 +3,11 @@
 #include "jsn.h"
 
 #define H1_BACKLOG 1024
+/* Part of the machine's memory for bytes that the kernel has received for
+   callers' connections, and bounds on what one of them gets.  */
+#define H1_UNREAD_DIVISOR           8
+#define H1_RECEIVE_BUFFER_MIN_BYTES (16U << 10)
+#define H1_RECEIVE_BUFFER_MAX_BYTES (64U << 10)
 
 /* Limits until h1_server_set_limits is called.  */
 static const struct h1_limits h1_default_limits = { .head_max_bytes = 16384,
@@ -20,6 +25,20 @@
     (void)h1_exchange_accept (server);
 }
 
+/* Limit the kernel's buffer of each connection from now on, so that all of
+   them together stay within their part of the memory.  */
+static void
+h1_server_limit_buffers (struct h1_server *server)
+{
+  uint64_t unread_bytes
+      = mbg_memory_bytes (server->budget) / H1_UNREAD_DIVISOR;
+  uint64_t bytes = unread_bytes / MAX (server->limits.connections_max, 1);
+
+  server->receive_buffer_bytes = (size_t)CLAMP (
+      bytes, H1_RECEIVE_BUFFER_MIN_BYTES, H1_RECEIVE_BUFFER_MAX_BYTES);
+  h1_conn_limit_listener (&server->listener, server->receive_buffer_bytes);
+}
+
 /* Listen on ADDRESS ("IP:PORT"; port 0: any free port) and call EVENTS with
    ARG.  Return NULL and set ERROR if the address is invalid or in use.  */
 struct h1_server *
@@ -35,12 +54,15 @@
   server->events = *events;
   server->arg = arg;
   server->limits = h1_default_limits;
+  server->budget = mbg_new (tm, mbg_machine_bytes ());
   server->connections = g_hash_table_new (g_direct_hash, g_direct_equal);
   uv_tcp_init (loop, &server->listener);
   server->listener.data = server;
   if (adr_parse (address, &local))
     status
         = uv_tcp_bind (&server->listener, (const struct sockaddr *)&local, 0);
+  if (status == 0)
+    h1_server_limit_buffers (server);
   if (status == 0)
     status = uv_listen ((uv_stream_t *)&server->listener, H1_BACKLOG,
                         h1_server_on_connection);
@@ -57,6 +79,17 @@
 h1_server_set_limits (struct h1_server *server, const struct h1_limits *limits)
 {
   server->limits = *limits;
+  h1_server_limit_buffers (server);
+}
+
+/* Take the memory for connections, requests and responses from BUDGET instead
+   of one of SERVER's own.  It must have no connection yet.  */
+void
+h1_server_set_budget (struct h1_server *server, struct mbg_budget *budget)
+{
+  mbg_unref (server->budget);
+  server->budget = mbg_ref (budget);
+  h1_server_limit_buffers (server);
 }
 
 /* Close each connection after its next response.  New connections are still
@@ -93,14 +126,32 @@
 }
 
 static void
-h1_server_closed (uv_handle_t *handle)
+h1_server_release (struct h1_server *server)
 {
-  struct h1_server *server = handle->data;
-
   g_hash_table_destroy (server->connections);
+  mbg_unref (server->budget);
   g_free (server);
 }
 
+static void
+h1_server_listener_closed (uv_handle_t *handle)
+{
+  struct h1_server *server = handle->data;
+
+  server->listener_closed = true;
+  if (server->freed)
+    h1_server_release (server);
+}
+
+/* Close the listening socket.  Open connections go on.  */
+void
+h1_server_stop_accepting (struct h1_server *server)
+{
+  if (!server->listener_closing)
+    uv_close ((uv_handle_t *)&server->listener, h1_server_listener_closed);
+  server->listener_closing = true;
+}
+
 /* Close all connections and free SERVER.  */
 void
 h1_server_free (struct h1_server *server)
@@ -113,7 +164,10 @@
   for (GList *item = all; item != NULL; item = item->next)
     h1_exchange_destroy (item->data);
   g_list_free (all);
-  uv_close ((uv_handle_t *)&server->listener, h1_server_closed);
+  h1_server_stop_accepting (server);
+  server->freed = true;
+  if (server->listener_closed)
+    h1_server_release (server);
 }
 
 /* Return the number of open connections.  */
@@ -123,6 +177,26 @@
   return g_hash_table_size (server->connections);
 }
 
+/* Return the number of connections with a request or a response in
+   progress.  */
+uint32_t
+h1_server_active (const struct h1_server *server)
+{
+  uint32_t active = 0;
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, server->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct h1_exchange *exchange = key;
+
+      if (exchange->busy || h1_conn_pending_bytes (exchange->conn) > 0)
+        active++;
+    }
+  return active;
+}
+
 /* Return the port on which SERVER listens.  */
 uint16_t
 h1_server_port (const struct h1_server *server)
--- a/libcowslip/h1_server.h
+++ b/libcowslip/h1_server.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "ctr.h"
+#include "h1_body.h"
 #include "h1_head.h"
 #include "tm.h"
 
@@ -44,10 +46,30 @@
   size_t unsent_bytes;        /* of the response */
 };
 
+/* Why the server rejects a request that is not complete.  */
+enum h1_rejection
+{
+  H1_REJECT_NONE,
+  H1_REJECT_MALFORMED,
+  H1_REJECT_HEAD_TOO_LARGE,
+  H1_REJECT_BODY_TOO_LARGE,
+  H1_REJECT_MEMORY,     /* the budget is used up */
+  H1_REJECT_CONNECTIONS /* its connection is needed for another caller */
+};
+
 struct h1_server_events
 {
   /* A complete request was received.  */
   void (*request) (void *arg, struct h1_exchange *exchange);
+  /* Respond to a request that is rejected.  Its head may be incomplete, and
+     the connection is closed after the response.  NULL: the server responds
+     itself.  */
+  void (*rejected) (void *arg, struct h1_exchange *exchange,
+                    enum h1_rejection rejection);
+  /* Return whether the request with HEAD is an operator's or a readiness
+     check, which may use the reserves of memory and connections; may be NULL.
+   */
+  bool (*is_control) (void *arg, const struct h1_head *head);
   /* A connection was closed within a request or a response; may be NULL.  */
   void (*unfinished) (void *arg, const struct h1_unfinished *unfinished);
 };
@@ -66,17 +88,25 @@
                                  void *arg, GError **error);
 void h1_server_set_limits (struct h1_server *server,
                            const struct h1_limits *limits);
+void h1_server_set_budget (struct h1_server *server,
+                           struct mbg_budget *budget);
 void h1_server_drain (struct h1_server *server);
+void h1_server_stop_accepting (struct h1_server *server);
 void h1_server_close_idle (struct h1_server *server);
 void h1_server_free (struct h1_server *server);
 uint32_t h1_server_connections (const struct h1_server *server);
+uint32_t h1_server_active (const struct h1_server *server);
+void h1_server_report (const struct h1_server *server,
+                       struct ctr_set *counters);
 uint16_t h1_server_port (const struct h1_server *server);
 
 const char *h1_close_reason_text (enum h1_close_reason reason);
+uint16_t h1_rejection_status (enum h1_rejection rejection);
 
 const struct h1_head *h1_exchange_head (const struct h1_exchange *exchange);
 const char *h1_exchange_body (const struct h1_exchange *exchange,
                               size_t *bytes);
+struct h1_body *h1_exchange_shared_body (const struct h1_exchange *exchange);
 void h1_exchange_set_events (struct h1_exchange *exchange,
                              const struct h1_exchange_events *events,
                              void *arg);
@@ -87,6 +117,7 @@
 void h1_response_body (struct h1_exchange *exchange, const char *data,
                        size_t bytes);
 void h1_response_end (struct h1_exchange *exchange);
+void h1_response_cut (struct h1_exchange *exchange);
 void h1_response_abort (struct h1_exchange *exchange);
 void h1_respond (struct h1_exchange *exchange, uint16_t status,
                  const struct h1_field *fields, size_t field_count,
--- a/libcowslip/rpc.c
+++ b/libcowslip/rpc.c
@@ -12,6 +12,7 @@
   node->loop = loop;
   node->tm = tm;
   node->counters = counters;
+  node->budget = config->budget;
   node->instance = g_strdup (config->instance);
   node->incarnation = config->incarnation;
   node->auth = rpc_auth_new (config->key, config->key_bytes);
--- a/libcowslip/rpc.h
+++ b/libcowslip/rpc.h
@@ -10,6 +10,7 @@
 #include <uv.h>
 
 #include "ctr.h"
+#include "mbg.h"
 #include "tm.h"
 
 #define RPC_ORIGIN_BYTES 129
@@ -71,6 +72,9 @@
   const char *address;
   const void *key;
   size_t key_bytes;
+  /* Counts the messages that are sent or received; must outlive the node;
+     NULL: they are not counted.  */
+  struct mbg_budget *budget;
 };
 
 struct rpc_node *rpc_node_new (uv_loop_t *loop, struct tm_service *tm,
--- a/libcowslip/rpc_conn.c
+++ b/libcowslip/rpc_conn.c
@@ -10,9 +10,27 @@
 struct rpc_write
 {
   uv_write_t request;
+  struct mbg_budget *budget; /* NULL: RECORD is not counted */
   GByteArray *record;
 };
 
+/* Count the memory of the incomplete record of CONN.  It is not refused: it
+   belongs to control, or to a request that an instance has accepted.  */
+static void
+rpc_conn_count_input (struct rpc_conn *conn)
+{
+  struct mbg_budget *budget = conn->node->budget;
+  size_t bytes = conn->input.data->len;
+
+  if (budget == NULL)
+    return;
+  if (bytes > conn->input_taken)
+    mbg_add (budget, bytes - conn->input_taken);
+  else
+    mbg_give (budget, conn->input_taken - bytes);
+  conn->input_taken = bytes;
+}
+
 /* Return an unconnected connection that accepts records of up to
    MAX_BYTES.  */
 struct rpc_conn *
@@ -46,6 +64,8 @@
     return;
   conn->closing = true;
   tm_cancel (conn->node->tm, &conn->timeout);
+  rpc_record_next (&conn->input);
+  rpc_conn_count_input (conn);
   uv_close ((uv_handle_t *)&conn->tcp, rpc_conn_closed);
   conn->on_closed (conn);
 }
@@ -106,7 +126,7 @@
           = rpc_record_feed (&conn->input, &data, &bytes);
 
       if (state == RPC_RECORD_INCOMPLETE)
-        return;
+        break;
       if (state == RPC_RECORD_MALFORMED)
         rpc_conn_report_error (conn, "record");
       if (state == RPC_RECORD_MALFORMED
@@ -118,6 +138,8 @@
         }
       rpc_record_next (&conn->input);
     }
+  if (!conn->closing)
+    rpc_conn_count_input (conn);
 }
 
 /* Start reading records from CONN.  */
@@ -134,6 +156,9 @@
   struct rpc_write *write = request->data;
 
   (void)status;
+  if (write->budget != NULL)
+    mbg_give (write->budget, write->record->len);
+  mbg_unref (write->budget);
   g_byte_array_free (write->record, TRUE);
   g_free (write);
 }
@@ -155,6 +180,11 @@
     }
   write = g_new0 (struct rpc_write, 1);
   write->record = record;
+  if (conn->node->budget != NULL)
+    {
+      write->budget = mbg_ref (conn->node->budget);
+      mbg_add (write->budget, record->len);
+    }
   write->request.data = write;
   conn->node->bytes_sent += record->len;
   uv_write (&write->request, (uv_stream_t *)&conn->tcp, &buffer, 1,
--- a/libcowslip/rpc_impl.h
+++ b/libcowslip/rpc_impl.h
@@ -18,6 +18,7 @@
   uv_connect_t connect;
   struct rpc_node *node;
   struct rpc_record input;
+  size_t input_taken; /* bytes of the budget for INPUT */
   struct tm_timer timeout;
   bool closing;
   /* Return false to close the connection.  */
@@ -40,6 +41,7 @@
   uv_loop_t *loop;
   struct tm_service *tm;
   struct ctr_set *counters;
+  struct mbg_budget *budget; /* NULL: messages are not counted */
   char *instance;
   char address[RPC_AUTH_ADDRESS_BYTES];
   uint64_t incarnation;
--- a/regress/crowd_gateway_test.c
+++ b/regress/crowd_gateway_test.c
@@ -61,9 +61,9 @@
       "\"grace_s\": 8, \"orders_apart_ms\": 3000, \"drain_ms\": 2000,"
       "\"config_apply_ms\": 2000, \"retry_ratio\": 0.2,"
       "\"retry_extra\": 50, \"retry_window_s\": 10, \"cpu_share\": 1,"
-      "\"sockets_max\": %u, \"log_level\": 4}",
+      "\"sockets_max\": %u, \"memory_mb\": %u, \"log_level\": 4}",
       requests[0].port, requests[1].port, requests[2].port,
-      crowd_unused_port (), store_port, SOCKETS);
+      crowd_unused_port (), store_port, SOCKETS, MEMORY_MB);
 }
 
 /* Run PLAN against a new gateway.  */
--- a/regress/crowd_process.c
+++ b/regress/crowd_process.c
@@ -26,6 +26,10 @@
 #define US_PER_MS       1000
 #define RESPONSE_BYTES  4096
 #define INODE_BYTES     24
+/* A process must not keep the memory that it has freed, which the sanitizer
+   does by default, up to 256 MB.  */
+#define SANITIZER_OPTIONS                                                     \
+  "quarantine_size_mb=1:allocator_release_to_os_interval_ms=0"
 /* States of a socket in /proc/net/tcp.  */
 #define STATE_ESTABLISHED 0x01
 #define STATE_CLOSE_WAIT  0x08
@@ -116,6 +120,7 @@
   for (size_t i = 0; arguments[i] != NULL && i + 2 < G_N_ELEMENTS (argv); i++)
     argv[i + 1] = arguments[i];
   if (prctl (PR_SET_PDEATHSIG, SIGKILL) != 0
+      || setenv ("ASAN_OPTIONS", SANITIZER_OPTIONS, 1) != 0
       || dup2 (output, STDOUT_FILENO) < 0 || dup2 (log, STDERR_FILENO) < 0)
     _exit (127);
   execv (path, (char *const *)argv);
--- a/regress/gw_fixture.c
+++ b/regress/gw_fixture.c
@@ -94,6 +94,7 @@
   settings->retry_extra = 1000;
   settings->retry_window_ms = 10000;
   settings->sockets_max = 1000;
+  settings->memory_mb = 256;
   return settings;
 }
 
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -49,7 +49,8 @@
 static void
 start (void)
 {
-  static const struct h1_server_events events = { on_request, on_unfinished };
+  static const struct h1_server_events events
+      = { .request = on_request, .unfinished = on_unfinished };
   GError *error = NULL;
 
   if (server != NULL)
--- a/regress/rpc_test.c
+++ b/regress/rpc_test.c
@@ -79,7 +79,7 @@
 node_new (struct rig *rig, const char *instance, uint64_t incarnation,
           const char *address, const char *key)
 {
-  struct rpc_config config = { instance, incarnation, address, key, 32 };
+  struct rpc_config config = { instance, incarnation, address, key, 32, NULL };
   struct rpc_node *node = rpc_node_new (&rig->loop, rig->clock.service,
                                         rig->counters, &config, NULL);
   static const struct rpc_procedure add
