Serve the own interface with the server of the gateway

What callers saw: an instance with the own interface ended as a gateway did: crowds of bodies, of answers that nobody reads (1.6 GB) or of connections (476 descriptors of 300). Readiness and operators share the port.

Cause: h2o reads a body into buffers of its own, without a callback as bytes arrive, has no limit on connections, and does not read while a request is in progress, so what arrives stays in the kernel. A service call kept a second copy of its body, and its attempt a third and fourth.

http_server is now a layer on h1_server, with the budget of the process and connections_max (new setting, default half of the descriptors). Calls of services share the caller's body, and take 128 KB each while they run. A caller with more than 64 KB unread is dropped while memory is short, instead of 8 MB. Operators with their token, and readiness, liveness and metrics without a body, have reserves of memory and connections. The refusals memory, connections, too_large, head_too_large and bad_request are logged with the caller's id and counted.

Disconnects are seen at once: the polls for them are gone.

--- a/cowslipcoved/admin.c
+++ b/cowslipcoved/admin.c
@@ -58,11 +58,11 @@
   http_respond (exchange, status, ADMIN_TEXT, text, strlen (text));
 }
 
+/* Return whether GIVEN, which may be NULL, is the field with the operators'
+   token.  */
 static bool
-admin_authorized (const struct cd_daemon *daemon,
-                  const struct http_exchange *exchange)
+admin_is_token (const struct cd_daemon *daemon, const char *given)
 {
-  const char *given = http_header_value (exchange, "authorization");
   const char *token = daemon->settings->operator_token;
 
   if (given == NULL || !g_str_has_prefix (given, ADMIN_BEARER))
@@ -74,6 +74,22 @@
          && CRYPTO_memcmp (given, token, strlen (token)) == 0;
 }
 
+/* Return whether HEAD is that of an operator's request to the daemon ARG, or
+   of one without a body for liveness, readiness or metrics.  */
+bool
+cd_admin_is_control (void *arg, const struct h1_head *head)
+{
+  static const char *const targets[] = { "/livez", "/readyz", "/metrics" };
+
+  if (admin_is_token (arg, h1_head_get (head, "Authorization")))
+    return true;
+  for (size_t i = 0; i < G_N_ELEMENTS (targets); i++)
+    if (g_str_equal (head->target, targets[i]) && !head->chunked
+        && head->length_bytes == 0)
+      return true;
+  return false;
+}
+
 static void
 admin_ready (const struct cd_daemon *daemon, struct http_exchange *exchange)
 {
@@ -100,6 +116,7 @@
                  (int64_t)http_client_received_bytes (daemon->client));
   ctr_set_gauge (daemon->counters, "configuration_generation",
                  (int64_t)cd_generation (daemon));
+  http_server_report (daemon->server, daemon->counters);
   ctr_print (daemon->counters, out);
   http_respond (exchange, 200, "text/plain; version=0.0.4", out->str,
                 out->len);
@@ -194,7 +211,7 @@
   bool get = strcmp (http_method (exchange), "GET") == 0;
   bool post = strcmp (http_method (exchange), "POST") == 0;
 
-  if (!admin_authorized (daemon, exchange))
+  if (!admin_is_token (daemon, http_header_value (exchange, "authorization")))
     {
       ctr_add (daemon->counters, "operator_denied_total", 1);
       admin_respond_text (exchange, 401, "operator token missing or wrong\n");
--- a/cowslipcoved/admin.h
+++ b/cowslipcoved/admin.h
@@ -7,6 +7,7 @@
 
 struct cd_admin *cd_admin_new (struct cd_daemon *daemon);
 void cd_admin_free (struct cd_admin *admin);
+bool cd_admin_is_control (void *arg, const struct h1_head *head);
 void cd_admin_handle (struct cd_daemon *daemon,
                       struct http_exchange *exchange);
 
--- a/cowslipcoved/daemon.h
+++ b/cowslipcoved/daemon.h
@@ -70,6 +70,7 @@
   struct tm_service *tm;
   struct ctr_set *counters;
   struct set_settings *settings;
+  struct mbg_budget *budget; /* for all that callers can fill */
   struct http_client *client;
   struct http_server *server;
   struct kv_store kv;
--- a/cowslipcoved/main.c
+++ b/cowslipcoved/main.c
@@ -15,13 +15,14 @@
 #include "gws.h"
 #include "kv_etcd.h"
 #include "lg.h"
-#include "mbg.h"
 #include "peers.h"
+#include "refuse.h"
 #include "requests.h"
 #include "services.h"
 
 #define MAIN_SIGNAL_COUNT         3
 #define MAIN_MMAP_THRESHOLD_BYTES (128 << 10)
+#define MAIN_BYTES_PER_MB         (UINT64_C (1) << 20)
 
 /* Command-line options.  */
 struct main_options
@@ -193,24 +194,34 @@
 {
   struct cd_daemon *daemon = &process->daemon;
   const struct set_settings *settings = daemon->settings;
+  static const struct http_server_events events
+      = { cd_refuse_rejected, cd_admin_is_control };
   struct rpc_config rpc = { .instance = settings->instance,
                             .incarnation = daemon->incarnation,
                             .address = settings->rpc_address,
                             .key = settings->peer_key,
                             .key_bytes = settings->peer_key_bytes };
 
+  daemon->budget
+      = mbg_new (daemon->tm, settings->memory_mb * MAIN_BYTES_PER_MB);
   daemon->client = http_client_new (daemon->loop, daemon->tm);
+  http_client_set_budget (daemon->client, daemon->budget);
   process->kv = kv_etcd_new (daemon->client, daemon->tm, daemon->counters,
                              settings->kv_address, daemon->random);
   daemon->kv = kv_etcd_store (process->kv);
+  rpc.budget = daemon->budget;
   daemon->rpc
       = rpc_node_new (daemon->loop, daemon->tm, daemon->counters, &rpc, error);
   if (daemon->rpc == NULL)
     return false;
-  daemon->server = http_server_new (daemon->loop, settings->http_address,
-                                    settings->body_max_bytes, main_dispatch,
-                                    daemon, error);
-  return daemon->server != NULL;
+  daemon->server = http_server_new (
+      daemon->loop, daemon->tm, settings->http_address,
+      settings->body_max_bytes, main_dispatch, daemon, error);
+  if (daemon->server == NULL)
+    return false;
+  http_server_set_limits (daemon->server, daemon->budget,
+                          settings->connections_max, &events);
+  return true;
 }
 
 static void
@@ -247,10 +258,14 @@
     }
   main_start_modules (daemon);
   main_watch_signals (process);
-  lg_write (LG_START, "instance %s in %s, environment %s, HTTP %s, RPC %s",
+  lg_write (LG_START,
+            "instance %s in %s, environment %s, HTTP %s, RPC %s, memory_mb=%u "
+            "budget_bytes=%" G_GUINT64_FORMAT " connections_max=%u",
             daemon->settings->instance, daemon->settings->zone,
             daemon->settings->environment, daemon->settings->http_address,
-            daemon->settings->rpc_address);
+            daemon->settings->rpc_address, daemon->settings->memory_mb,
+            mbg_limit_bytes (daemon->budget, MBG_CLIENT),
+            daemon->settings->connections_max);
   uv_run (daemon->loop, UV_RUN_DEFAULT);
   lg_write (LG_STOP, "instance %s", daemon->settings->instance);
   set_free (daemon->settings);
@@ -296,6 +311,8 @@
     }
   if (process.options.check_only)
     return EXIT_SUCCESS;
+  if (process.options.memory_mb != 0)
+    process.daemon.settings->memory_mb = process.options.memory_mb;
   lg_set_threshold ((enum lg_severity)process.daemon.settings->log_level);
   return main_run (&process);
 }
--- a/cowslipcoved/refuse.c
+++ b/cowslipcoved/refuse.c
@@ -1,9 +1,13 @@
+#include <string.h>
+
 #include <json-c/json.h>
 
 #include "daemon.h"
 #include "lg.h"
 #include "refuse.h"
 
+#define CD_MS_PER_S 1000
+
 /* Return the delay after which a retry may succeed, in seconds, or 0 if none
    can.  */
 static uint32_t
@@ -16,6 +20,7 @@
     case RSN_RETRY_BUDGET:
     case RSN_DRAINING:
     case RSN_IN_PROGRESS:
+    case RSN_CONNECTIONS:
       return 1;
     case RSN_NO_CONFIGURATION:
     case RSN_CLAIM_UNAVAILABLE:
@@ -52,27 +57,26 @@
   return text;
 }
 
-/* Count and log a refusal for REASON.  */
+/* Count and log the refusal of the request ID for REASON.  */
 void
-cd_refusal_record (struct cd_daemon *daemon, enum rsn_refusal reason,
-                   bool not_run, const char *message)
+cd_refusal_record (struct cd_daemon *daemon, const char *id,
+                   enum rsn_refusal reason, bool not_run, const char *message)
 {
   ctr_count_refusal (daemon->counters, reason);
-  lg_write (LG_REQUEST_REFUSED, "%s%s: %s", rsn_refusal_text (reason),
-            not_run ? ", not run" : "", message);
+  lg_write (LG_REQUEST_REFUSED, "id=%s %s%s: %s", id,
+            rsn_refusal_text (reason), not_run ? ", not run" : "", message);
 }
 
-/* Refuse the request of EXCHANGE for REASON and end the exchange.  NOT_RUN
-   tells the caller that no endpoint has started the request.  */
-void
-cd_refuse (struct cd_daemon *daemon, struct http_exchange *exchange,
-           enum rsn_refusal reason, bool not_run, const char *message)
+static void
+cd_refuse_until (struct cd_daemon *daemon, struct http_exchange *exchange,
+                 enum rsn_refusal reason, bool not_run, const char *message,
+                 uint32_t after_s)
 {
-  uint32_t after_s = cd_retry_after_s (reason);
+  const char *id = http_header_value (exchange, "x-request-id");
   char *text = cd_refusal_text (reason, not_run, message);
   char seconds[16];
 
-  cd_refusal_record (daemon, reason, not_run, message);
+  cd_refusal_record (daemon, id == NULL ? "-" : id, reason, not_run, message);
   if (after_s > 0)
     {
       g_snprintf (seconds, sizeof seconds, "%u", after_s);
@@ -82,3 +86,60 @@
                 text, strlen (text));
   g_free (text);
 }
+
+/* Refuse the request of EXCHANGE for REASON and end the exchange.  NOT_RUN
+   tells the caller that no endpoint has started the request.  */
+void
+cd_refuse (struct cd_daemon *daemon, struct http_exchange *exchange,
+           enum rsn_refusal reason, bool not_run, const char *message)
+{
+  cd_refuse_until (daemon, exchange, reason, not_run, message,
+                   cd_retry_after_s (reason));
+}
+
+/* Refuse the request of EXCHANGE, which needs BYTES, because there is no
+   memory for it.  It has not run.  */
+void
+cd_refuse_memory (struct cd_daemon *daemon, struct http_exchange *exchange,
+                  size_t bytes)
+{
+  uint32_t after_ms = mbg_retry_after_ms (daemon->budget, bytes);
+  char *message = g_strdup_printf (
+      "callers use all memory that they may, %" G_GUINT64_FORMAT " bytes",
+      mbg_used_bytes (daemon->budget));
+
+  cd_refuse_until (daemon, exchange, RSN_MEMORY, true, message,
+                   (after_ms + CD_MS_PER_S - 1) / CD_MS_PER_S);
+  g_free (message);
+}
+
+/* Refuse the request of EXCHANGE, which is not complete, because of
+   REJECTION.  */
+void
+cd_refuse_rejected (void *arg, struct http_exchange *exchange,
+                    enum h1_rejection rejection)
+{
+  struct cd_daemon *daemon = arg;
+
+  switch (rejection)
+    {
+    case H1_REJECT_HEAD_TOO_LARGE:
+      cd_refuse (daemon, exchange, RSN_HEAD_TOO_LARGE, true,
+                 "the head of the request is too large");
+      return;
+    case H1_REJECT_BODY_TOO_LARGE:
+      cd_refuse (daemon, exchange, RSN_TOO_LARGE, true,
+                 "the body of the request is too large");
+      return;
+    case H1_REJECT_MEMORY:
+      cd_refuse_memory (daemon, exchange, 0);
+      return;
+    case H1_REJECT_CONNECTIONS:
+      cd_refuse (daemon, exchange, RSN_CONNECTIONS, true,
+                 "the request stalled and others need its connection");
+      return;
+    default:
+      cd_refuse (daemon, exchange, RSN_BAD_REQUEST, true,
+                 "the request is not valid HTTP");
+    }
+}
--- a/cowslipcoved/refuse.h
+++ b/cowslipcoved/refuse.h
@@ -3,12 +3,17 @@
 
 #include "daemon.h"
 
-/* Formats and records refusals of requests, for use within a stream, where
-   cd_refuse cannot be used.  */
+/* Refusals for the limits on what callers send; and formats and records of
+   refusals for use within a stream, where cd_refuse cannot be used.  */
 
 char *cd_refusal_text (enum rsn_refusal reason, bool not_run,
                        const char *message);
-void cd_refusal_record (struct cd_daemon *daemon, enum rsn_refusal reason,
-                        bool not_run, const char *message);
+void cd_refusal_record (struct cd_daemon *daemon, const char *id,
+                        enum rsn_refusal reason, bool not_run,
+                        const char *message);
+void cd_refuse_memory (struct cd_daemon *daemon,
+                       struct http_exchange *exchange, size_t bytes);
+void cd_refuse_rejected (void *arg, struct http_exchange *exchange,
+                         enum h1_rejection rejection);
 
 #endif
--- a/cowslipcoved/requests_answer.c
+++ b/cowslipcoved/requests_answer.c
@@ -169,7 +169,7 @@
       cd_refuse (daemon, exchange, reason, not_run, message);
       return;
     }
-  cd_refusal_record (daemon, reason, not_run, message);
+  cd_refusal_record (daemon, request->id, reason, not_run, message);
   lg_write (LG_RESPONSE_INCOMPLETE, "%s: %s", request->id,
             rsn_refusal_text (reason));
   error = cd_refusal_text (reason, not_run, message);
--- a/cowslipcoved/services.c
+++ b/cowslipcoved/services.c
@@ -2,8 +2,9 @@
 
 #include "claims.h"
 #include "peers.h"
+#include "refuse.h"
 #include "services.h"
-#include "services_call.h"
+#include "services_impl.h"
 
 #define CD_SERVICE_PREFIX "/svc/"
 #define CD_KEY_MAX_BYTES  255
@@ -197,7 +198,11 @@
   enum rsn_refusal reason;
   const char *message;
 
-  if (cd_call_config_init (services, &config, name, &reason, &message))
+  if (!cd_call_config_init (services, &config, name, &reason, &message))
+    cd_refuse (daemon, exchange, reason, true, message);
+  else if (!mbg_take (daemon->budget, CD_CALL_BYTES, MBG_CLIENT))
+    cd_refuse_memory (daemon, exchange, CD_CALL_BYTES);
+  else
     {
       struct cd_call *call = cd_call_new (&config);
 
@@ -205,8 +210,6 @@
       g_hash_table_add (services->calls, call);
       cd_call_start (call);
     }
-  else
-    cd_refuse (daemon, exchange, reason, true, message);
   g_free (target);
   g_free (name);
 }
--- a/cowslipcoved/services_attempt.c
+++ b/cowslipcoved/services_attempt.c
@@ -113,8 +113,7 @@
       = { .method = call->method,
           .path = call->target,
           .headers = headers,
-          .body = call->body,
-          .body_bytes = call->body_bytes,
+          .shared_body = call->body,
           .timeout_ms = cd_attempt_timeout_ms (call),
           .new_connection = !call->config.is_repeatable };
 
--- a/cowslipcoved/services_call.c
+++ b/cowslipcoved/services_call.c
@@ -84,14 +84,17 @@
 {
   const struct cd_daemon *daemon = call->config.daemon;
   char empty[] = "";
+  size_t body_bytes = 0;
+  const char *body
+      = call->body == NULL ? "" : h1_body_data (call->body, &body_bytes);
   char *claim_key = clm_key (call->service, key);
   char *owner = cd_owner_name (daemon->settings);
   cs_claim claim
       = { .kind = CS_CLAIM_OPEN,
           .key = claim_key,
           .claim_id = clm_new_id (daemon->random, daemon->incarnation),
-          .request_digest = clm_digest (call->method, call->target, "",
-                                        call->body, call->body_bytes),
+          .request_digest
+          = clm_digest (call->method, call->target, "", body, body_bytes),
           .owner = owner,
           .owner_incarnation = daemon->incarnation,
           .content_type = empty };
@@ -101,8 +104,9 @@
   g_free (owner);
 }
 
-/* Return a new call according to CONFIG.  It copies what it needs from the
-   exchange, which the caller may end at any time.  */
+/* Return a new call according to CONFIG, for which CD_CALL_BYTES of the budget
+   were taken.  It copies what it needs from the exchange, which the caller may
+   end at any time.  */
 struct cd_call *
 cd_call_new (const struct cd_call_config *config)
 {
@@ -115,8 +119,8 @@
   call->class_name = g_strdup (config->klass->name);
   call->method = g_strdup (http_method (exchange));
   call->target = g_strdup (config->target);
-  call->body_bytes = http_body_bytes (exchange);
-  call->body = g_memdup2 (http_body (exchange), call->body_bytes);
+  if (http_shared_body (exchange) != NULL)
+    call->body = h1_body_ref (http_shared_body (exchange));
   for (size_t i = 0; i < CD_FORWARDED_HEADERS; i++)
     call->values[i]
         = g_strdup (http_header_value (exchange, cd_forwarded_headers[i]));
@@ -162,7 +166,8 @@
   g_free (call->held_claim.owner);
   g_free (call->method);
   g_free (call->target);
-  g_free (call->body);
+  h1_body_unref (call->body);
+  mbg_give (call->config.daemon->budget, CD_CALL_BYTES);
   g_free (call);
 }
 
--- a/cowslipcoved/services_caller.c
+++ b/cowslipcoved/services_caller.c
@@ -1,11 +1,10 @@
 #include "lg.h"
 #include "services_impl.h"
 
-#define CD_US_PER_MS UINT64_C (1000)
-/* h2o does not report a disconnect before the response has begun.  */
-#define CD_CALLER_POLL_INTERVAL_US    (250 * CD_US_PER_MS)
-#define CD_STATUS_CALLER_DISCONNECTED 499
-#define CD_PENDING_MAX_BYTES          (8U << 20)
+/* Limits on the bytes that a caller leaves unread, the second one while memory
+   is short.  */
+#define CD_PENDING_MAX_BYTES   (8U << 20)
+#define CD_PENDING_SHORT_BYTES (64U << 10)
 
 static void
 cd_count_outcome (const struct cd_call *call, const char *outcome)
@@ -27,44 +26,28 @@
 }
 
 /* The exchange is no longer valid.  The state machine is notified from the
-   event loop, because it may be in the middle of an action.  */
+   event loop, because it may be in the middle of an action.  A call that may
+   not be repeated continues without its caller, whether or not it was sent. */
 static void
 cd_caller_disconnected (void *arg)
 {
   struct cd_call *call = arg;
 
   call->exchange = NULL;
-  tm_after (call->config.daemon->tm, &call->caller_timer, 0,
-            cd_caller_report_disconnect, call);
-}
-
-/* Only a response ends the exchange; its status is never delivered.  */
-static void
-cd_caller_poll (void *arg)
-{
-  struct cd_call *call = arg;
-  struct http_exchange *exchange = call->exchange;
-
-  if (!http_peer_closed (exchange))
+  if (!call->config.is_repeatable && !call->is_streaming)
     {
-      tm_after (call->config.daemon->tm, &call->caller_timer,
-                CD_CALLER_POLL_INTERVAL_US, cd_caller_poll, call);
+      cd_count_outcome (call, "gone");
       return;
     }
-  call->exchange = NULL;
-  http_respond (exchange, CD_STATUS_CALLER_DISCONNECTED, NULL, "", 0);
-  cd_caller_report_disconnect (call);
+  tm_after (call->config.daemon->tm, &call->caller_timer, 0,
+            cd_caller_report_disconnect, call);
 }
 
-/* Detect a disconnect of the caller.  A call that may not be repeated
-   continues without its caller, so its connection is not polled.  */
+/* Detect a disconnect of the caller.  */
 void
 cd_caller_watch (struct cd_call *call)
 {
   http_on_disconnect (call->exchange, cd_caller_disconnected, call);
-  if (call->config.is_repeatable)
-    tm_after (call->config.daemon->tm, &call->caller_timer,
-              CD_CALLER_POLL_INTERVAL_US, cd_caller_poll, call);
 }
 
 static struct http_exchange *
@@ -149,10 +132,18 @@
 
   if (call->exchange == NULL)
     return;
-  tm_cancel (call->config.daemon->tm, &call->caller_timer);
+  call->is_streaming = true;
   http_stream_start (call->exchange, (uint16_t)status, content_type);
 }
 
+/* Return how many bytes the caller of CALL may leave unread.  */
+static size_t
+cd_pending_max_bytes (const struct cd_call *call)
+{
+  return mbg_is_short (call->config.daemon->budget) ? CD_PENDING_SHORT_BYTES
+                                                    : CD_PENDING_MAX_BYTES;
+}
+
 /* Relay BYTES at DATA.  A caller that reads too slowly is disconnected, to
    bound the memory for unsent data.  */
 void
@@ -164,9 +155,16 @@
     return;
   http_stream_write (call->exchange, data, bytes);
   if (call->exchange == NULL
-      || http_stream_pending_bytes (call->exchange) <= CD_PENDING_MAX_BYTES)
+      || http_stream_pending_bytes (call->exchange)
+             <= cd_pending_max_bytes (call))
     return;
-  http_stream_end (cd_detach_exchange (call), false);
+  ctr_add (call->config.daemon->counters, "slow_callers_total", 1);
+  lg_write (
+      LG_CALLER_SLOW,
+      "service %s: %zu bytes unsent, memory_used_bytes=%" G_GUINT64_FORMAT,
+      call->service, http_stream_pending_bytes (call->exchange),
+      mbg_used_bytes (call->config.daemon->budget));
+  http_stream_abort (cd_detach_exchange (call));
   cd_caller_disconnected (call);
 }
 
--- a/cowslipcoved/services_impl.h
+++ b/cowslipcoved/services_impl.h
@@ -7,6 +7,9 @@
 #include "services_call.h"
 
 #define CD_FORWARDED_HEADERS 4
+/* Memory of a call beside its body: its state, a response that is kept, and
+   what the kernel keeps for it.  */
+#define CD_CALL_BYTES (128U << 10)
 
 struct cd_call
 {
@@ -17,13 +20,13 @@
   char *class_name;
   char *method;
   char *target;
-  char *body;
-  size_t body_bytes;
+  struct h1_body *body;               /* NULL: empty */
   char *values[CD_FORWARDED_HEADERS]; /* NULL: not given */
   GPtrArray *tried;                   /* struct clm_endpoint */
   struct clm_endpoint *endpoint;      /* of the current attempt */
   struct clm_endpoint *next_endpoint; /* already picked; NULL: none */
   struct http_call *attempt;
+  bool is_streaming;
   struct tm_timer caller_timer;
   uint64_t deadline_us;
   cs_claim_reply held_claim; /* while the owner's record is read */
--- a/cowslipload/baseline.c
+++ b/cowslipload/baseline.c
@@ -88,7 +88,7 @@
           = g_strdup_printf ("%.*s:%lu", (int)(colon - arguments->address),
                              arguments->address, port + i);
       struct http_server *server = http_server_new (
-          &context->loop, address, BL_BODY_MAX_BYTES, bl_handle,
+          &context->loop, context->tm, address, BL_BODY_MAX_BYTES, bl_handle,
           bl_router_new (context, arguments->seed + i), error);
 
       g_free (address);
--- a/libcowslip/http_client.c
+++ b/libcowslip/http_client.c
@@ -61,6 +61,14 @@
   return client;
 }
 
+/* Take the memory for unsent bytes of CLIENT's calls from BUDGET, which must
+   outlive it.  */
+void
+http_client_set_budget (struct http_client *client, struct mbg_budget *budget)
+{
+  h1_pool_set_budget (client->pool, budget);
+}
+
 /* Free CLIENT, whose calls must all have ended or been cancelled.  The loop
    must run once more to close its handles.  */
 void
@@ -167,8 +175,8 @@
   h1_head_init (head);
   head->method = g_strdup (request->method);
   head->target = g_strdup (request->path);
-  head->has_length
-      = request->body != NULL || strcmp (request->method, "GET") != 0;
+  head->has_length = request->body != NULL || request->shared_body != NULL
+                     || strcmp (request->method, "GET") != 0;
   h1_head_add (head, "Host", request->address);
   for (const struct http_header *h = request->headers;
        h != NULL && h->name != NULL; h++)
@@ -189,6 +197,7 @@
           .head = &head,
           .body = request->body,
           .body_bytes = request->body_bytes,
+          .shared_body = request->shared_body,
           .close = request->new_connection,
           .connect_timeout_ms = HTTP_CONNECT_TIMEOUT_MS,
           .idle_max_ms = request->new_connection ? 0 : HTTP_IDLE_MAX_MS };
--- a/libcowslip/http_client.h
+++ b/libcowslip/http_client.h
@@ -8,6 +8,7 @@
 #include <glib.h>
 #include <uv.h>
 
+#include "h1_body.h"
 #include "h1_head.h"
 #include "tm.h"
 
@@ -42,9 +43,10 @@
   const struct http_header *headers; /* ends with a NULL name; may be NULL */
   const char *body;
   size_t body_bytes;
-  uint32_t timeout_ms;      /* 0: no timeout */
-  uint32_t head_timeout_ms; /* for the response head; 0: TIMEOUT_MS */
-  size_t body_max_bytes;    /* limit of http_fetch; 0: 8 MiB */
+  struct h1_body *shared_body; /* instead of BODY, not copied; or NULL */
+  uint32_t timeout_ms;         /* 0: no timeout */
+  uint32_t head_timeout_ms;    /* for the response head; 0: TIMEOUT_MS */
+  size_t body_max_bytes;       /* limit of http_fetch; 0: 8 MiB */
   bool new_connection; /* open a new connection instead of using the pool */
   /* The header fields of the response are appended to it before on_head;
      NULL: not needed.  It must stay valid until the call ends.  */
@@ -74,6 +76,8 @@
                                   const struct http_response *response);
 
 struct http_client *http_client_new (uv_loop_t *loop, struct tm_service *tm);
+void http_client_set_budget (struct http_client *client,
+                             struct mbg_budget *budget);
 void http_client_free (struct http_client *client);
 struct http_call *http_start (struct http_client *client,
                               const struct http_request *request,
--- a/libcowslip/http_server.c
+++ b/libcowslip/http_server.c
@@ -1,144 +1,110 @@
-#include <h2o.h>
-
-#include <arpa/inet.h>
-#include <errno.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
 
-#include "adr.h"
 #include "http_server.h"
 
-#define HTTP_BACKLOG            1024
+#define HTTP_HEAD_MAX_BYTES 65536
+/* Time to receive a request, head and body.  */
 #define HTTP_REQUEST_TIMEOUT_MS 10000
+#define HTTP_IDLE_TIMEOUT_MS    10000
+/* Connections until http_server_set_limits is called.  */
+#define HTTP_CONNECTIONS_MAX 2000
 
 struct http_server
 {
-  h2o_globalconf_t config;
-  h2o_context_t context;
-  h2o_accept_ctx_t accept;
-  uv_tcp_t *listener;
+  struct h1_server *h1;
+  struct h1_limits limits;
   http_handler handler;
+  struct http_server_events events;
   void *arg;
-  uint32_t active;
 };
 
-/* One buffer is being written to the connection while the other is filled.  */
 struct http_exchange
 {
-  h2o_generator_t generator;
-  h2o_req_t *request;
   struct http_server *server;
+  struct h1_exchange *h1; /* NULL: the caller has disconnected */
   char *method;
   char *path;
   char *query;
-  GString *filling;
-  GString *sending;
+  struct h1_head response;
   void (*disconnected) (void *arg);
   void *disconnected_arg;
   bool streaming;
-  bool ready;
-  bool ended;
-  bool complete;
 };
 
-struct http_h2o_handler
+static void
+http_exchange_free (struct http_exchange *exchange)
 {
-  h2o_handler_t base;
-  struct http_server *server;
-};
-
-static void http_exchange_dispose (void *memory);
-static void http_flush (struct http_exchange *exchange);
+  h1_head_clear (&exchange->response);
+  g_free (exchange->method);
+  g_free (exchange->path);
+  g_free (exchange->query);
+  g_free (exchange);
+}
 
-static int
-http_on_request (h2o_handler_t *base, h2o_req_t *request)
+static void
+http_exchange_disconnected (void *arg)
 {
-  struct http_server *server = ((struct http_h2o_handler *)base)->server;
-  size_t path_bytes
-      = request->query_at == SIZE_MAX ? request->path.len : request->query_at;
-  struct http_exchange *exchange = h2o_mem_alloc_shared (
-      &request->pool, sizeof *exchange, http_exchange_dispose);
+  struct http_exchange *exchange = arg;
+  void (*disconnected) (void *arg) = exchange->disconnected;
+  void *disconnected_arg = exchange->disconnected_arg;
 
-  memset (exchange, 0, sizeof *exchange);
-  exchange->request = request;
-  exchange->server = server;
-  exchange->method = g_strndup (request->method.base, request->method.len);
-  exchange->path = g_strndup (request->path.base, path_bytes);
-  exchange->query = request->query_at == SIZE_MAX
-                        ? g_strdup ("")
-                        : g_strndup (request->path.base + path_bytes + 1,
-                                     request->path.len - path_bytes - 1);
-  server->active++;
-  server->handler (server->arg, exchange);
-  return 0;
+  exchange->h1 = NULL;
+  if (disconnected == NULL)
+    return;
+  http_exchange_free (exchange);
+  disconnected (disconnected_arg);
 }
 
-/* h2o frees the memory pool of a request when the request ends, with or
-   without a response.  */
-static void
-http_exchange_dispose (void *memory)
+/* Return an exchange for H1, whose head may be incomplete.  */
+static struct http_exchange *
+http_exchange_new (struct http_server *server, struct h1_exchange *h1)
 {
-  struct http_exchange *exchange = memory;
+  static const struct h1_exchange_events events
+      = { .disconnected = http_exchange_disconnected };
+  const struct h1_head *head = h1_exchange_head (h1);
+  const char *target = head->target == NULL ? "" : head->target;
+  size_t path_bytes = strcspn (target, "?");
+  struct http_exchange *exchange = g_new0 (struct http_exchange, 1);
 
-  exchange->server->active--;
-  if (!exchange->ended && exchange->disconnected != NULL)
-    exchange->disconnected (exchange->disconnected_arg);
-  g_free (exchange->method);
-  g_free (exchange->path);
-  g_free (exchange->query);
-  if (exchange->filling != NULL)
-    g_string_free (exchange->filling, TRUE);
-  if (exchange->sending != NULL)
-    g_string_free (exchange->sending, TRUE);
+  exchange->server = server;
+  exchange->h1 = h1;
+  exchange->method = g_strdup (head->method == NULL ? "" : head->method);
+  exchange->path = g_strndup (target, path_bytes);
+  exchange->query
+      = g_strdup (target[path_bytes] == '\0' ? "" : target + path_bytes + 1);
+  h1_head_init (&exchange->response);
+  h1_exchange_set_events (h1, &events, exchange);
+  return exchange;
 }
 
 static void
-http_connection_closed (uv_handle_t *handle)
+http_on_request (void *arg, struct h1_exchange *h1)
 {
-  free (handle);
+  struct http_server *server = arg;
+
+  server->handler (server->arg, http_exchange_new (server, h1));
 }
 
 static void
-http_on_connection (uv_stream_t *listener, int status)
+http_on_rejected (void *arg, struct h1_exchange *h1,
+                  enum h1_rejection rejection)
 {
-  struct http_server *server = listener->data;
-  uv_tcp_t *connection;
+  struct http_server *server = arg;
 
-  if (status != 0)
-    return;
-  connection = h2o_mem_alloc (sizeof *connection);
-  uv_tcp_init (listener->loop, connection);
-  if (uv_accept (listener, (uv_stream_t *)connection) != 0)
-    {
-      uv_close ((uv_handle_t *)connection, http_connection_closed);
-      return;
-    }
-  uv_tcp_nodelay (connection, 1);
-  h2o_accept (&server->accept, h2o_uv_socket_create ((uv_stream_t *)connection,
-                                                     http_connection_closed));
+  if (server->events.rejected == NULL)
+    h1_respond (h1, h1_rejection_status (rejection), NULL, 0, "");
+  else
+    server->events.rejected (server->arg, http_exchange_new (server, h1),
+                             rejection);
 }
 
 static bool
-http_listen (struct http_server *server, uv_loop_t *loop, const char *address,
-             GError **error)
-{
-  struct sockaddr_in local;
-  int status = UV_EINVAL;
-
-  server->listener = g_new0 (uv_tcp_t, 1);
-  uv_tcp_init (loop, server->listener);
-  server->listener->data = server;
-  if (adr_parse (address, &local))
-    status = uv_tcp_bind (server->listener, (struct sockaddr *)&local, 0);
-  if (status == 0)
-    status = uv_listen ((uv_stream_t *)server->listener, HTTP_BACKLOG,
-                        http_on_connection);
-  if (status == 0)
-    return true;
-  g_set_error (error, G_FILE_ERROR, G_FILE_ERROR_FAILED, "%s: %s", address,
-               uv_strerror (status));
-  return false;
+http_is_control (void *arg, const struct h1_head *head)
+{
+  const struct http_server *server = arg;
+
+  return server->events.is_control != NULL
+         && server->events.is_control (server->arg, head);
 }
 
 /* Listen on ADDRESS ("IP:PORT"; port 0: any free port) on LOOP and pass each
@@ -146,90 +112,94 @@
    status 413.  Return NULL and set ERROR if the address is invalid or in
    use.  */
 struct http_server *
-http_server_new (uv_loop_t *loop, const char *address, size_t max_body_bytes,
-                 http_handler handler, void *arg, GError **error)
-{
+http_server_new (uv_loop_t *loop, struct tm_service *tm, const char *address,
+                 size_t max_body_bytes, http_handler handler, void *arg,
+                 GError **error)
+{
+  static const struct h1_server_events events
+      = { .request = http_on_request,
+          .rejected = http_on_rejected,
+          .is_control = http_is_control };
   struct http_server *server = g_new0 (struct http_server, 1);
-  struct http_h2o_handler *base;
-  h2o_hostconf_t *host;
-  h2o_pathconf_t *root;
 
   server->handler = handler;
   server->arg = arg;
-  h2o_config_init (&server->config);
-  server->config.max_request_entity_size = max_body_bytes;
-  server->config.http1.req_timeout = HTTP_REQUEST_TIMEOUT_MS;
-  server->config.http1.upgrade_to_http2 = 0;
-  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("cowslipcove"));
-  host = h2o_config_register_host (
-      &server->config, h2o_iovec_init (H2O_STRLIT ("default")), 65535);
-  root = h2o_config_register_path (host, "/", 0);
-  base = (struct http_h2o_handler *)h2o_create_handler (root, sizeof *base);
-  base->base.on_req = http_on_request;
-  base->server = server;
-  h2o_context_init (&server->context, loop, &server->config);
-  server->accept.ctx = &server->context;
-  server->accept.hosts = server->config.hosts;
-  if (http_listen (server, loop, address, error))
-    return server;
-  http_server_free (server);
-  return NULL;
+  server->limits
+      = (struct h1_limits){ .head_max_bytes = HTTP_HEAD_MAX_BYTES,
+                            .body_max_bytes = max_body_bytes,
+                            .head_timeout_ms = HTTP_REQUEST_TIMEOUT_MS,
+                            .idle_timeout_ms = HTTP_IDLE_TIMEOUT_MS,
+                            .connections_max = HTTP_CONNECTIONS_MAX };
+  server->h1 = h1_server_new (loop, tm, address, &events, server, error);
+  if (server->h1 == NULL)
+    {
+      g_free (server);
+      return NULL;
+    }
+  h1_server_set_limits (server->h1, &server->limits);
+  return server;
 }
 
-static void
-http_listener_closed (uv_handle_t *handle)
-{
-  g_free (handle);
+/* Let SERVER take its memory from BUDGET and have at most CONNECTIONS_MAX
+   connections, and call EVENTS with the argument of its handler.  It must have
+   no connection yet.  */
+void
+http_server_set_limits (struct http_server *server, struct mbg_budget *budget,
+                        uint32_t connections_max,
+                        const struct http_server_events *events)
+{
+  server->events = *events;
+  server->limits.connections_max = connections_max;
+  h1_server_set_budget (server->h1, budget);
+  h1_server_set_limits (server->h1, &server->limits);
 }
 
-/* Make callers close their connections: responses carry "connection: close".
+/* Make callers close their connections: responses carry "Connection: close".
    New connections are still accepted.  */
 void
 http_server_close_idle (struct http_server *server)
 {
-  h2o_context_request_shutdown (&server->context);
+  h1_server_drain (server->h1);
 }
 
 /* Close the listening socket.  Active requests continue.  */
 void
 http_server_stop_accepting (struct http_server *server)
 {
-  if (server->listener == NULL)
-    return;
-  uv_close ((uv_handle_t *)server->listener, http_listener_closed);
-  server->listener = NULL;
+  h1_server_stop_accepting (server->h1);
 }
 
-/* Free SERVER, which must have no active request.  Its open connections close
-   when the process exits, because h2o needs its context for them.  */
+/* Free SERVER, which may be NULL and must have no active request, and close
+   its connections.  */
 void
 http_server_free (struct http_server *server)
 {
   if (server == NULL)
     return;
-  http_server_stop_accepting (server);
+  h1_server_free (server->h1);
+  g_free (server);
 }
 
-/* Return the number of requests in progress.  */
+/* Return the number of requests in progress, with those whose response is not
+   sent whole.  */
 uint32_t
 http_server_active (const struct http_server *server)
 {
-  return server->active;
+  return h1_server_active (server->h1);
+}
+
+/* Set the gauges in COUNTERS of the limits of SERVER.  */
+void
+http_server_report (const struct http_server *server, struct ctr_set *counters)
+{
+  h1_server_report (server->h1, counters);
 }
 
 /* Return the port on which SERVER listens, or 0 if it does not listen.  */
 uint16_t
 http_server_port (const struct http_server *server)
 {
-  struct sockaddr_in local;
-  int bytes = sizeof local;
-
-  if (server->listener == NULL
-      || uv_tcp_getsockname (server->listener, (struct sockaddr *)&local,
-                             &bytes)
-             != 0)
-    return 0;
-  return ntohs (local.sin_port);
+  return h1_server_port (server->h1);
 }
 
 /* Return the request's method, as in "POST".  */
@@ -253,25 +223,14 @@
   return exchange->query;
 }
 
-/* Return the value of the request header NAME (lower case), or NULL.  The
-   string lives as long as the exchange.  */
+/* Return the value of the request header NAME, or NULL.  The string lives
+   until the response has ended or the caller has disconnected.  */
 const char *
 http_header_value (const struct http_exchange *exchange, const char *name)
 {
-  const h2o_headers_t *headers = &exchange->request->headers;
-  size_t bytes = strlen (name);
-
-  for (size_t i = 0; i < headers->size; i++)
-    {
-      const h2o_header_t *header = &headers->entries[i];
-
-      if (header->name->len == bytes
-          && h2o_lcstris (header->name->base, bytes, name, bytes))
-        return h2o_strdup (&exchange->request->pool, header->value.base,
-                           header->value.len)
-            .base;
-    }
-  return NULL;
+  return exchange->h1 == NULL
+             ? NULL
+             : h1_head_get (h1_exchange_head (exchange->h1), name);
 }
 
 /* Return the request's body, which is not null-terminated and may contain
@@ -279,16 +238,28 @@
 const char *
 http_body (const struct http_exchange *exchange)
 {
-  return exchange->request->entity.base == NULL
-             ? ""
-             : exchange->request->entity.base;
+  size_t bytes;
+
+  return exchange->h1 == NULL ? "" : h1_exchange_body (exchange->h1, &bytes);
 }
 
 /* Return the size of the request's body in bytes.  */
 size_t
 http_body_bytes (const struct http_exchange *exchange)
 {
-  return exchange->request->entity.len;
+  size_t bytes = 0;
+
+  if (exchange->h1 != NULL)
+    (void)h1_exchange_body (exchange->h1, &bytes);
+  return bytes;
+}
+
+/* Return the request's body, or NULL if it is empty.  A reference to it may
+   outlive the exchange.  */
+struct h1_body *
+http_shared_body (const struct http_exchange *exchange)
+{
+  return exchange->h1 == NULL ? NULL : h1_exchange_shared_body (exchange->h1);
 }
 
 /* Call DISCONNECTED with ARG if the caller disconnects before the response
@@ -301,20 +272,11 @@
   exchange->disconnected_arg = arg;
 }
 
-/* Return whether the caller has closed its connection.  h2o does not read
-   from a connection while it processes a request, so a disconnect before the
-   first byte of the response must be polled for.  */
+/* Return whether the caller has closed its connection.  */
 bool
-http_peer_closed (struct http_exchange *exchange)
+http_peer_closed (const struct http_exchange *exchange)
 {
-  h2o_conn_t *connection = exchange->request->conn;
-  h2o_socket_t *socket = connection->callbacks->get_socket (connection);
-  char byte;
-
-  if (socket == NULL)
-    return true;
-  return recv (h2o_socket_get_fd (socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
-         == 0;
+  return exchange->h1 == NULL;
 }
 
 /* Add a header to the response, before it is started.  */
@@ -322,24 +284,17 @@
 http_add_header (struct http_exchange *exchange, const char *name,
                  const char *value)
 {
-  h2o_req_t *request = exchange->request;
-  h2o_iovec_t n = h2o_strdup (&request->pool, name, SIZE_MAX);
-  h2o_iovec_t v = h2o_strdup (&request->pool, value, SIZE_MAX);
-
-  h2o_add_header_by_str (&request->pool, &request->res.headers, n.base, n.len,
-                         0, NULL, v.base, v.len);
+  h1_head_add (&exchange->response, name, value);
 }
 
 static void
 http_set_head (struct http_exchange *exchange, uint16_t status,
                const char *content_type)
 {
-  h2o_req_t *request = exchange->request;
-
-  request->res.status = status;
-  request->res.reason = status < 400 ? "OK" : "Error";
+  exchange->response.status = status;
+  http_add_header (exchange, "Server", "cowslipcove");
   if (content_type != NULL && content_type[0] != '\0')
-    http_add_header (exchange, "content-type", content_type);
+    http_add_header (exchange, "Content-Type", content_type);
 }
 
 /* Respond with STATUS and BYTES of BODY and end the exchange.  */
@@ -347,54 +302,19 @@
 http_respond (struct http_exchange *exchange, uint16_t status,
               const char *content_type, const char *body, size_t bytes)
 {
-  h2o_req_t *request = exchange->request;
+  struct h1_exchange *h1 = exchange->h1;
 
   http_set_head (exchange, status, content_type);
-  exchange->ended = true;
-  exchange->complete = true;
-  request->res.content_length = bytes;
-  h2o_send_inline (request, body, bytes);
-}
-
-static void
-http_proceed (h2o_generator_t *generator, h2o_req_t *request)
-{
-  struct http_exchange *exchange = (struct http_exchange *)generator;
-
-  (void)request;
-  exchange->ready = true;
-  http_flush (exchange);
-}
-
-static void
-http_stop (h2o_generator_t *generator, h2o_req_t *request)
-{
-  struct http_exchange *exchange = (struct http_exchange *)generator;
-  void (*disconnected) (void *arg) = exchange->disconnected;
-
-  (void)request;
-  exchange->disconnected = NULL;
-  if (!exchange->ended && disconnected != NULL)
-    disconnected (exchange->disconnected_arg);
-}
-
-static void
-http_flush (struct http_exchange *exchange)
-{
-  GString *swap = exchange->sending;
-  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
-  h2o_iovec_t vector;
-
-  if (!exchange->ready || (exchange->filling->len == 0 && !exchange->ended))
-    return;
-  exchange->sending = exchange->filling;
-  exchange->filling = swap;
-  g_string_truncate (exchange->filling, 0);
-  exchange->ready = false;
-  if (exchange->ended)
-    state = exchange->complete ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
-  vector = h2o_iovec_init (exchange->sending->str, exchange->sending->len);
-  h2o_send (exchange->request, &vector, vector.len > 0 ? 1 : 0, state);
+  exchange->response.has_length = true;
+  exchange->response.length_bytes = bytes;
+  if (h1 != NULL)
+    {
+      h1_response_head (h1, &exchange->response);
+      h1_response_body (h1, body, bytes);
+    }
+  http_exchange_free (exchange);
+  if (h1 != NULL)
+    h1_response_end (h1);
 }
 
 /* Start a streamed response.  */
@@ -403,13 +323,9 @@
                    const char *content_type)
 {
   http_set_head (exchange, status, content_type);
-  exchange->filling = g_string_new (NULL);
-  exchange->sending = g_string_new (NULL);
   exchange->streaming = true;
-  exchange->ready = true;
-  exchange->generator.proceed = http_proceed;
-  exchange->generator.stop = http_stop;
-  h2o_start_response (exchange->request, &exchange->generator);
+  if (exchange->h1 != NULL)
+    h1_response_head (exchange->h1, &exchange->response);
 }
 
 /* Append BYTES of DATA to a streamed response.  */
@@ -417,8 +333,8 @@
 http_stream_write (struct http_exchange *exchange, const char *data,
                    size_t bytes)
 {
-  g_string_append_len (exchange->filling, data, (gssize)bytes);
-  http_flush (exchange);
+  if (exchange->h1 != NULL)
+    h1_response_body (exchange->h1, data, bytes);
 }
 
 /* End a streamed response.  If COMPLETE is false the connection closes
@@ -426,28 +342,32 @@
 void
 http_stream_end (struct http_exchange *exchange, bool complete)
 {
-  exchange->ended = true;
-  exchange->complete = complete;
-  http_flush (exchange);
+  struct h1_exchange *h1 = exchange->h1;
+
+  http_exchange_free (exchange);
+  if (h1 != NULL && complete)
+    h1_response_end (h1);
+  else if (h1 != NULL)
+    h1_response_cut (h1);
 }
 
 /* End a streamed response whose caller does not read, and discard the queued
-   bytes.  h2o waits for a pending write, so the socket is shut down beneath
-   it; the write then fails and h2o frees the request.  */
+   bytes.  */
 void
 http_stream_abort (struct http_exchange *exchange)
 {
-  h2o_conn_t *connection = exchange->request->conn;
-  h2o_socket_t *socket = connection->callbacks->get_socket (connection);
+  struct h1_exchange *h1 = exchange->h1;
 
-  http_stream_end (exchange, false);
-  if (socket != NULL)
-    (void)shutdown (h2o_socket_get_fd (socket), SHUT_RDWR);
+  http_exchange_free (exchange);
+  if (h1 != NULL)
+    h1_response_abort (h1);
 }
 
-/* Return the number of queued bytes that are not yet passed to h2o.  */
+/* Return the number of bytes that are queued for the caller.  */
 size_t
 http_stream_pending_bytes (const struct http_exchange *exchange)
 {
-  return exchange->streaming ? exchange->filling->len : 0;
+  return exchange->streaming && exchange->h1 != NULL
+             ? h1_exchange_pending_bytes (exchange->h1)
+             : 0;
 }
--- a/libcowslip/set.c
+++ b/libcowslip/set.c
@@ -1,11 +1,18 @@
 #include <string.h>
+#include <sys/resource.h>
 
 #include "jsn.h"
 #include "lg.h"
+#include "mbg.h"
 #include "set.h"
 
-#define SET_BODY_DEFAULT_BYTES      (4U << 20)
-#define SET_BODY_MAX_BYTES          (64U << 20)
+#define SET_BODY_DEFAULT_BYTES (4U << 20)
+#define SET_BODY_MAX_BYTES     (64U << 20)
+/* Connections if the limit on descriptors is not known, and their share of
+   it.  */
+#define SET_CONNECTIONS_DEFAULT     500
+#define SET_CONNECTIONS_DIVISOR     2
+#define SET_CONNECTIONS_MAX         65535
 #define SET_DRAIN_NOTICE_DEFAULT_MS 3000
 #define SET_DRAIN_DEFAULT_MS        60000
 #define SET_DRAIN_MAX_MS            3600000
@@ -67,6 +74,19 @@
   return peers;
 }
 
+/* Return half of the descriptors that this process may open; the others are
+   for endpoints, peers and the key-value service.  */
+static uint64_t
+set_default_connections (void)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return SET_CONNECTIONS_DEFAULT;
+  return CLAMP (limit.rlim_cur / SET_CONNECTIONS_DIVISOR, 1,
+                SET_CONNECTIONS_MAX);
+}
+
 static void
 set_read_limits (struct jsn_reader *reader, struct set_settings *settings)
 {
@@ -77,6 +97,11 @@
       = (uint32_t)jsn_number (reader, "body_max_bytes",
                               (struct jsn_range){ 1, SET_BODY_MAX_BYTES, false,
                                                   SET_BODY_DEFAULT_BYTES });
+  settings->connections_max = (uint32_t)jsn_number (
+      reader, "connections_max",
+      (struct jsn_range){ 1, SET_CONNECTIONS_MAX, false,
+                          set_default_connections () });
+  settings->memory_mb = mbg_read_memory_mb (reader);
   settings->drain_notice_ms = (uint32_t)jsn_number (
       reader, "drain_notice_ms",
       (struct jsn_range){ 0, SET_DRAIN_MAX_MS, false,
--- a/libcowslip/set.h
+++ b/libcowslip/set.h
@@ -27,6 +27,8 @@
   char *operator_token;
   uint32_t member_number; /* 1 to 65,535, unique in the zone */
   uint32_t body_max_bytes;
+  uint32_t connections_max; /* of callers and operators */
+  uint32_t memory_mb;       /* of the machine */
   uint32_t
       drain_notice_ms; /* requests are accepted for this long after SIGTERM */
   uint32_t drain_max_ms;
