Take the memory of a parsed body from the budget before parsing it

What callers saw: four requests with bodies of 4 MB, each a list of "{}", took an instance with the own interface to 1.1 GB; one of them is inside the limit on bodies.

Cause: json-c takes some 800 bytes for "{}", so the limit on the body does not bound its parsed form. The body is also kept as text, as printed by json-c and as sent.

An upper bound on all of these is taken from the budget first. A request that could never get it is refused as too_large, one that cannot get it now with 503 "memory"; neither has run. Characters within strings do not count, so a text full of brackets is served; settings and configurations, which may have comments, are counted as strictly as before. The response to a request without a stream draws on the budget too; one that finds none is given up, as one over 8 MB is.

--- a/cowslipcoved/body.c
+++ b/cowslipcoved/body.c
@@ -4,11 +4,15 @@
 #include <xxhash.h>
 
 #include "body.h"
+#include "jsn.h"
 
 #define CD_MODEL_MAX_CHARS  128
 #define CD_TOKENS_MAX       1000000
 #define CD_JSON_DEPTH       64
 #define CD_PREFIX_MAX_BYTES 1024
+#define CD_BODY_COPIES      3
+/* State of a request and what the kernel keeps for it.  */
+#define CD_BODY_REQUEST_BYTES (64U << 10)
 
 static struct json_object *
 cd_body_get (const struct cd_body *body, const char *key)
@@ -121,6 +125,16 @@
   return XXH64 (text, bytes, XXH64 (body->model, strlen (body->model), 0)) | 1;
 }
 
+/* Return an upper bound on the memory that TEXT takes as the body of a request
+   in progress: the state of that, its strings and values, its text as json-c
+   prints it, and a copy of that which is sent.  */
+size_t
+cd_body_memory_bytes (const char *text, size_t bytes)
+{
+  return CD_BODY_REQUEST_BYTES + CD_BODY_COPIES * bytes
+         + jsn_strict_parsed_bytes (text, bytes);
+}
+
 /* Parse and check the BYTES at TEXT as the body of a chat or completion
    request.  Return NULL, or an error message for the caller; then BODY is
    empty.  */
--- a/cowslipcoved/body.h
+++ b/cowslipcoved/body.h
@@ -21,6 +21,7 @@
 
 const char *cd_body_parse (struct cd_body *body, bool chat, const char *text,
                            size_t bytes);
+size_t cd_body_memory_bytes (const char *text, size_t bytes);
 void cd_body_clear (struct cd_body *body);
 char *cd_body_write (const struct cd_body *body, int32_t priority,
                      const char *resume_id, uint32_t resume_from);
--- a/cowslipcoved/requests.c
+++ b/cowslipcoved/requests.c
@@ -1,11 +1,14 @@
 #include <string.h>
 
 #include "peers.h"
+#include "refuse.h"
 #include "requests_impl.h"
 
 /* The platform's load balancer takes some seconds to detect a failing
    readiness check; until then a draining instance accepts new requests.  */
 #define CD_DRAIN_GRACE_US 5000000ULL
+/* Memory of a parsed body up to which it may use all that callers have.  */
+#define CD_BODY_SMALL_BYTES (256U << 10)
 
 const struct dsp_actions cd_requests_actions
     = { .launch = cd_request_launch,
@@ -95,10 +98,13 @@
   return name == NULL ? model->default_class : env_class (document, name);
 }
 
+/* Submit a request with BODY, for which TAKEN_BYTES of the budget were
+   taken.  */
 static void
 cd_requests_submit (struct cd_requests *requests,
                     struct http_exchange *exchange,
-                    struct env_document *document, struct cd_body *body)
+                    struct env_document *document, struct cd_body *body,
+                    size_t taken_bytes)
 {
   const struct env_adapter *adapter = env_adapter (document, body->model);
   const struct env_model *model
@@ -112,6 +118,7 @@
   if (class == NULL)
     {
       cd_body_clear (body);
+      mbg_give (requests->daemon->budget, taken_bytes);
       if (model == NULL)
         cd_refuse (requests->daemon, exchange, RSN_UNKNOWN_MODEL, true,
                    "the environment has no such model or adapter");
@@ -132,7 +139,8 @@
                             .can_resume = model->pool->can_resume,
                             .fingerprint = body->fingerprint,
                             .prefix = body->prefix };
-  request = cd_request_new (requests, exchange, body, env_ref (document));
+  request = cd_request_new (requests, exchange, body, taken_bytes,
+                            env_ref (document));
   request->priority = class->priority;
   request->deadline_ms = class->deadline_ms;
   cd_request_start (request, &spec);
@@ -144,6 +152,8 @@
                          struct env_document *document, bool chat)
 {
   struct cd_daemon *daemon = requests->daemon;
+  size_t memory_bytes = cd_body_memory_bytes (http_body (exchange),
+                                              http_body_bytes (exchange));
   struct cd_body body;
   const char *problem;
 
@@ -154,12 +164,27 @@
                  "this instance is shutting down");
       return;
     }
+  if (memory_bytes > mbg_limit_bytes (daemon->budget, MBG_LARGE))
+    {
+      cd_refuse (daemon, exchange, RSN_TOO_LARGE, true,
+                 "the body has too many values");
+      return;
+    }
+  if (!mbg_take (daemon->budget, memory_bytes,
+                 memory_bytes > CD_BODY_SMALL_BYTES ? MBG_LARGE : MBG_CLIENT))
+    {
+      cd_refuse_memory (daemon, exchange, memory_bytes);
+      return;
+    }
   problem = cd_body_parse (&body, chat, http_body (exchange),
                            http_body_bytes (exchange));
-  if (problem != NULL)
-    cd_refuse (daemon, exchange, RSN_BAD_REQUEST, true, problem);
-  else
-    cd_requests_submit (requests, exchange, document, &body);
+  if (problem == NULL)
+    {
+      cd_requests_submit (requests, exchange, document, &body, memory_bytes);
+      return;
+    }
+  mbg_give (daemon->budget, memory_bytes);
+  cd_refuse (daemon, exchange, RSN_BAD_REQUEST, true, problem);
 }
 
 /* Handle EXCHANGE, whose path begins with /v1/.  */
--- a/cowslipcoved/requests_answer.c
+++ b/cowslipcoved/requests_answer.c
@@ -4,16 +4,11 @@
 #include "refuse.h"
 #include "requests_impl.h"
 
-#define CD_CALLER_POLL_INTERVAL_US 1000000
-/* Conventional status for a caller that has closed its connection; it is never
-   delivered.  */
-#define CD_STATUS_CALLER_DISCONNECTED 499
-
 static void
 cd_request_free (struct cd_request *request)
 {
-  tm_cancel (request->requests->daemon->tm, &request->poll_timer);
   cd_request_detach (request);
+  mbg_give (request->requests->daemon->budget, request->taken_bytes);
   cd_body_clear (&request->body);
   env_unref (request->document);
   g_free (request->path);
@@ -30,30 +25,12 @@
     dsp_caller_disconnected (request->request);
 }
 
-/* h2o does not read from the connection while a request is in progress, so a
-   disconnect before the first byte of the response is detected only by
-   polling.  */
-static void
-cd_request_poll_caller (void *arg)
-{
-  struct cd_request *request = arg;
-
-  if (request->streaming || request->exchange == NULL)
-    return;
-  if (http_peer_closed (request->exchange))
-    {
-      dsp_caller_disconnected (request->request);
-      return;
-    }
-  tm_after (request->requests->daemon->tm, &request->poll_timer,
-            CD_CALLER_POLL_INTERVAL_US, cd_request_poll_caller, request);
-}
-
-/* Return a request for EXCHANGE.  It takes ownership of BODY and of a
-   reference to DOCUMENT.  */
+/* Return a request for EXCHANGE.  It takes ownership of BODY, for which
+   TAKEN_BYTES of the budget were taken, and of a reference to DOCUMENT.  */
 struct cd_request *
 cd_request_new (struct cd_requests *requests, struct http_exchange *exchange,
-                struct cd_body *body, struct env_document *document)
+                struct cd_body *body, size_t taken_bytes,
+                struct env_document *document)
 {
   struct cd_request *request = g_new0 (struct cd_request, 1);
 
@@ -61,6 +38,7 @@
   request->exchange = exchange;
   request->document = document;
   request->body = *body;
+  request->taken_bytes = taken_bytes;
   request->path = g_strdup (http_path (exchange));
   g_snprintf (request->id, sizeof request->id, "%s-%08x-%llu",
               requests->daemon->settings->instance,
@@ -75,17 +53,24 @@
 cd_request_start (struct cd_request *request, const struct dsp_spec *spec)
 {
   http_on_disconnect (request->exchange, cd_request_disconnected, request);
-  tm_after (request->requests->daemon->tm, &request->poll_timer,
-            CD_CALLER_POLL_INTERVAL_US, cd_request_poll_caller, request);
   request->request = dsp_request_new (request->requests->dsp, spec, request);
   dsp_request_start (request->request);
 }
 
+/* Return how many bytes a caller may leave unread.  */
+static size_t
+cd_pending_max_bytes (const struct cd_daemon *daemon)
+{
+  return mbg_is_short (daemon->budget) ? CD_PENDING_SHORT_BYTES
+                                       : CD_PENDING_MAX_BYTES;
+}
+
 /* Relay one event of the stream to the caller.  */
 void
 cd_request_send (void *owner, const char *data, size_t bytes)
 {
   struct cd_request *request = owner;
+  size_t pending_bytes;
 
   if (request->exchange == NULL || request->slow)
     return;
@@ -97,12 +82,15 @@
       request->streaming = true;
     }
   http_stream_write (request->exchange, data, bytes);
-  if (http_stream_pending_bytes (request->exchange) <= CD_PENDING_MAX_BYTES)
+  pending_bytes = http_stream_pending_bytes (request->exchange);
+  if (pending_bytes <= cd_pending_max_bytes (request->requests->daemon))
     return;
   request->slow = true;
   ctr_add (request->requests->daemon->counters, "slow_callers_total", 1);
-  lg_write (LG_CALLER_SLOW, "%s: more than %u bytes unsent", request->id,
-            CD_PENDING_MAX_BYTES);
+  lg_write (LG_CALLER_SLOW,
+            "%s: %zu bytes unsent, memory_used_bytes=%" G_GUINT64_FORMAT,
+            request->id, pending_bytes,
+            mbg_used_bytes (request->requests->daemon->budget));
 }
 
 /* Send a complete RESPONSE to the caller.  */
@@ -190,10 +178,7 @@
   request->exchange = NULL;
   if (exchange != NULL && request->slow)
     http_stream_abort (exchange);
-  else if (exchange != NULL && request->streaming)
-    http_stream_end (exchange, outcome == RQ_DELIVERED);
   else if (exchange != NULL)
-    http_respond (exchange, CD_STATUS_CALLER_DISCONNECTED, "text/plain", "",
-                  0);
+    http_stream_end (exchange, outcome == RQ_DELIVERED);
   cd_request_free (request);
 }
--- a/cowslipcoved/requests_attempt.c
+++ b/cowslipcoved/requests_attempt.c
@@ -5,6 +5,8 @@
 #include "requests_impl.h"
 
 #define CD_RESPONSE_MAX_BYTES (8U << 20)
+/* Memory of a response up to which it may use all that callers have.  */
+#define CD_RESPONSE_SMALL_BYTES (64U << 10)
 /* Time allowed beyond the deadline for a finished stream to close its
    connection.  */
 #define CD_END_GRACE_MS       1000
@@ -19,6 +21,7 @@
   struct cd_request *request; /* NULL: cancelled or ended */
   uint64_t id;
   struct http_call *call;
+  struct mbg_budget *budget;
   char address[128];
   uint16_t status;
   char content_type[128];
@@ -27,6 +30,7 @@
   bool free_deferred; /* free when the callback returns */
   struct sse_parser parser;
   GString *response;
+  size_t taken_bytes; /* of the budget, for RESPONSE */
 };
 
 static void
@@ -34,6 +38,7 @@
 {
   sse_clear (&attempt->parser);
   g_string_free (attempt->response, TRUE);
+  mbg_give (attempt->budget, attempt->taken_bytes);
   g_free (attempt);
 }
 
@@ -109,10 +114,18 @@
 static void
 cd_attempt_append (struct cd_attempt *attempt, const char *data, size_t bytes)
 {
+  /* The string may have twice the size.  */
+  if (!mbg_take (attempt->budget, 2 * bytes,
+                 attempt->taken_bytes < CD_RESPONSE_SMALL_BYTES ? MBG_CLIENT
+                                                                : MBG_LARGE))
+    {
+      cd_attempt_reject (attempt, "no memory for the response");
+      return;
+    }
+  attempt->taken_bytes += 2 * bytes;
   g_string_append_len (attempt->response, data, (gssize)bytes);
-  if (attempt->response->len <= CD_RESPONSE_MAX_BYTES)
-    return;
-  cd_attempt_reject (attempt, "response too large");
+  if (attempt->response->len > CD_RESPONSE_MAX_BYTES)
+    cd_attempt_reject (attempt, "response too large");
 }
 
 static void
@@ -230,6 +243,7 @@
 
   request->attempts[slot] = attempt;
   attempt->request = request;
+  attempt->budget = request->requests->daemon->budget;
   attempt->id = launch->attempt;
   attempt->response = g_string_new (NULL);
   sse_init (&attempt->parser);
--- a/cowslipcoved/requests_impl.h
+++ b/cowslipcoved/requests_impl.h
@@ -9,7 +9,10 @@
 #include "requests.h"
 #include "sse.h"
 
-#define CD_PENDING_MAX_BYTES (8U << 20)
+/* Limits on the bytes that a caller leaves unread, the second one while memory
+   is short.  */
+#define CD_PENDING_MAX_BYTES   (8U << 20)
+#define CD_PENDING_SHORT_BYTES (64U << 10)
 
 struct cd_requests
 {
@@ -29,6 +32,7 @@
   struct env_document *document;  /* owns the strings in the spec */
   struct dsp_request *request;    /* NULL: ended */
   struct cd_body body;
+  size_t taken_bytes; /* of the budget, for BODY */
   char *path;
   char id[160]; /* X-Request-Id of every attempt */
   int32_t priority;
@@ -36,14 +40,13 @@
   bool streaming;
   bool slow;
   struct cd_attempt *attempts[RQ_LIVE_MAX];
-  struct tm_timer poll_timer;
 };
 
 extern const struct dsp_actions cd_requests_actions;
 
 struct cd_request *cd_request_new (struct cd_requests *requests,
                                    struct http_exchange *exchange,
-                                   struct cd_body *body,
+                                   struct cd_body *body, size_t taken_bytes,
                                    struct env_document *document);
 void cd_request_start (struct cd_request *request,
                        const struct dsp_spec *spec);
--- a/libcowslip/jsn.c
+++ b/libcowslip/jsn.c
@@ -37,20 +37,45 @@
   return true;
 }
 
+/* Return an upper bound on the memory that the value which C begins, or that
+   follows it, takes when it is parsed.  */
+static size_t
+jsn_value_bytes (char c)
+{
+  if (c == '{')
+    return JSN_OBJECT_BYTES;
+  if (c == '[')
+    return JSN_ARRAY_BYTES;
+  return c == ',' ? JSN_VALUE_BYTES : 0;
+}
+
 /* Return an upper bound on the memory that TEXT takes when it is parsed, apart
-   from its strings.  Characters within strings count as well.  */
+   from its strings.  Characters within strings and comments count as well.  */
 static size_t
 jsn_parsed_bytes (const char *text, size_t bytes)
 {
   size_t parsed_bytes = 0;
 
   for (size_t i = 0; i < bytes; i++)
-    if (text[i] == '{')
-      parsed_bytes += JSN_OBJECT_BYTES;
-    else if (text[i] == '[')
-      parsed_bytes += JSN_ARRAY_BYTES;
-    else if (text[i] == ',')
-      parsed_bytes += JSN_VALUE_BYTES;
+    parsed_bytes += jsn_value_bytes (text[i]);
+  return parsed_bytes;
+}
+
+/* The same for a text that has no comments, without the characters in its
+   strings.  */
+size_t
+jsn_strict_parsed_bytes (const char *text, size_t bytes)
+{
+  size_t parsed_bytes = 0;
+  bool in_string = false;
+
+  for (size_t i = 0; i < bytes; i++)
+    if (text[i] == '"')
+      in_string = !in_string;
+    else if (!in_string)
+      parsed_bytes += jsn_value_bytes (text[i]);
+    else if (text[i] == '\\')
+      i++;
   return parsed_bytes;
 }
 
--- a/libcowslip/jsn.h
+++ b/libcowslip/jsn.h
@@ -38,6 +38,7 @@
 
 GQuark jsn_error_quark (void);
 struct json_object *jsn_parse (const char *text, size_t bytes, GError **error);
+size_t jsn_strict_parsed_bytes (const char *text, size_t bytes);
 void jsn_open (struct jsn_reader *reader, struct json_object *object,
                const char *path);
 bool jsn_close (struct jsn_reader *reader, GError **error);
--- a/regress/body_test.c
+++ b/regress/body_test.c
@@ -140,14 +140,33 @@
   sse_clear (&parser);
 }
 
+/* Guards against bodies whose parsed form takes far more memory than
+   estimated, and against refusing text for what its strings contain.  */
+static void
+test_memory (void)
+{
+  static const char text[] = "{\"a\":\"[[{{,,\\\"[{,\\\\\"}";
+  static const char plain[] = "{\"a\":\"0123456789abc\"}";
+  char *values = g_strnfill (3000, '{');
+  char *after_string = g_strdup_printf ("\"\\\\\"%s", values);
+
+  CU_ASSERT_EQUAL (strlen (text), strlen (plain));
+  CU_ASSERT_EQUAL (cd_body_memory_bytes (text, strlen (text)),
+                   cd_body_memory_bytes (plain, strlen (plain)));
+  CU_ASSERT_TRUE (cd_body_memory_bytes (values, 3000) > 3000 * 800);
+  CU_ASSERT_TRUE (cd_body_memory_bytes (after_string, strlen (after_string))
+                  > 3000 * 800);
+  g_free (after_string);
+  g_free (values);
+}
+
 int
 main (void)
 {
-  static const struct unit_test tests[] = { { "bodies", test_bodies },
-                                            { "write", test_write },
-                                            { "stream", test_stream },
-                                            { "large", test_large },
-                                            { NULL, NULL } };
+  static const struct unit_test tests[]
+      = { { "bodies", test_bodies }, { "write", test_write },
+          { "stream", test_stream }, { "large", test_large },
+          { "memory", test_memory }, { NULL, NULL } };
 
   return unit_main ("body", tests);
 }
