Move the text of requests and the idle time out of h1_pool.c

How a request is written is in h1_request.c now, and how long a response lets its connection be kept is with the other readings of heads. No change of behaviour: gw_http_test, http_test and endless_test pass. mbg_script no longer reads a missing word.

--- a/libcowslip/h1_head.c
+++ b/libcowslip/h1_head.c
@@ -1,9 +1,16 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include <http_parser.h>
 
 #include "h1_head.h"
 
+/* An idle connection is closed this long before its peer would close it,
+   because a request sent while the peer closes may or may not be executed.  */
+#define H1_KEEP_ALIVE_MARGIN_MS 500
+/* Idle timeout if the peer announces none.  */
+#define H1_KEEP_ALIVE_DEFAULT_MS 3000
+
 static void
 h1_field_clear (gpointer data)
 {
@@ -154,6 +161,24 @@
   return text[0] == '<' ? "Unknown" : text;
 }
 
+/* Return how long to keep a connection idle according to the Keep-Alive field
+   of HEAD, in milliseconds.  */
+uint32_t
+h1_head_keep_alive_ms (const struct h1_head *head)
+{
+  const char *value = h1_head_get (head, "Keep-Alive");
+  const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
+  uint64_t keep_alive_ms = H1_KEEP_ALIVE_DEFAULT_MS;
+
+  if (timeout != NULL)
+    keep_alive_ms
+        = MIN (strtoull (timeout + strlen ("timeout="), NULL, 10), 3600)
+          * 1000;
+  return keep_alive_ms > H1_KEEP_ALIVE_MARGIN_MS
+             ? (uint32_t)keep_alive_ms - H1_KEEP_ALIVE_MARGIN_MS
+             : 0;
+}
+
 /* Return what ends the body of the response HEAD, for log lines.  */
 const char *
 h1_head_framing (const struct h1_head *head)
--- a/libcowslip/h1_head.h
+++ b/libcowslip/h1_head.h
@@ -38,6 +38,7 @@
 void h1_head_add (struct h1_head *head, const char *name, const char *value);
 const char *h1_head_get (const struct h1_head *head, const char *name);
 void h1_head_print (const struct h1_head *head, GString *text);
+uint32_t h1_head_keep_alive_ms (const struct h1_head *head);
 const char *h1_head_framing (const struct h1_head *head);
 const char *h1_status_text (uint16_t status);
 
--- a/libcowslip/h1_pool.c
+++ b/libcowslip/h1_pool.c
@@ -1,28 +1,20 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "adr.h"
 #include "h1_conn.h"
 #include "h1_parser.h"
 #include "h1_pool.h"
+#include "h1_request.h"
 #include "lg.h"
 
 #define H1_US_PER_MS UINT64_C (1000)
 /* Larger than the 16 KB that callers accept in a head.  */
 #define H1_RESPONSE_HEAD_MAX_BYTES 32768
-/* An idle connection is closed this long before its peer would close it,
-   because a request sent while the peer closes may or may not be executed.  */
-#define H1_KEEP_ALIVE_MARGIN_MS 500
-/* Idle timeout if the peer announces none.  */
-#define H1_KEEP_ALIVE_DEFAULT_MS 3000
 /* Limit on responses to earlier requests that are skipped per request.  */
 #define H1_SKIPPED_MAX 4
 /* Limit on their bodies together.  A late response is as large as a
    generation, some 10 KB; a faulty endpoint sends without end.  */
 #define H1_SKIPPED_MAX_BYTES (256U << 10)
-/* A body up to this size is copied behind the head, so that both are sent at
-   once.  */
-#define H1_COPIED_BODY_MAX_BYTES 16384
 
 struct h1_pool
 {
@@ -229,24 +221,6 @@
   h1_channel_free (arg);
 }
 
-/* Return how long to keep a connection idle according to the Keep-Alive field
-   of HEAD, in milliseconds.  */
-static uint32_t
-h1_keep_alive_ms (const struct h1_head *head)
-{
-  const char *value = h1_head_get (head, "Keep-Alive");
-  const char *timeout = value == NULL ? NULL : strstr (value, "timeout=");
-  uint64_t keep_alive_ms = H1_KEEP_ALIVE_DEFAULT_MS;
-
-  if (timeout != NULL)
-    keep_alive_ms
-        = MIN (strtoull (timeout + strlen ("timeout="), NULL, 10), 3600)
-          * 1000;
-  return keep_alive_ms > H1_KEEP_ALIVE_MARGIN_MS
-             ? (uint32_t)keep_alive_ms - H1_KEEP_ALIVE_MARGIN_MS
-             : 0;
-}
-
 /* Return CHANNEL to the pool of idle connections, or close it.  */
 static void
 h1_channel_release (struct h1_channel *channel)
@@ -312,7 +286,7 @@
   if (channel->skipping)
     return;
   channel->reusable = head->keep_alive && !call->close;
-  channel->keep_alive_ms = h1_keep_alive_ms (head);
+  channel->keep_alive_ms = h1_head_keep_alive_ms (head);
   channel->head_received = true;
   call->response_started = true;
   call->events.head (call->arg, head);
@@ -509,31 +483,7 @@
   return channel;
 }
 
-/* Return the text of REQUEST, without its shared body if that is large.  */
-static GString *
-h1_request_text (const struct h1_request *request)
-{
-  const struct h1_head *head = request->head;
-  const char *body = request->body;
-  size_t body_bytes = request->body_bytes;
-  GString *text;
-
-  if (request->shared_body != NULL)
-    body = h1_body_data (request->shared_body, &body_bytes);
-  text = g_string_new (NULL);
-  g_string_printf (text, "%s %s HTTP/1.1\r\n", head->method, head->target);
-  h1_head_print (head, text);
-  if (request->close)
-    g_string_append (text, "Connection: close\r\n");
-  if (body_bytes > 0 || head->has_length || head->chunked)
-    g_string_append_printf (text, "Content-Length: %zu\r\n", body_bytes);
-  g_string_append (text, "\r\n");
-  if (request->shared_body == NULL || body_bytes <= H1_COPIED_BODY_MAX_BYTES)
-    g_string_append_len (text, body, (gssize)body_bytes);
-  return text;
-}
-
-/* Send REQUEST, which is copied but for its shared body, and report the
+/* Send REQUEST, which is copied but for a large shared body, and report the
    response to EVENTS with ARG.  Return NULL, without any callback, if no
    connection can be opened.  No callback is called before this function
    returns.  */
@@ -555,8 +505,7 @@
   call->events = *events;
   call->arg = arg;
   call->text = h1_request_text (request);
-  if (request->shared_body != NULL
-      && h1_body_bytes (request->shared_body) > H1_COPIED_BODY_MAX_BYTES)
+  if (h1_request_shares_body (request))
     call->body = h1_body_ref (request->shared_body);
   call->match_name = g_strdup (request->match_name);
   call->match_value = g_strdup (request->match_value);
--- a/regress/mbg_script.c
+++ b/regress/mbg_script.c
@@ -98,6 +98,7 @@
 {
   const char *command = words[0];
   const char *argument = words[1] == NULL ? "" : words[1];
+  const char *amount = words[1] == NULL || words[2] == NULL ? "" : words[2];
   size_t number = strtoul (argument, NULL, 10);
 
   if (g_str_equal (command, "memory"))
@@ -106,7 +107,7 @@
     open_client (argument);
   else if (g_str_equal (command, "send"))
     send_bytes (find_client (argument),
-                strtoul (words[2], NULL, 10) * BYTES_PER_K);
+                strtoul (amount, NULL, 10) * BYTES_PER_K);
   else if (g_str_equal (command, "control"))
     print_use (mbg_take (budget, number * BYTES_PER_K, MBG_CONTROL)
                    ? "kept"
