Treat a response whose status is none of HTTP's as no response

What callers saw: an endpoint's status of 000 to 099 was taken for an interim response, and the caller waited for another one until its time limit, 504; 600 to 999 were passed on as answers.

Cause: http_parser accepts any three digits, and nothing checked them.

A status outside 100 to 599 makes the response malformed, at once, for engines, orders, reports and the store alike: a request that may be repeated goes to another endpoint, any other one gets 502, because it may have run.

--- a/libcowslip/h1_parser.c
+++ b/libcowslip/h1_parser.c
@@ -6,6 +6,9 @@
    for more, and what the allocator adds.  */
 #define H1_FIELD_BYTES 96
 
+#define H1_STATUS_MIN 100U
+#define H1_STATUS_MAX 599U
+
 static struct h1_parser *
 h1_of (http_parser *parser)
 {
@@ -86,6 +89,13 @@
   return coding != NULL && strcasecmp (coding, "chunked") != 0;
 }
 
+/* Return whether STATUS is one of HTTP's.  */
+static bool
+h1_is_status (unsigned int status)
+{
+  return status >= H1_STATUS_MIN && status <= H1_STATUS_MAX;
+}
+
 static int
 h1_on_head (http_parser *http)
 {
@@ -102,7 +112,7 @@
           = g_strdup (http_method_str ((enum http_method)http->method));
       head->target = g_strdup (parser->target->str);
     }
-  else if (h1_is_coded (head))
+  else if (h1_is_coded (head) || !h1_is_status (http->status_code))
     return -1;
   else
     head->status = (uint16_t)http->status_code;
