Do not cut a response that is ready for another caller's connection

Seen in the last read of the change, not by a caller: with all connections in use, the connection of a caller who reads the end of a response slowly could be closed for a newcomer, because its request was over. A ready response is sent to its end now, and the newcomer gets 503. One that is cut because memory is needed is logged, E534 reason=evicted.

Evidence: h1_server_test, "ready response stays", failed before (status 200 for the newcomer, the response cut) and passes now; "idle connection makes room" passes both ways.

How much a caller may leave unread stood in two files of the own interface and stands in one.

--- a/cowslipcoved/refuse.c
+++ b/cowslipcoved/refuse.c
@@ -7,6 +7,10 @@
 #include "refuse.h"
 
 #define CD_MS_PER_S 1000
+/* Limits on the bytes that a caller leaves unread, the second one while memory
+   is short.  */
+#define CD_PENDING_MAX_BYTES   (8U << 20)
+#define CD_PENDING_SHORT_BYTES (64U << 10)
 
 /* Return the delay after which a retry may succeed, in seconds, or 0 if none
    can.  */
@@ -113,6 +117,14 @@
   g_free (message);
 }
 
+/* Return how many bytes of a response its caller may leave unread.  */
+size_t
+cd_pending_max_bytes (const struct cd_daemon *daemon)
+{
+  return mbg_is_short (daemon->budget) ? CD_PENDING_SHORT_BYTES
+                                       : CD_PENDING_MAX_BYTES;
+}
+
 /* Refuse the request of EXCHANGE, which is not complete, because of
    REJECTION.  */
 void
--- a/cowslipcoved/requests_answer.c
+++ b/cowslipcoved/requests_answer.c
@@ -57,14 +57,6 @@
   dsp_request_start (request->request);
 }
 
-/* Return how many bytes a caller may leave unread.  */
-static size_t
-cd_pending_max_bytes (const struct cd_daemon *daemon)
-{
-  return mbg_is_short (daemon->budget) ? CD_PENDING_SHORT_BYTES
-                                       : CD_PENDING_MAX_BYTES;
-}
-
 /* Relay one event of the stream to the caller.  */
 void
 cd_request_send (void *owner, const char *data, size_t bytes)
--- a/cowslipcoved/requests_impl.h
+++ b/cowslipcoved/requests_impl.h
@@ -9,11 +9,6 @@
 #include "requests.h"
 #include "sse.h"
 
-/* Limits on the bytes that a caller leaves unread, the second one while memory
-   is short.  */
-#define CD_PENDING_MAX_BYTES   (8U << 20)
-#define CD_PENDING_SHORT_BYTES (64U << 10)
-
 struct cd_requests
 {
   struct cd_daemon *daemon;
--- a/cowslipcoved/services_caller.c
+++ b/cowslipcoved/services_caller.c
@@ -1,11 +1,7 @@
 #include "lg.h"
+#include "refuse.h"
 #include "services_impl.h"
 
-/* Limits on the bytes that a caller leaves unread, the second one while memory
-   is short.  */
-#define CD_PENDING_MAX_BYTES   (8U << 20)
-#define CD_PENDING_SHORT_BYTES (64U << 10)
-
 static void
 cd_count_outcome (const struct cd_call *call, const char *outcome)
 {
@@ -136,14 +132,6 @@
   http_stream_start (call->exchange, (uint16_t)status, content_type);
 }
 
-/* Return how many bytes the caller of CALL may leave unread.  */
-static size_t
-cd_pending_max_bytes (const struct cd_call *call)
-{
-  return mbg_is_short (call->config.daemon->budget) ? CD_PENDING_SHORT_BYTES
-                                                    : CD_PENDING_MAX_BYTES;
-}
-
 /* Relay BYTES at DATA.  A caller that reads too slowly is disconnected, to
    bound the memory for unsent data.  */
 void
@@ -156,7 +144,7 @@
   http_stream_write (call->exchange, data, bytes);
   if (call->exchange == NULL
       || http_stream_pending_bytes (call->exchange)
-             <= cd_pending_max_bytes (call))
+             <= cd_pending_max_bytes (call->config.daemon))
     return;
   ctr_add (call->config.daemon->counters, "slow_callers_total", 1);
   lg_write (
--- a/libcowslip/h1_exchange.c
+++ b/libcowslip/h1_exchange.c
@@ -47,7 +47,8 @@
 const char *
 h1_close_reason_text (enum h1_close_reason reason)
 {
-  static const char *const texts[] = { "peer", "lost", "timeout", "abort" };
+  static const char *const texts[]
+      = { "peer", "lost", "timeout", "abort", "evicted" };
 
   return texts[reason];
 }
--- a/libcowslip/h1_reject.c
+++ b/libcowslip/h1_reject.c
@@ -45,7 +45,7 @@
 }
 
 /* Free the memory of the exchange ARG, which stalls: within a request its
-   caller gets a refusal.  */
+   caller gets a refusal, and of a response it gets no more.  */
 void
 h1_exchange_evict (void *arg)
 {
@@ -53,7 +53,7 @@
 
   if (exchange->parser.started && !exchange->busy && !exchange->closing)
     h1_exchange_reject (exchange, H1_REJECT_MEMORY);
-  h1_exchange_destroy (exchange);
+  h1_exchange_close (exchange, H1_CLOSE_EVICTED);
 }
 
 /* Return the order in which EXCHANGE is closed for another caller, lower ones
@@ -63,7 +63,8 @@
 {
   uint64_t now_us = tm_now_us (exchange->server->tm);
 
-  if (exchange->busy
+  /* A response that is ready is sent to its end.  */
+  if (exchange->busy || h1_conn_pending_bytes (exchange->conn) > 0
       || now_us - exchange->holder.progress_us < H1_EVICT_AFTER_US)
     return UINT32_MAX;
   if (exchange->closing)
@@ -101,6 +102,6 @@
   server->counts.connections_evicted++;
   if (victim->parser.started && !victim->closing)
     h1_exchange_reject (victim, H1_REJECT_CONNECTIONS);
-  h1_exchange_destroy (victim);
+  h1_exchange_close (victim, H1_CLOSE_EVICTED);
   return true;
 }
--- a/libcowslip/h1_server.h
+++ b/libcowslip/h1_server.h
@@ -32,7 +32,8 @@
   H1_CLOSE_PEER,    /* the caller closed it */
   H1_CLOSE_LOST,    /* reset, or the caller is considered dead */
   H1_CLOSE_TIMEOUT, /* the request was not complete in time */
-  H1_CLOSE_ABORT    /* the response could not be completed */
+  H1_CLOSE_ABORT,   /* the response could not be completed */
+  H1_CLOSE_EVICTED  /* it stalled, and another caller needed its memory */
 };
 
 /* A connection that was closed within a request or a response.  */
--- a/regress/h1_server_test.c
+++ b/regress/h1_server_test.c
@@ -11,8 +11,10 @@
 /* More than the kernel buffers of a connection hold.  */
 #define BODY_BYTES (64U << 20)
 /* Longer than the time that a caller has to close its side.  */
-#define READER_PAUSE_MS  1200
-#define US_PER_MS        UINT64_C (1000)
+#define READER_PAUSE_MS 1200
+#define US_PER_MS       UINT64_C (1000)
+/* Longer than a connection may do nothing while another caller needs it.  */
+#define STALL_MS         700
 #define SHORT_IDLE_MS    300
 #define LONG_IDLE_MS     3000
 #define SHORT_HEAD_BYTES 200
@@ -276,6 +278,76 @@
                    BODY_BYTES);
 }
 
+/* Let the server have one connection, and another for control.  */
+static void
+set_one_connection (void)
+{
+  const struct h1_limits limits = { .head_max_bytes = LONG_HEAD_BYTES,
+                                    .body_max_bytes = 4096,
+                                    .head_timeout_ms = 5000,
+                                    .idle_timeout_ms = 60000,
+                                    .connections_max = 1 };
+
+  start ();
+  h1_server_set_limits (server, &limits);
+}
+
+/* Return the status that a new caller gets.  */
+static uint16_t
+ask_from_new_connection (void)
+{
+  struct wire_caller *caller = wire_caller_new (
+      uv_default_loop (), h1_server_port (server), SMALL_REQUEST);
+  uint16_t status;
+
+  while (wire_caller_responses (caller) == 0 && !wire_caller_closed (caller))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  status = wire_caller_status (caller);
+  wire_caller_close (caller);
+  return status;
+}
+
+/* Guards against an idle connection that keeps another caller out.  */
+static void
+test_idle_makes_room (void)
+{
+  struct wire_caller *idle;
+
+  set_one_connection ();
+  idle = keep_connection ();
+  run_ms (STALL_MS);
+  CU_ASSERT_EQUAL (ask_from_new_connection (), 200);
+  while (!wire_caller_closed (idle))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  wire_caller_close (idle);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+}
+
+/* Guards against a response that is ready and is cut because another caller
+   needs the connection.  */
+static void
+test_ready_response_stays (void)
+{
+  struct wire_caller *slow;
+
+  set_one_connection ();
+  slow = wire_caller_new (uv_default_loop (), h1_server_port (server),
+                          "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (wire_caller_status (slow) == 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  wire_caller_set_reading (slow, false);
+  run_ms (STALL_MS);
+  CU_ASSERT_EQUAL (ask_from_new_connection (), 503);
+  wire_caller_set_reading (slow, true);
+  while (wire_caller_responses (slow) == 0 && !wire_caller_closed (slow))
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+  CU_ASSERT_EQUAL (strlen (wire_caller_body (slow)), BODY_BYTES);
+  wire_caller_close (slow);
+  while (h1_server_connections (server) > 0)
+    uv_run (uv_default_loop (), UV_RUN_ONCE);
+}
+
 int
 main (void)
 {
@@ -287,6 +359,8 @@
           { "request that arrived during a stall", test_stall },
           { "closing idle connections", test_close_idle },
           { "reports of unfinished work", test_reports },
+          { "idle connection makes room", test_idle_makes_room },
+          { "ready response stays", test_ready_response_stays },
           { NULL, NULL } };
 
   return unit_main ("h1_server", tests);
